--- /dev/null
+++ b/cmake/pch.cpp
@@ -0,0 +1,1 @@
+// Carries the precompiled header.
