--- /dev/null
+++ b/packages/platform/include/jujubereach/platform/hosts.h
@@ -0,0 +1,33 @@
+// The platform's list of live and leaving machines. It lags; nothing that must always hold rests on it.
+#pragma once
+
+#include "jujubereach/base/error.h"
+#include "jujubereach/base/id.h"
+#include "jujubereach/base/time.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace jujubereach::platform {
+
+enum class MachineKind { EntryHost, Worker, Upstream };
+enum class MachineState { Live, Leaving };
+
+struct Machine {
+    std::string id; ///< HostId, WorkerId ("<rack>/<index>") or UpstreamId, by kind.
+    MachineKind kind = MachineKind::Worker;
+    MachineState state = MachineState::Live;
+    ZoneId zone;
+    std::string address; ///< "ip:port"; of an entry host its inner port.
+    std::string httpAddress; ///< Of an entry host its port for callers; else empty.
+    std::uint32_t slots = 0; ///< Of an upstream: requests that it handles at the same time.
+};
+
+/// Reads the whole list of one zone, or of all when the zone is empty. Blocking.
+using HostList = std::function<Result<std::vector<Machine>>(const ZoneId& zone)>;
+
+HostList httpHostList(const std::string& address, Duration timeout);
+
+} // namespace jujubereach::platform
