--- a/packages/manifest/src/json-reader.cpp
+++ b/packages/manifest/src/json-reader.cpp
@@ -135,7 +135,7 @@
     return path + "[" + std::to_string(index) + "]";
 }
 
-Fields::Fields(const Node& node, std::vector<std::string> known, std::vector<Fault>& faults)
+Fields::Fields(const Node& node, const std::vector<std::string>& known, std::vector<Fault>& faults)
     : m_path(node.path)
     , m_faults(faults)
 {
--- a/packages/manifest/src/json-reader.h
+++ b/packages/manifest/src/json-reader.h
@@ -41,7 +41,7 @@
 class Fields {
 public:
     /// Adds a fault for every field that is not in `known`.
-    Fields(const Node& node, std::vector<std::string> known, std::vector<Fault>& faults);
+    Fields(const Node& node, const std::vector<std::string>& known, std::vector<Fault>& faults);
 
     std::string id(const std::string& field);
     std::uint64_t whole(const std::string& field, const WholeBounds& bounds);
