--- /dev/null
+++ b/packages/manifest/src/holder.cpp
@@ -0,0 +1,290 @@
+// Takes in roots and sections, and puts the highest complete root into force.
+#include "jujubereach/manifest/holder.h"
+
+#include <algorithm>
+
+namespace jujubereach::manifest {
+
+ManifestHolder::ManifestHolder(HolderSettings settings, TimePoint now)
+    : m_settings(settings)
+    , m_startedAt(now)
+{
+}
+
+void ManifestHolder::onPeerCounter(const HostId& peer, std::uint64_t counter, TimePoint now)
+{
+    auto& known = m_peers[peer];
+    known = std::max(known, counter);
+    if (counter > m_root.counter) {
+        m_latestTeller = peer;
+        if (!m_higherSince)
+            m_higherSince = now;
+    }
+}
+
+void ManifestHolder::onPeerReply(const HostId& peer, const ManifestReply& reply, TimePoint now)
+{
+    if (reply.root) {
+        onPeerCounter(peer, reply.root->counter, now);
+        offerRoot(*reply.root, peer);
+    }
+    if (!reply.sections.empty())
+        offerSections(reply.sections);
+    for (const auto& content : reply.contents)
+        offerContent(content);
+    if (m_open && m_open->peer == peer)
+        m_open.reset();
+    advance();
+}
+
+bool ManifestHolder::peerHas(const HostId& peer, std::uint64_t counter) const
+{
+    auto known = m_peers.find(peer);
+    return known != m_peers.end() && known->second >= counter;
+}
+
+void ManifestHolder::onServiceRoot(const std::optional<Root>& root, TimePoint)
+{
+    m_serviceRank = root ? root->rank() : RootRank {};
+    if (root)
+        offerRoot(*root, std::nullopt);
+    onServiceReply();
+    m_serviceConfirmed = m_serviceConfirmed || (m_manifest && m_root.rank() >= *m_serviceRank);
+}
+
+void ManifestHolder::onServiceIndex(const Index& index, TimePoint)
+{
+    offerSections(index.sections);
+    onServiceReply();
+}
+
+void ManifestHolder::onServiceContents(const std::vector<Content>& contents, TimePoint)
+{
+    for (const auto& content : contents)
+        offerContent(content);
+    onServiceReply();
+}
+
+void ManifestHolder::onServiceReply()
+{
+    if (m_open && !m_open->peer)
+        m_open.reset();
+    advance();
+}
+
+void ManifestHolder::offerRoot(const Root& root, const std::optional<HostId>& from)
+{
+    auto rank = root.rank();
+    bool isRejected = m_rejected && rank <= *m_rejected;
+    if (root.counter == 0 || rank <= m_root.rank() || isRejected)
+        return;
+    if (m_target && rank <= m_target->root.rank())
+        return;
+    m_target = Target { root, std::nullopt, from };
+    m_attempt = 0;
+}
+
+// Whoever sent the map, only the one that the root names is taken.
+void ManifestHolder::offerSections(const SectionMap& sections)
+{
+    if (!m_target || m_target->sections || nameOfSections(sections) != m_target->root.sections)
+        return;
+    m_target->sections = sections;
+    m_attempt = 0;
+}
+
+void ManifestHolder::offerContent(const Content& content)
+{
+    if (m_parts.contains(content.name) || contentNameOf(content.text) != content.name)
+        return;
+    auto part = outcomeOf([&] { return readSection(content.text); });
+    if (part) {
+        m_parts[content.name] = { content.text, std::move(*part.value) };
+        m_attempt = 0;
+    } else if (m_target) {
+        m_rejected = m_target->root.rank();
+        m_target.reset();
+    }
+}
+
+void ManifestHolder::advance()
+{
+    if (!m_target)
+        return;
+    auto& target = *m_target;
+    if (!target.sections && target.root.base == m_root.counter && m_root.counter > 0) {
+        auto sections = m_sections;
+        applyChanges(sections, target.root.changes);
+        offerSections(sections);
+    }
+    if (target.sections && missing().empty())
+        enforce();
+}
+
+void ManifestHolder::enforce()
+{
+    auto before = std::move(m_sections);
+    m_root = m_target->root;
+    m_sections = std::move(*m_target->sections);
+    m_target.reset();
+    std::map<SectionName, const Manifest*> parts;
+    for (const auto& [name, content] : m_sections)
+        parts[name] = &m_parts.at(content).manifest;
+    m_manifest = std::make_shared<const Manifest>(assemble(parts));
+    dropOldParts(before);
+    m_higherSince.reset();
+    m_attempt = 0;
+    m_serviceConfirmed = m_serviceConfirmed || (m_serviceRank && m_root.rank() >= *m_serviceRank);
+    m_update = ManifestUpdate { m_root, m_manifest, pushOf(m_root) };
+}
+
+void ManifestHolder::dropOldParts(const SectionMap& before)
+{
+    auto& replaced = m_replaced.emplace_back();
+    for (const auto& [name, content] : before)
+        replaced.push_back(content);
+    if (m_replaced.size() > m_settings.rememberedRoots)
+        m_replaced.pop_front();
+    std::set<ContentName> kept;
+    for (const auto& [name, content] : m_sections)
+        kept.insert(content);
+    for (const auto& contents : m_replaced)
+        kept.insert(contents.begin(), contents.end());
+    std::erase_if(m_parts, [&](const auto& item) { return !kept.contains(item.first); });
+}
+
+std::vector<ContentName> ManifestHolder::missing() const
+{
+    std::vector<ContentName> names;
+    for (const auto& [name, content] : *m_target->sections) {
+        if (!m_parts.contains(content))
+            names.push_back(content);
+    }
+    return names;
+}
+
+std::vector<HostId> ManifestHolder::sources(std::uint64_t counter) const
+{
+    std::vector<HostId> peers;
+    for (const auto& [peer, known] : m_peers) {
+        if (known >= counter)
+            peers.push_back(peer);
+    }
+    auto preferred = m_target && m_target->from ? m_target->from : m_latestTeller;
+    auto found = preferred ? std::find(peers.begin(), peers.end(), *preferred) : peers.end();
+    if (found != peers.end())
+        std::rotate(peers.begin(), found, peers.end());
+    return peers;
+}
+
+bool ManifestHolder::isBehindPeers(TimePoint now) const
+{
+    if (!m_higherSince || now - *m_higherSince < m_settings.patience)
+        return false;
+    auto known = std::max(m_root.counter, m_rejected ? m_rejected->counter : 0);
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& item) { return item.second > known; });
+}
+
+// Peers first, so that the service is read by few; the service first when it named the target itself.
+std::optional<HostId> ManifestHolder::nextSource()
+{
+    auto attempt = m_attempt++;
+    auto peers = sources(m_target ? m_target->root.counter : m_root.counter + 1);
+    if (m_target && !m_target->from) {
+        if (attempt == 0)
+            return std::nullopt;
+        --attempt;
+    }
+    auto turn = attempt % (m_settings.peersBeforeService + 1);
+    if (peers.empty() || turn == m_settings.peersBeforeService)
+        return std::nullopt;
+    return peers[attempt % peers.size()];
+}
+
+std::optional<ManifestFetch> ManifestHolder::tick(TimePoint now)
+{
+    bool isWaiting = m_open && now - m_open->sentAt < m_settings.fetchTimeout;
+    if (isWaiting || (!m_target && !isBehindPeers(now)))
+        return std::nullopt;
+    ManifestFetch fetch;
+    fetch.peer = nextSource();
+    fetch.request = nextRequest();
+    if (fetch.request.sections)
+        fetch.index = m_target->root.index;
+    m_open = OpenFetch { fetch.peer, now };
+    return fetch;
+}
+
+ManifestRequest ManifestHolder::nextRequest() const
+{
+    ManifestRequest request;
+    if (!m_target)
+        request.root = true;
+    else if (!m_target->sections)
+        request.sections = true;
+    else {
+        request.contents = missing();
+        if (request.contents.size() > m_settings.contentsPerFetch)
+            request.contents.resize(m_settings.contentsPerFetch);
+    }
+    return request;
+}
+
+std::optional<ManifestUpdate> ManifestHolder::takeUpdate()
+{
+    return std::exchange(m_update, std::nullopt);
+}
+
+ManifestReply ManifestHolder::answer(const ManifestRequest& request) const
+{
+    ManifestReply reply;
+    if (request.root)
+        reply = pushOf(m_root);
+    if (request.sections)
+        reply.sections = m_sections;
+    for (const auto& name : request.contents) {
+        if (auto part = m_parts.find(name); part != m_parts.end())
+            reply.contents.push_back({ name, part->second.text });
+    }
+    return reply;
+}
+
+ManifestReply ManifestHolder::pushOf(const Root& root) const
+{
+    ManifestReply push;
+    push.root = root;
+    std::size_t bytes = 0;
+    for (const auto& change : root.changes) {
+        auto part = m_parts.find(change.content);
+        if (part == m_parts.end())
+            continue;
+        bytes += part->second.text.size();
+        push.contents.push_back({ change.content, part->second.text });
+    }
+    if (bytes > m_settings.maxPushedBytes)
+        push.contents.clear();
+    return push;
+}
+
+bool ManifestHolder::ready(TimePoint now) const
+{
+    return m_manifest && (m_serviceConfirmed || now - m_startedAt >= m_settings.startWindow);
+}
+
+std::uint64_t ManifestHolder::highestSeen() const
+{
+    auto highest = std::max(m_root.counter, m_target ? m_target->root.counter : 0);
+    for (const auto& [peer, counter] : m_peers)
+        highest = std::max(highest, counter);
+    return highest;
+}
+
+std::map<ContentName, std::string> ManifestHolder::texts() const
+{
+    std::map<ContentName, std::string> texts;
+    for (const auto& [name, content] : m_sections)
+        texts[content] = m_parts.at(content).text;
+    return texts;
+}
+
+} // namespace jujubereach::manifest
--- a/packages/manifest/src/json-writer.cpp
+++ b/packages/manifest/src/json-writer.cpp
@@ -41,21 +41,15 @@
         return json;
     }
 
-    // Zones of the same region stand together: the manifest is in canonical order.
-    Poco::JSON::Array regionsToJson(const std::vector<Zone>& zones)
+    Poco::JSON::Object zoneToJson(const Zone& zone)
     {
-        Poco::JSON::Array regions;
-        for (std::size_t i = 0; i < zones.size();) {
-            auto region = orderedObject();
-            region.set("id", zones[i].region.str());
-            Poco::JSON::Array members;
-            auto first = i;
-            for (; i < zones.size() && zones[i].region == zones[first].region; ++i)
-                members.add(zoneToJson(zones[i]));
-            region.set("zones", members);
-            regions.add(region);
-        }
-        return regions;
+        Poco::JSON::Array domains;
+        for (const auto& domain : zone.domains)
+            domains.add(domainToJson(domain));
+        auto json = orderedObject();
+        json.set("id", zone.id.str());
+        json.set("domains", domains);
+        return json;
     }
 
 } // namespace
@@ -65,15 +59,20 @@
     return Poco::JSON::Object(Poco::JSON_PRESERVE_KEY_ORDER);
 }
 
-Poco::JSON::Object zoneToJson(const Zone& zone)
+Poco::JSON::Array regionsToJson(const std::vector<Zone>& zones)
 {
-    Poco::JSON::Array domains;
-    for (const auto& domain : zone.domains)
-        domains.add(domainToJson(domain));
-    auto json = orderedObject();
-    json.set("id", zone.id.str());
-    json.set("domains", domains);
-    return json;
+    Poco::JSON::Array regions;
+    for (std::size_t i = 0; i < zones.size();) {
+        auto region = orderedObject();
+        region.set("id", zones[i].region.str());
+        Poco::JSON::Array members;
+        auto first = i;
+        for (; i < zones.size() && zones[i].region == zones[first].region; ++i)
+            members.add(zoneToJson(zones[i]));
+        region.set("zones", members);
+        regions.add(region);
+    }
+    return regions;
 }
 
 Poco::JSON::Array classesToJson(const std::vector<WorkClass>& classes)
--- a/packages/manifest/src/json-writer.h
+++ b/packages/manifest/src/json-writer.h
@@ -8,7 +8,8 @@
 
 namespace jujubereach::manifest {
 
-Poco::JSON::Object zoneToJson(const Zone& zone);
+/// Zones of one region must stand together.
+Poco::JSON::Array regionsToJson(const std::vector<Zone>& zones);
 Poco::JSON::Array classesToJson(const std::vector<WorkClass>& classes);
 Poco::JSON::Object workspaceToJson(const Workspace& workspace);
 Poco::JSON::Object limitsToJson(const Limits& limits);
