Add placement and a first working scheduler of a domain

Cause: the settled interface had no code behind it.

Change: placement packs every guaranteed shape of a manifest into aligned runs (longest first, spread evenly, densely when that fails) and indexes free runs of a line for best-fit aligned search. The scheduler keeps a cell for each shape; only gangs that give back within the reclaim bound start in one. Queue in lanes of equal class, workspace, size and lendability, so that a decision looks at lanes instead of jobs. Urgent work and shape calls clear the cheapest run by claims; checkpoints that outlast the bound are stopped.

Ruled out: cells fixed to the packing for good. A worker that goes down would void the guarantee, so an idle cell moves to another run.

Interface: Run is placement's; Scheduler takes a Policy and counts its work. Workers are down until workerUp().

--- /dev/null
+++ b/packages/placement/src/pack.cpp
@@ -0,0 +1,122 @@
+#include "jujubereach/placement/pack.h"
+
+#include "jujubereach/placement/freeruns.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <tuple>
+
+namespace jujubereach::placement {
+
+namespace {
+
+    struct Wanted {
+        PlacedShape shape;
+        std::uint32_t count;
+        std::string where;
+    };
+
+    struct Space {
+        const manifest::Zone* zone;
+        const manifest::Domain* domain;
+        FreeRuns free;
+    };
+
+    /// Which domain of a zone takes a shape that several can hold.
+    enum class Spread { Even, Dense };
+
+    std::vector<Space> spacesOf(const manifest::Manifest& manifest)
+    {
+        std::vector<Space> spaces;
+        for (const auto& zone : manifest.zones) {
+            for (const auto& domain : zone.domains) {
+                auto perWorker = domain.racks.empty() ? 1 : domain.racks.front().acceleratorsPerWorker;
+                std::uint32_t total = 0;
+                for (const auto& rack : domain.racks)
+                    total += rack.workers * rack.acceleratorsPerWorker;
+                spaces.push_back({ &zone, &domain, FreeRuns(perWorker) });
+                spaces.back().free.add({ 0, total });
+            }
+        }
+        return spaces;
+    }
+
+    std::vector<Wanted> wantedOf(const manifest::Manifest& manifest)
+    {
+        std::vector<Wanted> all;
+        for (std::size_t w = 0; w < manifest.workspaces.size(); ++w) {
+            const auto& workspace = manifest.workspaces[w];
+            for (std::size_t s = 0; s < workspace.shapes.size(); ++s) {
+                const auto& shape = workspace.shapes[s];
+                auto where = "workspaces[" + std::to_string(w) + "].shapes[" + std::to_string(s) + "]";
+                for (std::uint32_t i = 0; i < shape.count; ++i)
+                    all.push_back(
+                        { { workspace.id, shape.id, i, shape.zone, {}, {} }, shape.accelerators, where });
+            }
+        }
+        std::stable_sort(all.begin(), all.end(), [](const Wanted& a, const Wanted& b) {
+            return std::tie(b.count, a.shape.workspace, a.shape.shape, a.shape.instance)
+                < std::tie(a.count, b.shape.workspace, b.shape.shape, b.shape.instance);
+        });
+        return all;
+    }
+
+    /// The domain with the most free accelerators (Even) or the fewest that still hold the run (Dense).
+    bool place(Wanted& wanted, std::vector<Space>& spaces, Spread spread)
+    {
+        Space* best = nullptr;
+        for (auto& space : spaces) {
+            if (space.zone->id != wanted.shape.zone || space.free.largest() < wanted.count)
+                continue;
+            bool better = best
+                && (spread == Spread::Even ? space.free.total() > best->free.total()
+                                           : space.free.total() < best->free.total());
+            if (!best || better)
+                best = &space;
+        }
+        if (!best)
+            return false;
+        wanted.shape.run = *best->free.bestFit(wanted.count);
+        wanted.shape.domain = best->domain->id;
+        best->free.remove(wanted.shape.run);
+        return true;
+    }
+
+    /// The first wanted shape that does not fit, if any.
+    const Wanted* placeAll(std::vector<Wanted>& all, std::vector<Space> spaces, Spread spread)
+    {
+        for (auto& wanted : all) {
+            if (!place(wanted, spaces, spread))
+                return &wanted;
+        }
+        return nullptr;
+    }
+
+    Error doesNotFit(const Wanted& wanted)
+    {
+        return { ErrorCode::InvalidInput,
+            "shape \"" + wanted.shape.shape.str() + "\" (instance "
+                + std::to_string(wanted.shape.instance + 1) + ", " + std::to_string(wanted.count)
+                + " adjacent accelerators) does not fit into zone \"" + wanted.shape.zone.str()
+                + "\" beside the other shapes; make it smaller or add racks",
+            wanted.where, wanted.shape.shape.str() };
+    }
+
+} // namespace
+
+Result<Packing> packShapes(const manifest::Manifest& manifest)
+{
+    auto wanted = wantedOf(manifest);
+    auto spaces = spacesOf(manifest);
+    if (placeAll(wanted, spaces, Spread::Even)) {
+        if (const auto* misfit = placeAll(wanted, spaces, Spread::Dense))
+            return fail(doesNotFit(*misfit));
+    }
+    Packing packing;
+    for (auto& each : wanted)
+        packing.push_back(std::move(each.shape));
+    return packing;
+}
+
+} // namespace jujubereach::placement
--- /dev/null
+++ b/packages/scheduling/include/jujubereach/scheduling/policy.h
@@ -0,0 +1,31 @@
+// Settings of the scheduling policy. The defaults are the product; tests and benchmarks turn parts off.
+#pragma once
+
+#include "jujubereach/base/time.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace jujubereach::scheduling {
+
+struct Policy {
+    std::size_t maxQueued = 20'000; ///< Jobs; more are refused, requeued gangs excepted.
+    Duration agingTime { 15 * 60 * 1000 }; ///< Waiting time after which a job's area counts half.
+    Duration rankAgingTime { 60 * 60 * 1000 }; ///< Waiting time that makes up for one rank of its class.
+    Duration reservationDelay { 30 * 1000 }; ///< Waiting time after which a gang may reserve a run.
+    std::uint32_t maxReservations = 2; ///< Runs kept for waiting gangs at the same time.
+    std::uint32_t maxFailures = 4; ///< Failures after which a job ends as failing everywhere.
+    std::uint32_t workerFailures = 3; ///< First failures of different jobs in a row that set a worker aside.
+    Duration probeDelay { 30 * 1000 }; ///< Before the first probe of a worker set aside; doubles.
+    Duration maxProbeDelay { 10 * 60 * 1000 };
+    Duration restartCost { 5 * 1000 }; ///< Of stopping and starting a gang, beside its checkpoint.
+
+    bool backfill = true; ///< Else nothing starts before the first job of the queue.
+    bool shortestFirst = true; ///< Else in the order of arrival.
+    bool learnRunTimes = true; ///< Else declared run times are trusted.
+    bool migrate = true; ///< Preempts checkpointable gangs to join free runs.
+    bool protectShapes = true; ///< False breaks the guarantee; for counter-checks only.
+    bool holdGangsWhole = true; ///< False overlaps gangs; for counter-checks only.
+};
+
+} // namespace jujubereach::scheduling
--- a/packages/scheduling/include/jujubereach/scheduling/scheduler.h
+++ b/packages/scheduling/include/jujubereach/scheduling/scheduler.h
@@ -5,6 +5,8 @@
 #include "jujubereach/base/id.h"
 #include "jujubereach/base/time.h"
 #include "jujubereach/manifest/manifest.h"
+#include "jujubereach/placement/run.h"
+#include "jujubereach/scheduling/policy.h"
 
 #include <cstdint>
 #include <memory>
@@ -15,13 +17,7 @@
 
 namespace jujubereach::scheduling {
 
-/// Adjacent accelerators, counted along the domain's line of racks.
-struct Run {
-    std::uint32_t first = 0;
-    std::uint32_t count = 0;
-
-    friend bool operator==(const Run&, const Run&) = default;
-};
+using placement::Run;
 
 struct JobSpec {
     JobId id;
@@ -52,7 +48,7 @@
 struct GangEnd {
     GangId gang;
     EndKind kind = EndKind::Completed;
-    Duration progress { 0 };
+    Duration progress { 0 }; ///< Run time saved in all, earlier attempts included.
     std::vector<std::uint32_t> blamed; ///< Worker indexes.
 };
 
@@ -104,8 +100,9 @@
 /// One domain's queue, accelerators and running gangs.
 class Scheduler {
 public:
-    /// `domain` and the rest of the manifest must be valid.
-    Scheduler(const manifest::Manifest& manifest, const ZoneId& zone, const DomainId& domain);
+    /// `domain` and the rest of the manifest must be valid. Every worker is down until workerUp().
+    Scheduler(const manifest::Manifest& manifest, const ZoneId& zone, const DomainId& domain,
+        const Policy& policy = {});
     ~Scheduler();
 
     /// Takes a newer manifest; running gangs stay where they are.
@@ -142,6 +139,9 @@
     };
     Usage usage() const;
 
+    /// Steps of searches and queue scans so far: the cost of decisions, the same on every machine.
+    std::uint64_t work() const;
+
 private:
     class Impl;
     std::unique_ptr<Impl> m_impl;
--- /dev/null
+++ b/packages/scheduling/src/ends.cpp
@@ -0,0 +1,131 @@
+// What follows from the end of a gang: for the workers, the run-time estimates and the job.
+#include "cells.h"
+#include "gangs.h"
+#include "impl.h"
+
+#include <algorithm>
+
+namespace jujubereach::scheduling {
+
+namespace {
+
+    std::vector<std::uint32_t> workersOf(const State& state, const Run& run)
+    {
+        std::vector<std::uint32_t> workers;
+        for (auto worker = state.line.workerOf(run.first); worker <= state.line.workerOf(run.end() - 1);
+             ++worker)
+            workers.push_back(worker);
+        return workers;
+    }
+
+    bool isFailure(EndKind kind)
+    {
+        return kind == EndKind::Failed || kind == EndKind::StartFailed;
+    }
+
+} // namespace
+
+void Scheduler::Impl::gangEnded(const GangEnd& end, TimePoint now)
+{
+    auto found = m_state.gangs.find(end.gang);
+    if (found == m_state.gangs.end())
+        return;
+    auto gang = std::move(found->second);
+    m_state.gangs.erase(found);
+    auto* job = gang->job;
+    job->gang = nullptr;
+    if (gang->state != GangState::Stopping)
+        m_state.dropUse(*gang);
+    m_state.line.vacate(gang->run, gang.get());
+    if (gang->cell)
+        gang->cell->holder = nullptr;
+    m_changed = true;
+    m_state.cellsBlocked = true;
+    judgeWorkers(*gang, end, now);
+    if (end.kind == EndKind::Completed)
+        learn(*gang, now);
+    settle(job, end);
+}
+
+void Scheduler::Impl::judgeWorkers(const Gang& gang, const GangEnd& end, TimePoint now)
+{
+    auto* job = gang.job;
+    if (end.kind == EndKind::Completed || end.kind == EndKind::Checkpointed) {
+        for (auto worker : workersOf(m_state, gang.run)) {
+            if (m_state.health.succeeded(worker))
+                m_state.setUsable(worker);
+        }
+        return;
+    }
+    if (!isFailure(end.kind))
+        return;
+    auto blamed = end.blamed.empty() ? workersOf(m_state, gang.run) : end.blamed;
+    bool counts = false;
+    for (auto worker : blamed) {
+        if (worker >= m_state.workerUp.size())
+            continue;
+        if (gang.probe)
+            m_state.health.probeFailed(worker, now);
+        else if (job->failures == 0 && m_state.health.failed(worker, job->spec.id, now))
+            m_state.setUsable(worker);
+        job->failedWorkers.push_back(worker);
+        counts = counts || !m_state.health.aside(worker);
+    }
+    job->failures += counts ? 1 : 0;
+}
+
+void Scheduler::Impl::learn(const Gang& gang, TimePoint now)
+{
+    if (!gang.runningSince)
+        return;
+    const auto& spec = gang.job->spec;
+    auto actual = now - *gang.runningSince + spec.progress;
+    if (m_state.runTimes.learn(spec.workspace, spec.kind, spec.declaredRunTime, actual))
+        m_state.predictAgain(spec.workspace, spec.kind);
+}
+
+void Scheduler::Impl::settle(Job* job, const GangEnd& end)
+{
+    if (job->spec.checkpointable)
+        job->spec.progress = std::max(job->spec.progress, end.progress);
+    if (end.kind == EndKind::Completed)
+        return endJob(job, end.kind, std::nullopt, "The job completed.");
+    if (end.kind == EndKind::Unknown)
+        return endJob(job, end.kind, RefusalReason::OutcomeUnknown,
+            "Whether the job ran to its end is not known; it is not started again.");
+    if (job->cancelled)
+        return endJob(job, EndKind::Stopped, RefusalReason::Cancelled, "The job was cancelled while it ran.");
+    if (end.kind == EndKind::Checkpointed)
+        return requeue(job);
+    if (isFailure(end.kind))
+        return settleFailure(job, end);
+    if (job->spec.restartable)
+        return requeue(job);
+    const auto* text = end.kind == EndKind::WorkerLost
+        ? "A worker was lost while the job ran, and the job may not be started twice."
+        : "The job was stopped before its checkpoint was done, and it may not be started twice.";
+    endJob(job, end.kind, std::nullopt, text);
+}
+
+void Scheduler::Impl::settleFailure(Job* job, const GangEnd& end)
+{
+    auto bound = std::min(m_state.policy.maxFailures,
+        std::max<std::uint32_t>(1, m_state.line.usableCount() / m_state.line.perWorker()));
+    if (job->failures >= bound)
+        return endJob(job, EndKind::Failed, RefusalReason::FailsEverywhere,
+            "The job failed " + std::to_string(job->failures)
+                + " times on different workers where other jobs run.");
+    if (end.kind == EndKind::Failed && !job->spec.restartable)
+        return endJob(job, EndKind::Failed, std::nullopt, "The job failed and may not be started twice.");
+    requeue(job);
+}
+
+void Scheduler::Impl::requeue(Job* job)
+{
+    auto refusal = refusalOf(job->spec);
+    if (refusal)
+        return endJob(job, EndKind::Stopped, refusal->refusal, refusal->text);
+    m_state.enqueue(job);
+}
+
+} // namespace jujubereach::scheduling
--- /dev/null
+++ b/packages/scheduling/src/explain.cpp
@@ -0,0 +1,73 @@
+// Tells in words why a job waits.
+#include "impl.h"
+
+#include <algorithm>
+
+namespace jujubereach::scheduling {
+
+namespace {
+
+    const char* nameOf(GangState state)
+    {
+        switch (state) {
+        case GangState::Starting:
+            return "starting";
+        case GangState::Running:
+            return "running";
+        case GangState::Stopping:
+            return "stopping";
+        }
+        return "running";
+    }
+
+} // namespace
+
+Explanation Scheduler::Impl::explain(const JobId& id, TimePoint now) const
+{
+    Explanation explanation;
+    auto ended = m_ended.find(id);
+    auto found = m_state.jobs.find(id);
+    if (found == m_state.jobs.end()) {
+        explanation.known = ended != m_ended.end();
+        explanation.state = explanation.known ? "ended" : "";
+        explanation.text = explanation.known ? ended->second : "No job of this name is known here.";
+        return explanation;
+    }
+    const auto& job = *found->second;
+    explanation.known = true;
+    if (job.gang) {
+        explanation.state = nameOf(job.gang->state);
+        explanation.run = job.gang->run;
+        explanation.text = "The job holds its accelerators.";
+        return explanation;
+    }
+    explanation.state = "queued";
+    explanation.text = waitingReason(job, now);
+    Order order(m_state, now);
+    auto own = order.of(job);
+    for (const auto& [key, lane] : m_state.lanes.all()) {
+        for (const auto& [sequence, other] : lane.jobs())
+            explanation.aheadInQueue += other != &job && order.of(*other) < own ? 1 : 0;
+    }
+    return explanation;
+}
+
+std::string Scheduler::Impl::waitingReason(const Job& job, TimePoint) const
+{
+    auto count = std::to_string(job.spec.accelerators);
+    if (job.claim)
+        return "Other jobs are giving back the accelerators it gets; it starts within the reclaim bound.";
+    if (!withinQuota(job))
+        return "Its workspace uses " + std::to_string(m_state.workspaces.at(job.spec.workspace).used)
+            + " accelerators and may use "
+            + std::to_string(m_state.workspaces.at(job.spec.workspace).config.quota)
+            + "; the job starts when its own jobs end.";
+    const auto& free = job.lendable ? m_state.line.any() : m_state.line.open();
+    if (free.total() < job.spec.accelerators)
+        return "It needs " + count + " accelerators and " + std::to_string(free.total())
+            + " that it may use are free.";
+    return "It needs " + count + " adjacent accelerators; " + std::to_string(free.total())
+        + " are free, but the longest free run has " + std::to_string(free.largest()) + ".";
+}
+
+} // namespace jujubereach::scheduling
--- /dev/null
+++ b/packages/scheduling/src/health.cpp
@@ -0,0 +1,76 @@
+#include "health.h"
+
+#include <algorithm>
+
+namespace jujubereach::scheduling {
+
+namespace {
+    constexpr std::size_t largestAsideShare = 5; ///< One of so many workers.
+}
+
+WorkerHealth::WorkerHealth(std::uint32_t workers, const Policy& policy)
+    : m_policy(policy)
+    , m_workers(workers)
+{
+}
+
+bool WorkerHealth::failed(std::uint32_t worker, const JobId& job, TimePoint now)
+{
+    auto& state = m_workers[worker];
+    if (state.aside || state.lastJob == job)
+        return false;
+    state.lastJob = job;
+    ++state.failures;
+    auto bound = std::max<std::size_t>(1, m_workers.size() / largestAsideShare);
+    if (state.failures < m_policy.workerFailures || m_aside.size() >= bound)
+        return false;
+    state.aside = true;
+    state.delay = m_policy.probeDelay;
+    state.probeAt = now + state.delay;
+    m_aside.push_back(worker);
+    return true;
+}
+
+bool WorkerHealth::succeeded(std::uint32_t worker)
+{
+    auto& state = m_workers[worker];
+    bool wasAside = state.aside;
+    std::erase(m_aside, worker);
+    state = Worker {};
+    return wasAside;
+}
+
+void WorkerHealth::probeFailed(std::uint32_t worker, TimePoint now)
+{
+    auto& state = m_workers[worker];
+    state.delay = std::min(state.delay * 2, m_policy.maxProbeDelay);
+    state.probeAt = now + state.delay;
+}
+
+void WorkerHealth::pardon(std::uint32_t worker)
+{
+    succeeded(worker);
+    m_workers[worker].failures = m_policy.workerFailures - 1;
+}
+
+std::vector<std::uint32_t> WorkerHealth::dueProbes(TimePoint now) const
+{
+    std::vector<std::uint32_t> due;
+    for (auto worker : m_aside) {
+        if (m_workers[worker].probeAt <= now)
+            due.push_back(worker);
+    }
+    return due;
+}
+
+std::optional<TimePoint> WorkerHealth::nextProbe() const
+{
+    std::optional<TimePoint> next;
+    for (auto worker : m_aside) {
+        if (!next || m_workers[worker].probeAt < *next)
+            next = m_workers[worker].probeAt;
+    }
+    return next;
+}
+
+} // namespace jujubereach::scheduling
--- /dev/null
+++ b/packages/scheduling/src/impl.h
@@ -0,0 +1,73 @@
+// The scheduler's parts put together: events in impl.cpp and ends.cpp, decisions in decide.cpp.
+#pragma once
+
+#include "order.h"
+#include "state.h"
+#include "windows.h"
+
+#include <deque>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace jujubereach::scheduling {
+
+class Scheduler::Impl {
+public:
+    Impl(
+        const manifest::Manifest& manifest, const ZoneId& zone, const DomainId& domain, const Policy& policy);
+
+    void reconfigure(const manifest::Manifest& manifest);
+    std::optional<EndJob> submit(const JobSpec& spec, TimePoint now);
+    void cancel(const JobId& id, TimePoint now);
+    void adopt(const JobSpec& spec, const GangId& id, const Run& run, Duration ranFor, TimePoint now);
+    void setWorker(std::uint32_t worker, bool up);
+    void gangRunning(const GangId& id, TimePoint now);
+    void gangEnded(const GangEnd& end, TimePoint now);
+    std::vector<Decision> decide(TimePoint now);
+    std::optional<TimePoint> nextDue(TimePoint now) const;
+    Explanation explain(const JobId& id, TimePoint now) const;
+    Usage usage() const;
+    std::uint64_t work() const;
+
+private:
+    // Events.
+    std::optional<EndJob> refusalOf(const JobSpec& spec) const;
+    void takeManifest(const manifest::Manifest& manifest);
+    void endUnlisted();
+    Job* newJob(const JobSpec& spec, TimePoint now);
+    void endJob(Job* job, EndKind kind, std::optional<RefusalReason> refusal, const std::string& text);
+    void remember(const JobId& id, const std::string& text);
+
+    // Ends of gangs.
+    void judgeWorkers(const Gang& gang, const GangEnd& end, TimePoint now);
+    void settle(Job* job, const GangEnd& end);
+    void settleFailure(Job* job, const GangEnd& end);
+    void requeue(Job* job);
+    void learn(const Gang& gang, TimePoint now);
+
+    // Decisions.
+    void callShapes(TimePoint now);
+    void startProbes(TimePoint now);
+    void scanQueue(TimePoint now);
+    std::optional<Run> freeRunFor(const Job& job, TimePoint now) const;
+    std::optional<Run> searchFree(const Job& job, const placement::FreeRuns::Accept& accept) const;
+    bool withinQuota(const Job& job) const;
+    bool withinKeptShares(const Job& job, TimePoint now) const;
+    bool delaysReservation(const Job& job, const Run& run, TimePoint now) const;
+    bool clearRunFor(Job* job, TimePoint now);
+    bool clearForUrgent(Job* job, TimePoint now);
+    bool clearByMigration(Job* job, TimePoint now);
+    void reserve(Job* job, TimePoint now);
+    void dropReservations();
+    std::string waitingReason(const Job& job, TimePoint now) const;
+
+    State m_state;
+    std::vector<EndJob> m_ends; ///< Not given out yet.
+    std::map<JobId, std::string> m_ended; ///< Texts of the last ended jobs; at most maxEnded.
+    std::deque<JobId> m_endedOrder;
+    bool m_changed = true; ///< Something happened since the last decide().
+    std::optional<TimePoint> m_recheck; ///< When waiting alone may change a decision.
+};
+
+} // namespace jujubereach::scheduling
--- /dev/null
+++ b/packages/scheduling/src/lanes.h
@@ -0,0 +1,56 @@
+// The queue: one lane for the jobs of equal class, workspace, size and lendability. When the head of a lane
+// does not fit, none behind it does, so a decision looks at lanes instead of jobs.
+#pragma once
+
+#include "records.h"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace jujubereach::scheduling {
+
+struct LaneKey {
+    ClassId workClass;
+    WorkspaceId workspace;
+    std::uint32_t accelerators = 0;
+    bool lendable = false;
+
+    friend auto operator<=>(const LaneKey&, const LaneKey&) = default;
+};
+
+class Lane {
+public:
+    void add(Job* job);
+    void remove(Job* job);
+    bool empty() const { return m_byArrival.empty(); }
+    std::size_t size() const { return m_byArrival.size(); }
+
+    Job* shortest() const { return m_byTime.begin()->second; }
+    Job* oldest() const { return m_byArrival.begin()->second; }
+    const std::map<std::uint64_t, Job*>& jobs() const { return m_byArrival; }
+
+private:
+    using TimeKey = std::pair<Duration, std::uint64_t>;
+
+    std::map<TimeKey, Job*> m_byTime; ///< By predicted time, then arrival; the same jobs as m_byArrival.
+    std::map<std::uint64_t, Job*> m_byArrival;
+};
+
+class Lanes {
+public:
+    void add(Job* job);
+    void remove(Job* job);
+    std::size_t size() const { return m_size; }
+    std::map<LaneKey, Lane>& all() { return m_lanes; }
+    const std::map<LaneKey, Lane>& all() const { return m_lanes; }
+
+private:
+    std::map<LaneKey, Lane> m_lanes; ///< None is empty.
+    std::size_t m_size = 0; ///< Jobs in all lanes.
+};
+
+} // namespace jujubereach::scheduling
--- /dev/null
+++ b/packages/scheduling/src/line.cpp
@@ -0,0 +1,97 @@
+#include "line.h"
+
+namespace jujubereach::scheduling {
+
+Line::Line(std::uint32_t accelerators, std::uint32_t acceleratorsPerWorker)
+    : m_perWorker(acceleratorsPerWorker)
+    , m_slots(accelerators)
+    , m_open(acceleratorsPerWorker)
+    , m_lent(acceleratorsPerWorker)
+    , m_any(acceleratorsPerWorker)
+{
+}
+
+void Line::grow(std::uint32_t accelerators)
+{
+    if (accelerators > m_slots.size())
+        m_slots.resize(accelerators);
+}
+
+void Line::index(const Run& run, bool add)
+{
+    auto apply
+        = [add](placement::FreeRuns& runs, const Run& part) { add ? runs.add(part) : runs.remove(part); };
+    for (auto at = run.first; at < run.end();) {
+        auto first = at;
+        const auto& slot = m_slots[first];
+        auto same = [&](const Slot& other) {
+            return other.free() == slot.free() && (other.protections > 0) == (slot.protections > 0);
+        };
+        while (at < run.end() && same(m_slots[at]))
+            ++at;
+        if (!slot.free())
+            continue;
+        Run part { first, at - first };
+        apply(m_any, part);
+        apply(slot.protections > 0 ? m_lent : m_open, part);
+    }
+}
+
+void Line::count(const Run& run, bool add)
+{
+    std::uint32_t usable = 0;
+    std::uint32_t open = 0;
+    for (auto at = run.first; at < run.end(); ++at) {
+        usable += m_slots[at].usable ? 1 : 0;
+        open += m_slots[at].usable && m_slots[at].protections == 0 ? 1 : 0;
+    }
+    m_usable = add ? m_usable + usable : m_usable - usable;
+    m_openCount = add ? m_openCount + open : m_openCount - open;
+}
+
+template <typename Change> void Line::update(const Run& run, Change change)
+{
+    index(run, false);
+    count(run, false);
+    for (auto at = run.first; at < run.end(); ++at)
+        change(m_slots[at]);
+    index(run, true);
+    count(run, true);
+}
+
+void Line::setUsable(const Run& run, bool usable)
+{
+    update(run, [usable](Slot& slot) { slot.usable = usable; });
+}
+
+void Line::occupy(const Run& run, Gang* gang)
+{
+    update(run, [gang](Slot& slot) { slot.gang = gang; });
+}
+
+void Line::vacate(const Run& run, const Gang* gang)
+{
+    update(run, [gang](Slot& slot) { slot.gang = slot.gang == gang ? nullptr : slot.gang; });
+}
+
+void Line::protect(const Run& run)
+{
+    update(run, [](Slot& slot) { ++slot.protections; });
+}
+
+void Line::unprotect(const Run& run)
+{
+    update(run, [](Slot& slot) { --slot.protections; });
+}
+
+void Line::hold(const Run& run)
+{
+    update(run, [](Slot& slot) { ++slot.holds; });
+}
+
+void Line::release(const Run& run)
+{
+    update(run, [](Slot& slot) { --slot.holds; });
+}
+
+} // namespace jujubereach::scheduling
--- /dev/null
+++ b/packages/scheduling/src/line.h
@@ -0,0 +1,71 @@
+// The accelerators of a domain: who holds them, who may use them next, and the free runs.
+#pragma once
+
+#include "jujubereach/placement/freeruns.h"
+#include "records.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace jujubereach::scheduling {
+
+class Line {
+public:
+    Line(std::uint32_t accelerators, std::uint32_t acceleratorsPerWorker);
+
+    /// Adds accelerators at the end, unusable at first; never takes any away.
+    void grow(std::uint32_t accelerators);
+
+    std::uint32_t size() const { return static_cast<std::uint32_t>(m_slots.size()); }
+    std::uint32_t perWorker() const { return m_perWorker; }
+    std::uint32_t workerOf(std::uint32_t accelerator) const { return accelerator / m_perWorker; }
+    Run runOf(std::uint32_t worker) const { return { worker * m_perWorker, m_perWorker }; }
+
+    void setUsable(const Run& run, bool usable);
+    void occupy(const Run& run, Gang* gang);
+    void vacate(const Run& run, const Gang* gang);
+    /// Only lendable gangs start in a protected run: a cell or a reservation.
+    void protect(const Run& run);
+    void unprotect(const Run& run);
+    /// Nothing starts in a held run: a claim.
+    void hold(const Run& run);
+    void release(const Run& run);
+
+    Gang* gangAt(std::uint32_t accelerator) const { return m_slots[accelerator].gang; }
+    bool usable(std::uint32_t accelerator) const { return m_slots[accelerator].usable; }
+    bool isProtected(std::uint32_t accelerator) const { return m_slots[accelerator].protections > 0; }
+    bool held(std::uint32_t accelerator) const { return m_slots[accelerator].holds > 0; }
+
+    /// Free runs outside protected ones, inside them, and both together.
+    const placement::FreeRuns& open() const { return m_open; }
+    const placement::FreeRuns& lent() const { return m_lent; }
+    const placement::FreeRuns& any() const { return m_any; }
+    std::uint32_t usableCount() const { return m_usable; }
+    /// Usable accelerators outside protected runs, free or not.
+    std::uint32_t openCount() const { return m_openCount; }
+
+private:
+    struct Slot {
+        Gang* gang = nullptr;
+        std::uint16_t protections = 0;
+        std::uint16_t holds = 0;
+        bool usable = false;
+
+        bool free() const { return usable && !gang && holds == 0; }
+    };
+
+    /// Applies `change` to each slot of the run and keeps the indexes in step.
+    template <typename Change> void update(const Run& run, Change change);
+    void index(const Run& run, bool add);
+    void count(const Run& run, bool add);
+
+    std::uint32_t m_perWorker;
+    std::vector<Slot> m_slots;
+    placement::FreeRuns m_open; ///< Exactly the free slots without protection.
+    placement::FreeRuns m_lent; ///< Exactly the free slots with protection.
+    placement::FreeRuns m_any; ///< Exactly the free slots.
+    std::uint32_t m_usable = 0;
+    std::uint32_t m_openCount = 0;
+};
+
+} // namespace jujubereach::scheduling
--- /dev/null
+++ b/packages/scheduling/src/runtimes.cpp
@@ -0,0 +1,56 @@
+#include "runtimes.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jujubereach::scheduling {
+
+namespace {
+    constexpr std::size_t maxKinds = 10'000;
+    constexpr std::uint32_t memory = 20; ///< Samples; older ones fade.
+    constexpr Duration shortestRunTime { 1000 };
+    constexpr double muchChanged = 0.4; ///< Of the ratio's logarithm: a factor of 1.5.
+    constexpr Duration undeclared { 10 * 60 * 1000 }; ///< Stands for a run time that was not declared.
+
+    Duration baseOf(Duration declared)
+    {
+        return declared <= Duration { 0 } ? undeclared : std::max(declared, shortestRunTime);
+    }
+} // namespace
+
+void RunTimes::Ratio::add(double logRatio)
+{
+    samples = std::min(samples + 1, memory);
+    logMean += (logRatio - logMean) / samples;
+}
+
+bool RunTimes::learn(
+    const WorkspaceId& workspace, const std::string& kind, Duration declared, Duration actual)
+{
+    auto ratio = static_cast<double>(std::max(actual, shortestRunTime).count())
+        / static_cast<double>(baseOf(declared).count());
+    auto logRatio = std::log(ratio);
+    m_workspaces[workspace].add(logRatio);
+    auto key = std::make_pair(workspace, kind);
+    if (m_kinds.size() >= maxKinds && !m_kinds.contains(key))
+        return false;
+    auto& byKind = m_kinds[key];
+    byKind.add(logRatio);
+    if (std::abs(byKind.logMean - byKind.reported) < muchChanged)
+        return false;
+    byKind.reported = byKind.logMean;
+    return true;
+}
+
+Duration RunTimes::predict(const WorkspaceId& workspace, const std::string& kind, Duration declared) const
+{
+    double logRatio = 0;
+    if (auto byKind = m_kinds.find({ workspace, kind }); byKind != m_kinds.end())
+        logRatio = byKind->second.logMean;
+    else if (auto whole = m_workspaces.find(workspace); whole != m_workspaces.end())
+        logRatio = whole->second.logMean;
+    auto predicted = static_cast<double>(baseOf(declared).count()) * std::exp(logRatio);
+    return std::max(Duration(static_cast<Duration::rep>(predicted)), shortestRunTime);
+}
+
+} // namespace jujubereach::scheduling
--- /dev/null
+++ b/packages/scheduling/src/state.h
@@ -0,0 +1,85 @@
+// What the parts of the scheduler share: configuration, records and the line.
+#pragma once
+
+#include "health.h"
+#include "lanes.h"
+#include "line.h"
+#include "records.h"
+#include "runtimes.h"
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace jujubereach::scheduling {
+
+struct ClassState {
+    manifest::WorkClass config;
+    std::uint32_t used = 0; ///< Accelerators of gangs that are not stopping.
+    bool listed = true; ///< False once the manifest dropped it.
+};
+
+struct WorkspaceState {
+    manifest::Workspace config;
+    std::uint32_t used = 0; ///< Accelerators of gangs that are not stopping.
+    std::size_t queued = 0; ///< Jobs in lanes.
+    bool listed = true; ///< False once the manifest dropped it.
+};
+
+struct State {
+    State(const Policy& settings, std::uint32_t accelerators, std::uint32_t perWorker);
+
+    Policy policy;
+    manifest::Limits limits;
+    ZoneId zone;
+    DomainId domain;
+    std::uint32_t total = 0; ///< Accelerators that the manifest lists.
+    std::map<ClassId, ClassState> classes;
+    std::map<WorkspaceId, WorkspaceState> workspaces;
+
+    Line line;
+    std::vector<bool> workerUp; ///< By the owner's word; a worker set aside may be up.
+    std::vector<bool> workerSeen; ///< Was up once.
+    bool cellsBlocked = true; ///< A cell may be without a run that can be reclaimed.
+    WorkerHealth health;
+    RunTimes runTimes;
+
+    std::unordered_map<JobId, std::unique_ptr<Job>> jobs; ///< Queued, claimed or started.
+    std::unordered_map<GangId, std::unique_ptr<Gang>> gangs; ///< All that hold accelerators.
+    Lanes lanes;
+    std::map<std::uint64_t, Job*> shapeCalls; ///< Queued jobs that call for a shape, by arrival.
+    std::list<Cell> cells;
+    std::list<Claim> claims;
+    std::list<Reservation> reservations;
+    std::multimap<TimePoint, GangId> deadlines; ///< Of checkpoints under way; stale ones are skipped.
+    std::vector<Decision> out; ///< Not given out yet.
+    std::uint32_t fixedUsed = 0; ///< Accelerators outside cells of gangs that are not lendable.
+    std::uint64_t nextSequence = 1;
+    mutable std::uint64_t work = 0; ///< Steps of scans and searches.
+
+    bool urgent(const Job& job) const;
+    void enqueue(Job* job);
+    void dequeue(Job* job);
+    /// Counts a gang's accelerators for its class and workspace.
+    void addUse(const Gang& gang);
+    void dropUse(const Gang& gang);
+    Duration predictedLeft(const JobSpec& spec) const;
+    TimePoint predictedEnd(const Gang& gang, TimePoint now) const;
+    void setUsable(std::uint32_t worker);
+    /// Takes the manifest's new number of accelerators; gangs beyond its end stay until they end.
+    void resize(std::uint32_t accelerators);
+    /// Sorts the queued jobs of a kind again after its learned ratio changed.
+    void predictAgain(const WorkspaceId& workspace, const std::string& kind);
+};
+
+/// True when the job gives accelerators back within the bound: by a checkpoint or by being stopped.
+bool lendable(const JobSpec& spec, const manifest::Limits& limits);
+/// True when its progress can be saved within the bound.
+bool savesInTime(const JobSpec& spec, const manifest::Limits& limits);
+/// May be preempted for somebody else.
+bool preemptible(const Gang& gang);
+
+} // namespace jujubereach::scheduling
--- /dev/null
+++ b/packages/scheduling/src/windows.cpp
@@ -0,0 +1,113 @@
+#include "windows.h"
+
+#include <algorithm>
+
+namespace jujubereach::scheduling {
+
+namespace {
+
+    class Scan {
+    public:
+        Scan(const State& state, const WindowSearch& search)
+            : m_state(state)
+            , m_search(search)
+        {
+        }
+
+        std::optional<Window> best(std::uint32_t step)
+        {
+            std::optional<Window> best;
+            auto first = (m_search.within.first + step - 1) / step * step;
+            while (first + m_search.count <= m_search.within.end()) {
+                Window window { { first, m_search.count }, 0 };
+                if (auto obstacle = measure(window)) {
+                    first = (*obstacle / step + 1) * step;
+                    continue;
+                }
+                if (!best || window.cost < best->cost)
+                    best = window;
+                if (best->cost == 0)
+                    return best;
+                first += step;
+            }
+            return best;
+        }
+
+    private:
+        /// Sums the costs up; returns the last accelerator of an obstacle instead when there is one.
+        std::optional<std::uint32_t> measure(Window& window)
+        {
+            for (auto at = window.run.first; at < window.run.end();) {
+                ++m_state.work;
+                if (blocked(at))
+                    return at;
+                const auto* gang = m_state.line.gangAt(at);
+                if (!gang) {
+                    ++at;
+                    continue;
+                }
+                auto cost = m_search.gangCost(*gang);
+                if (!cost)
+                    return gang->run.end() - 1;
+                window.cost = m_search.addCosts ? window.cost + *cost : std::max(window.cost, *cost);
+                at = nextAfter(*gang, at);
+            }
+            return std::nullopt;
+        }
+
+        /// Stops at each worker's end, so that workers that are down inside a gang's run are seen.
+        std::uint32_t nextAfter(const Gang& gang, std::uint32_t at) const
+        {
+            auto end = gang.run.end();
+            for (auto next = at + 1; next < end; ++next) {
+                if (blocked(next))
+                    return next;
+            }
+            return end;
+        }
+
+        bool blocked(std::uint32_t at) const
+        {
+            const auto& line = m_state.line;
+            if (!line.usable(at) || line.held(at))
+                return true;
+            if (!m_search.mayUseProtected && line.isProtected(at))
+                return true;
+            return std::find(m_search.avoid.begin(), m_search.avoid.end(), line.workerOf(at))
+                != m_search.avoid.end();
+        }
+
+        const State& m_state;
+        const WindowSearch& m_search;
+    };
+
+    double seconds(Duration duration)
+    {
+        return static_cast<double>(duration.count()) / 1000;
+    }
+
+} // namespace
+
+std::optional<Window> cheapestWindow(const State& state, const WindowSearch& search)
+{
+    Scan scan(state, search);
+    auto step = placement::alignmentOf(search.count, state.line.perWorker());
+    auto found = scan.best(step);
+    if (!found && step > 1)
+        found = scan.best(1);
+    return found;
+}
+
+double preemptionLoss(const State& state, const Gang& gang, TimePoint now)
+{
+    if (gang.state == GangState::Stopping)
+        return 0;
+    auto lost = state.policy.restartCost;
+    if (savesInTime(gang.job->spec, state.limits))
+        lost += gang.job->spec.checkpointTime;
+    else if (gang.runningSince)
+        lost += now - *gang.runningSince;
+    return seconds(lost) * gang.run.count;
+}
+
+} // namespace jujubereach::scheduling
--- /dev/null
+++ b/packages/scheduling/test/scheduling-test.cpp
@@ -0,0 +1,315 @@
+// The scheduler by example, and its invariants under random events.
+#include "fixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace jujubereach;
+using namespace jujubereach::scheduling;
+
+class SchedulingTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(SchedulingTest);
+    CPPUNIT_TEST(jobStartsOnAdjacentAccelerators);
+    CPPUNIT_TEST(nothingStartsOnWorkersThatHaveNotReported);
+    CPPUNIT_TEST(secondSubmitChangesNothing);
+    CPPUNIT_TEST(impossibleJobsAreRefusedAtOnce);
+    CPPUNIT_TEST(urgentClassGoesFirst);
+    CPPUNIT_TEST(quotaBoundsAWorkspace);
+    CPPUNIT_TEST(cancelledInQueueNeverRan);
+    CPPUNIT_TEST(cancelledWhileRunningIsStopped);
+    CPPUNIT_TEST(shapeIsTakenBackFromBorrowers);
+    CPPUNIT_TEST(fixedWorkNeverBorrowsAShape);
+    CPPUNIT_TEST(shapeMovesWhenItsWorkerGoesDown);
+    CPPUNIT_TEST(urgentJobPreemptsLentCapacity);
+    CPPUNIT_TEST(slowCheckpointIsStoppedAtTheBound);
+    CPPUNIT_TEST(checkpointedJobGoesOnFromItsProgress);
+    CPPUNIT_TEST(lostWorkerRestartsOnlyRestartableJobs);
+    CPPUNIT_TEST(unknownOutcomeIsNeverStartedAgain);
+    CPPUNIT_TEST(failingWorkerIsSetAsideAndProbed);
+    CPPUNIT_TEST(jobThatFailsEverywhereEnds);
+    CPPUNIT_TEST(adoptedGangKeepsItsPlace);
+    CPPUNIT_TEST(newManifestLeavesRunningGangs);
+    CPPUNIT_TEST_SUITE_END();
+
+    void jobStartsOnAdjacentAccelerators()
+    {
+        Fixture f;
+        f.submit(f.job("a", 16));
+        f.decide();
+        CPPUNIT_ASSERT_EQUAL(16u, f.runOf("a").count);
+        CPPUNIT_ASSERT_EQUAL(0u, f.runOf("a").first % 8);
+    }
+
+    void nothingStartsOnWorkersThatHaveNotReported()
+    {
+        Fixture f(smallManifest(), {}, 0);
+        f.submit(f.job("a", 8));
+        f.decide();
+        CPPUNIT_ASSERT(!f.runs("a"));
+        f.scheduler.workerUp(5, f.now);
+        f.decide();
+        CPPUNIT_ASSERT(f.runOf("a") == (Run { 40, 8 }));
+    }
+
+    void secondSubmitChangesNothing()
+    {
+        Fixture f;
+        f.submit(f.job("a", 8));
+        f.submit(f.job("a", 8));
+        f.decide();
+        f.end("a", EndKind::Completed);
+        f.submit(f.job("a", 8));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), f.decide().size() - 1); // only the end of "a"
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), f.scheduler.usage().running);
+    }
+
+    void impossibleJobsAreRefusedAtOnce()
+    {
+        Fixture f;
+        auto reasonOf
+            = [&](const JobSpec& spec) { return f.scheduler.submit(spec, f.now).value().refusal.value(); };
+        CPPUNIT_ASSERT(reasonOf(f.job("big", 129)) == RefusalReason::NeverFits);
+        auto stranger = f.job("s", 1);
+        stranger.workspace = WorkspaceId("nobody");
+        CPPUNIT_ASSERT(reasonOf(stranger) == RefusalReason::UnknownWorkspace);
+        auto classless = f.job("c", 1);
+        classless.workClass = ClassId("none");
+        CPPUNIT_ASSERT(reasonOf(classless) == RefusalReason::UnknownClass);
+        auto shapeless = f.job("x", 1);
+        shapeless.shape = ShapeId("none");
+        CPPUNIT_ASSERT(reasonOf(shapeless) == RefusalReason::UnknownShape);
+        CPPUNIT_ASSERT(reasonOf(f.shapeJob("wide", 33)) == RefusalReason::NeverFits);
+        CPPUNIT_ASSERT(f.scheduler.submit(f.job("b2", 129), f.now).value().neverRan);
+    }
+
+    void urgentClassGoesFirst()
+    {
+        Fixture f;
+        f.submit(f.fixedJob("filler", 96));
+        f.decide();
+        f.submit(f.fixedJob("bulk", 96));
+        f.submit(f.fixedJob("check", 96, "checks"));
+        f.decide();
+        f.end("filler", EndKind::Completed);
+        f.decide();
+        CPPUNIT_ASSERT(f.runs("check"));
+        CPPUNIT_ASSERT(!f.runs("bulk"));
+    }
+
+    void quotaBoundsAWorkspace()
+    {
+        auto manifest = smallManifest();
+        manifest.workspaces[1].quota = 24;
+        Fixture f(manifest);
+        f.submit(f.job("a", 16));
+        f.submit(f.job("b", 16));
+        f.decide();
+        CPPUNIT_ASSERT(f.runs("a") != f.runs("b"));
+        auto waiting = f.runs("a") ? "b" : "a";
+        CPPUNIT_ASSERT(f.textOf(waiting).find("may use 24") != std::string::npos);
+    }
+
+    void cancelledInQueueNeverRan()
+    {
+        Fixture f(smallManifest(), {}, 0);
+        f.submit(f.job("a", 8));
+        f.scheduler.cancel(JobId("a"), f.now);
+        f.decide();
+        CPPUNIT_ASSERT(f.endOf("a").neverRan);
+        CPPUNIT_ASSERT(f.endOf("a").refusal == RefusalReason::Cancelled);
+    }
+
+    void cancelledWhileRunningIsStopped()
+    {
+        Fixture f;
+        f.submit(f.job("a", 8));
+        f.decide();
+        f.scheduler.cancel(JobId("a"), f.now);
+        f.decide();
+        CPPUNIT_ASSERT(f.preempted("a") && !f.preempted("a")->checkpoint);
+        f.end("a", EndKind::Stopped);
+        f.decide();
+        CPPUNIT_ASSERT(!f.endOf("a").neverRan);
+        CPPUNIT_ASSERT(f.endOf("a").refusal == RefusalReason::Cancelled);
+    }
+
+    void shapeIsTakenBackFromBorrowers()
+    {
+        Fixture f;
+        for (int i = 0; i < 16; ++i)
+            f.submit(f.job("b" + std::to_string(i), 8));
+        f.decide();
+        CPPUNIT_ASSERT_EQUAL(128u, f.scheduler.usage().used); // everything is lent out
+        f.submit(f.shapeJob("call", 32));
+        f.decide();
+        f.endPreempted(); // the borrowers give back
+        f.decide();
+        CPPUNIT_ASSERT(f.runOf("call") == (Run { 0, 32 }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), f.scheduler.usage().queued);
+    }
+
+    void fixedWorkNeverBorrowsAShape()
+    {
+        Fixture f;
+        for (int i = 0; i < 16; ++i)
+            f.submit(f.fixedJob("b" + std::to_string(i), 8));
+        f.decide();
+        CPPUNIT_ASSERT_EQUAL(96u, f.scheduler.usage().used);
+        f.submit(f.shapeJob("call", 32));
+        f.decide();
+        CPPUNIT_ASSERT(f.runOf("call") == (Run { 0, 32 }));
+    }
+
+    void shapeMovesWhenItsWorkerGoesDown()
+    {
+        Fixture f;
+        f.scheduler.workerDown(2, f.now);
+        f.submit(f.shapeJob("call", 32));
+        f.decide();
+        CPPUNIT_ASSERT_EQUAL(32u, f.runOf("call").count);
+        CPPUNIT_ASSERT(f.runOf("call").first >= 24u);
+    }
+
+    void urgentJobPreemptsLentCapacity()
+    {
+        Fixture f;
+        for (int i = 0; i < 16; ++i)
+            f.submit(f.job("b" + std::to_string(i), 8));
+        f.decide();
+        f.submit(f.job("check", 16, "checks"));
+        f.decide();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), f.endPreempted());
+        f.decide();
+        CPPUNIT_ASSERT(f.runs("check"));
+    }
+
+    void slowCheckpointIsStoppedAtTheBound()
+    {
+        Fixture f;
+        f.submit(f.job("slow", 128));
+        f.decide();
+        f.submit(f.shapeJob("call", 32));
+        f.decide();
+        CPPUNIT_ASSERT(f.preempted("slow")->checkpoint);
+        f.now += Duration { 3000 };
+        f.decide();
+        CPPUNIT_ASSERT(!f.preempted("slow")->checkpoint);
+    }
+
+    void checkpointedJobGoesOnFromItsProgress()
+    {
+        Fixture f;
+        f.submit(f.job("a", 8));
+        f.decide();
+        f.end("a", EndKind::Checkpointed, Duration { 7000 });
+        f.decide();
+        CPPUNIT_ASSERT(f.startOf("a").job.progress == Duration { 7000 });
+        CPPUNIT_ASSERT_EQUAL(GangId("a/2"), f.startOf("a").gang);
+    }
+
+    void lostWorkerRestartsOnlyRestartableJobs()
+    {
+        Fixture f;
+        auto again = f.fixedJob("again", 8);
+        again.restartable = true;
+        f.submit(again);
+        f.submit(f.fixedJob("once", 8));
+        f.decide();
+        f.end("again", EndKind::WorkerLost);
+        f.end("once", EndKind::WorkerLost);
+        f.decide();
+        CPPUNIT_ASSERT_EQUAL(2u, f.startOf("again").job.attempt);
+        CPPUNIT_ASSERT(f.endOf("once").kind == EndKind::WorkerLost);
+        CPPUNIT_ASSERT(!f.endOf("once").neverRan);
+    }
+
+    void unknownOutcomeIsNeverStartedAgain()
+    {
+        Fixture f;
+        auto again = f.job("again", 8);
+        again.restartable = true;
+        f.submit(again);
+        f.decide();
+        f.end("again", EndKind::Unknown);
+        f.decide();
+        CPPUNIT_ASSERT(f.endOf("again").refusal == RefusalReason::OutcomeUnknown);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), f.scheduler.usage().running);
+    }
+
+    void failingWorkerIsSetAsideAndProbed()
+    {
+        Fixture f;
+        int starts = 0;
+        auto failOn = [&](std::uint32_t worker) {
+            for (const auto& gang : f.gangsOn(worker)) {
+                ++starts;
+                f.endGang(gang, EndKind::Failed, { worker });
+            }
+        };
+        for (int i = 0; i < 200; ++i) {
+            auto spec = f.job("j" + std::to_string(i), 8);
+            spec.restartable = true;
+            f.submit(spec);
+            f.decide();
+            failOn(0);
+            f.now += Duration { 1 };
+            if (i % 3 == 0)
+                f.endAll(EndKind::Completed);
+        }
+        CPPUNIT_ASSERT_EQUAL(3, starts);
+        f.now += Duration { 31'000 };
+        f.submit(f.restartable("probe", 8));
+        f.decide();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), f.gangsOn(0).size()); // one probe
+    }
+
+    void jobThatFailsEverywhereEnds()
+    {
+        Fixture f;
+        f.submit(f.restartable("bad", 8));
+        std::set<std::uint32_t> tried;
+        for (int i = 0; i < 20 && !f.ended("bad"); ++i) {
+            f.decide();
+            if (!f.runs("bad"))
+                continue;
+            tried.insert(f.runOf("bad").first);
+            f.end("bad", EndKind::Failed);
+        }
+        f.decide();
+        CPPUNIT_ASSERT(f.endOf("bad").refusal == RefusalReason::FailsEverywhere);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), tried.size()); // each on another worker
+        CPPUNIT_ASSERT_EQUAL(0u, f.scheduler.usage().down); // and no worker blamed for it
+    }
+
+    void adoptedGangKeepsItsPlace()
+    {
+        Fixture f;
+        auto spec = f.shapeJob("a", 32);
+        f.scheduler.submit(spec, f.now); // read back from the journal
+        f.scheduler.adopt(spec, GangId("a/1"), { 40, 32 }, Duration { 5000 }, f.now);
+        f.submit(f.fixedJob("b", 48));
+        f.decide();
+        CPPUNIT_ASSERT(!f.runs("a")); // not started again
+        CPPUNIT_ASSERT(!f.runOf("b").overlaps({ 40, 32 }));
+        CPPUNIT_ASSERT(f.scheduler.explain(JobId("a"), f.now).run == (Run { 40, 32 }));
+    }
+
+    void newManifestLeavesRunningGangs()
+    {
+        Fixture f;
+        f.submit(f.fixedJob("a", 96));
+        f.decide();
+        auto place = f.runOf("a");
+        auto manifest = smallManifest();
+        manifest.workspaces[0].shapes[0].accelerators = 48;
+        f.scheduler.reconfigure(manifest);
+        f.submit(f.shapeJob("call", 48));
+        f.decide();
+        CPPUNIT_ASSERT(f.scheduler.explain(JobId("a"), f.now).run == place);
+        CPPUNIT_ASSERT(!f.runs("call"));
+        f.end("a", EndKind::Completed);
+        f.decide();
+        CPPUNIT_ASSERT_EQUAL(48u, f.runOf("call").count);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SchedulingTest);
