--- /dev/null
+++ b/packages/wire/include/jujubereach/wire/peers.h
@@ -0,0 +1,91 @@
+// Calls between entry hosts: a request, one reply or a timeout, correlated by number.
+//
+// Belongs to the control thread; the network's thread hands messages over through `post`.
+#pragma once
+
+#include "jujubereach/base/id.h"
+#include "jujubereach/base/time.h"
+#include "jujubereach/wire/network.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace jujubereach::wire {
+
+enum class CallStatus {
+    Answered,
+    NotSent, ///< Provably not sent to the peer.
+    Unknown, ///< Sent or about to be; no reply in time.
+};
+
+struct CallResult {
+    CallStatus status = CallStatus::Unknown;
+    std::unique_ptr<EnvelopeT> reply; ///< Set when answered.
+};
+
+using OnReply = std::function<void(CallResult)>;
+/// Sends one reply; a second call does nothing.
+using Responder = std::function<void(BodyUnion)>;
+
+struct LocalHost {
+    HostId host;
+    Incarnation incarnation;
+    ZoneId zone;
+};
+
+struct PeersHooks {
+    /// Runs a function on the control thread, soon or after a delay. Any thread.
+    std::function<void(std::function<void()>)> post;
+    std::function<void(Duration, std::function<void()>)> postAfter;
+    /// A call of a peer. One-way messages get a responder that goes nowhere.
+    std::function<void(EnvelopeT&, Responder)> onCall;
+    std::function<bool(const std::string& address)> mayReach;
+};
+
+class Peers : public std::enable_shared_from_this<Peers> {
+public:
+    static Result<std::shared_ptr<Peers>> open(
+        const std::string& listenAddress, LocalHost self, NetworkLimits limits, PeersHooks hooks);
+    ~Peers();
+
+    /// Calls the peer at `address`; `onReply` runs once, on the control thread.
+    void call(const std::string& address, BodyUnion body, Duration timeout, OnReply onReply);
+
+    /// Sends without waiting for a reply. False when it is provably not sent.
+    bool notify(const std::string& address, BodyUnion body);
+
+    void disconnect(const std::string& address) { m_network->disconnect(address); }
+    Network::Counters counters() const { return m_network->counters(); }
+
+private:
+    struct Pending {
+        ConnectionId connection = 0;
+        OnReply onReply;
+    };
+
+    Peers(LocalHost self, PeersHooks hooks);
+    void onMessage(ConnectionId connection, EnvelopeT& envelope);
+    void onClosed(ConnectionId connection);
+    void finish(std::uint64_t correlation, CallResult result);
+    void reply(ConnectionId connection, std::uint64_t correlation, BodyUnion body);
+    EnvelopeT envelopeFor(BodyUnion body) const;
+
+    LocalHost m_self;
+    PeersHooks m_hooks;
+    std::uint64_t m_lastCorrelation = 0;
+    std::map<std::uint64_t, Pending> m_pending; ///< Each ends by its reply, its timeout or its connection.
+    std::unique_ptr<Network> m_network;
+};
+
+/// Wraps a message of the schema for sending.
+template <typename T> BodyUnion bodyOf(T message)
+{
+    BodyUnion body;
+    body.Set(std::move(message));
+    return body;
+}
+
+} // namespace jujubereach::wire
