--- /dev/null
+++ b/packages/ctl/src/request-commands.cpp
@@ -0,0 +1,130 @@
+// request, answer and refusals.
+#include "commands.h"
+#include "jujubereach/ctl/run.h"
+#include "table.h"
+
+#include <CLI/CLI.hpp>
+#include <Poco/UUIDGenerator.h>
+
+#include <iostream>
+#include <memory>
+#include <sstream>
+
+namespace jujubereach::ctl {
+
+namespace {
+
+    struct RequestFlags {
+        std::string workspace;
+        std::string workClass;
+        std::string caller;
+        std::string key;
+        std::string body;
+        bool repeatable = false;
+        std::int64_t deadlineMs = 10'000;
+    };
+
+    struct RefusalFlags {
+        std::string workspace;
+        std::string caller;
+        std::string workClass;
+        std::string reason;
+        std::string reference;
+    };
+
+    std::string bodyOf(const RequestFlags& flags)
+    {
+        Poco::JSON::Object json(Poco::JSON_PRESERVE_KEY_ORDER);
+        json.set("workspace", flags.workspace);
+        json.set("class", flags.workClass);
+        json.set("caller", flags.caller);
+        json.set("key",
+            flags.key.empty() ? Poco::UUIDGenerator::defaultGenerator().createRandom().toString()
+                              : flags.key);
+        json.set("repeatable", flags.repeatable);
+        json.set("deadlineMs", static_cast<Poco::Int64>(flags.deadlineMs));
+        json.set("body", flags.body);
+        std::ostringstream out;
+        json.stringify(out);
+        return out.str();
+    }
+
+    void addRequest(CLI::App& app, Context& ctx)
+    {
+        auto flags = std::make_shared<RequestFlags>();
+        auto* command = app.add_subcommand("request", "Send a request to the upstreams and print its answer");
+        command->add_option("--workspace", flags->workspace, "Workspace of the caller")->required();
+        command->add_option("--class", flags->workClass, "Class of work")->required();
+        command->add_option("--caller", flags->caller, "Who asks")->required();
+        command->add_option("--key", flags->key, "Idempotency key; needed to recognise a later retry");
+        command->add_option("--body", flags->body, "Body for the upstream");
+        command->add_flag("--repeatable", flags->repeatable, "May run more than once");
+        command->add_option("--deadline-ms", flags->deadlineMs, "The answer is of no use later than this")
+            ->check(CLI::Range(1, 600'000));
+        command->callback([&ctx, flags] {
+            const auto reply
+                = sendAndReport(ctx, { "POST", "/v1/requests", bodyOf(*flags), {}, Duration(ctx.waitMs) });
+            if (reply.ok() && !ctx.json)
+                std::cout << reply.field("body") << '\n';
+        });
+    }
+
+    void addAnswer(CLI::App& app, Context& ctx)
+    {
+        auto id = std::make_shared<std::string>();
+        auto* command = app.add_subcommand("answer", "Fetch the answer of an earlier request");
+        command->add_option("request", *id, "Id of the request")->required();
+        command->callback([&ctx, id] {
+            const auto reply = sendAndReport(
+                ctx, { "GET", "/v1/requests/" + escapeQuery(*id), {}, {}, Duration(ctx.waitMs) });
+            if (reply.ok() && !ctx.json)
+                std::cout << reply.field("body") << '\n';
+        });
+    }
+
+    std::string queryOf(const RefusalFlags& flags)
+    {
+        std::string query;
+        const auto add = [&](const char* name, const std::string& value) {
+            if (!value.empty())
+                query += (query.empty() ? "?" : "&") + std::string(name) + "=" + escapeQuery(value);
+        };
+        add("workspace", flags.workspace);
+        add("caller", flags.caller);
+        add("class", flags.workClass);
+        add("reason", flags.reason);
+        add("reference", flags.reference);
+        return query;
+    }
+
+    void addRefusals(CLI::App& app, Context& ctx)
+    {
+        auto flags = std::make_shared<RefusalFlags>();
+        auto* command = app.add_subcommand("refusals", "Whose work was turned away and why");
+        command->add_option("--workspace", flags->workspace, "Only of this workspace");
+        command->add_option("--caller", flags->caller, "Only of this caller");
+        command->add_option("--class", flags->workClass, "Only of this class");
+        command->add_option("--reason", flags->reason, "Only for this reason");
+        command->add_option("--reference", flags->reference, "The one that an answer named");
+        command->callback([&ctx, flags] {
+            const auto reply = sendAndReport(
+                ctx, { "GET", "/v1/refusals" + queryOf(*flags), {}, {}, Duration(ctx.waitMs) });
+            if (reply.ok() && !ctx.json)
+                printTable(std::cout,
+                    { { "TIME", "time" }, { "REFERENCE", "reference" }, { "WORKSPACE", "workspace" },
+                        { "CALLER", "caller" }, { "CLASS", "class" }, { "REASON", "reason" },
+                        { "COUNT", "count" }, { "RAN", "ran" } },
+                    reply.json->getArray("refusals"));
+        });
+    }
+
+} // namespace
+
+void addRequestCommands(CLI::App& app, Context& ctx)
+{
+    addRequest(app, ctx);
+    addAnswer(app, ctx);
+    addRefusals(app, ctx);
+}
+
+} // namespace jujubereach::ctl
