Add the platform's adapters over HTTP

The daemon reaches the key-value service, the host list, workers and upstreams through hooks; these are the first ones behind them. A call shares one deadline over connect, send and receive, and the socket counts the bytes that the kernel took, so that 'not sent' is said only when none was.

Ruled out: Poco's own reconnect, which sends again without telling, and its timeouts per read, which a peer that trickles bytes never reaches. A write is never repeated after its reply was lost.

The factories take the caller's name last; watch answers a removed key with an empty value.

--- a/packages/platform/include/jujubereach/platform/hosts.h
+++ b/packages/platform/include/jujubereach/platform/hosts.h
@@ -28,6 +28,12 @@
 /// Reads the whole list of one zone, or of all when the zone is empty. Blocking.
 using HostList = std::function<Result<std::vector<Machine>>(const ZoneId& zone)>;
 
-HostList httpHostList(const std::string& address, Duration timeout);
+HostList httpHostList(const std::string& address, Duration timeout, const std::string& caller);
+
+/// Reports a machine to the platform; returns whether the platform took the report. Blocking. A machine that
+/// stops to report leaves the list.
+using HostHeartbeat = std::function<bool(const Machine& machine)>;
+
+HostHeartbeat httpHostHeartbeat(const std::string& address, Duration timeout, const std::string& caller);
 
 } // namespace jujubereach::platform
--- a/packages/platform/include/jujubereach/platform/kv.h
+++ b/packages/platform/include/jujubereach/platform/kv.h
@@ -45,11 +45,12 @@
         compareAndSwap;
     std::function<KvReply(const std::string& key, Revision expected)> remove;
     /// Waits until a key under `prefix` changes after `after`, or for `wait`; answers the changed
-    /// entries, none when the wait ran out.
+    /// entries, none when the wait ran out. A removed key is answered with an empty value.
     std::function<KvReply(const std::string& prefix, Revision after, Duration wait)> watch;
 };
 
-/// Connects to the service over HTTP. `timeout` bounds each call beyond a watch's own wait.
-KvService httpKvService(const std::string& address, Duration timeout);
+/// Connects to the service over HTTP. `timeout` bounds each call beyond a watch's own wait. `caller` is sent
+/// with each call, so that the service can tell its callers apart.
+KvService httpKvService(const std::string& address, Duration timeout, const std::string& caller);
 
 } // namespace jujubereach::platform
--- a/packages/platform/include/jujubereach/platform/upstream.h
+++ b/packages/platform/include/jujubereach/platform/upstream.h
@@ -43,6 +43,7 @@
 
 /// Calls upstreams over HTTP with a pool of kept connections, each used by one call at a time.
 /// `connectTimeout` bounds the connection; a pooled connection idle for `idleBound` is not used again.
-UpstreamClient httpUpstreamClient(Duration connectTimeout, Duration idleBound);
+/// `caller` is sent with each call.
+UpstreamClient httpUpstreamClient(Duration connectTimeout, Duration idleBound, const std::string& caller);
 
 } // namespace jujubereach::platform
--- a/packages/platform/include/jujubereach/platform/worker.h
+++ b/packages/platform/include/jujubereach/platform/worker.h
@@ -92,7 +92,7 @@
 /// Blocking; made by traffic threads only.
 using WorkerClient = std::function<WorkerReply(const std::string& address, const WorkerSync& sync)>;
 
-/// Calls workers over HTTP, one kept connection for each.
-WorkerClient httpWorkerClient(Duration timeout);
+/// Calls workers over HTTP with kept connections. `caller` is sent with each call.
+WorkerClient httpWorkerClient(Duration timeout, const std::string& caller);
 
 } // namespace jujubereach::platform
--- /dev/null
+++ b/packages/platform/src/http-client.h
@@ -0,0 +1,79 @@
+// HTTP calls over pooled connections that tell "provably not sent" from "may have been carried out".
+#pragma once
+
+#include "jujubereach/base/time.h"
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace jujubereach::platform {
+
+struct HttpCall {
+    std::string method;
+    std::string path; ///< With its query, already escaped.
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+    std::string contentType = "application/json";
+    Duration timeout { 0 }; ///< Bounds the whole call, connection included.
+    /// May be sent again when its reply is lost; others are sent again only when provably not sent.
+    bool idempotent = false;
+    /// Bound of the try on a kept connection, which may have gone silent; 0 means `timeout`. Used only for
+    /// idempotent calls, since only they may be tried again.
+    Duration reuseTimeout { 0 };
+};
+
+enum class HttpOutcome {
+    Answered, ///< Whole reply.
+    NotSent, ///< No byte of the request left this process.
+    Unknown, ///< Sent at least in part; no whole reply.
+};
+
+struct HttpReply {
+    HttpOutcome outcome = HttpOutcome::Unknown;
+    int status = 0;
+    std::map<std::string, std::string> headers; ///< Names in lower case.
+    std::string body;
+
+    std::string header(const std::string& lowerCaseName) const;
+};
+
+struct HttpClientOptions {
+    Duration connectTimeout { 500 };
+    Duration idleBound { 5000 }; ///< A connection idle for longer is not used again.
+    std::size_t maxIdlePerAddress = 16;
+    std::size_t maxReplyBytes = 64U << 20; ///< A longer reply counts as not whole.
+    std::string caller; ///< Sent as X-Caller-Host.
+};
+
+class HttpConnection;
+
+/// Thread-safe; each connection is used by one call at a time.
+class HttpClient {
+public:
+    explicit HttpClient(HttpClientOptions options);
+    ~HttpClient();
+
+    HttpReply call(const std::string& address, const HttpCall& call);
+
+private:
+    using SteadyTime = std::chrono::steady_clock::time_point;
+
+    std::unique_ptr<HttpConnection> takeIdle(const std::string& address);
+    void keep(const std::string& address, std::unique_ptr<HttpConnection> connection);
+    void dropIdle(const std::string& address);
+    HttpReply callOnKept(HttpConnection& connection, const HttpCall& call, SteadyTime deadline);
+    HttpReply callOnNew(const std::string& address, const HttpCall& call, SteadyTime deadline);
+
+    const HttpClientOptions m_options;
+    std::mutex m_mutex;
+    /// Guarded by m_mutex. Idle connections, the last used at the back; no address has an empty list.
+    std::map<std::string, std::vector<std::unique_ptr<HttpConnection>>> m_idle;
+};
+
+} // namespace jujubereach::platform
