Reserve runs for waiting gangs, migrate to join free runs, keep shapes under outages

Change: reservations are runs where only lendable gangs start, so a wrong estimate can't delay them; migration preempts gangs that find another run at once, after 60 s of waiting also others; fixed gangs are packed from the high end; a blocked cell takes the run that will be clear first; shape calls take over claims in their cell; urgent gangs keep out of cells while they can.

--- a/bench/scheduling/stream.cpp
+++ b/bench/scheduling/stream.cpp
@@ -273,10 +273,10 @@
         { 64, 0.1 }, { 128, 0.05 } };
     d.mixes.back().shortest = 1 * hour;
     d.mixes.back().longest = 12 * hour;
-    d.mixes[0].loadShare = 0.01;
-    d.mixes[1].loadShare = 0.1;
-    d.mixes[2].loadShare = 0.85;
-    d.length = day;
+    d.mixes[0].loadShare = 0.0003;
+    d.mixes[1].loadShare = 0.005;
+    d.mixes[2].loadShare = 0.99;
+    d.length = 2 * day;
     return d;
 }
 
--- a/bench/scheduling/world.cpp
+++ b/bench/scheduling/world.cpp
@@ -292,7 +292,10 @@
             auto found = m_gangs.find(preempt.gang);
             if (found == m_gangs.end())
                 return;
-            m_figures.preempted += found->second.job->job->spec.id == preempt.beneficiary ? 0 : 1;
+            if (found->second.job->job->spec.id != preempt.beneficiary) {
+                ++m_figures.preempted;
+                ++classOf(*m_jobs[preempt.beneficiary].job).preempted;
+            }
             auto wait = commandTime;
             if (preempt.checkpoint)
                 wait += found->second.job->job->spec.checkpointTime;
@@ -325,8 +328,11 @@
             state.done = true;
             --m_open;
             ++m_figures.completed;
-            if (!state.job->cancelledAt)
-                classOf(*state.job).completion.push_back(seconds(m_now - state.job->arrives));
+            if (state.job->cancelledAt)
+                return;
+            auto took = seconds(m_now - state.job->arrives);
+            classOf(*state.job).completion.push_back(took);
+            m_figures.completions.emplace(state.job->spec.id, took);
         }
 
         void carryOut(const EndJob& ended)
--- a/bench/scheduling/world.h
+++ b/bench/scheduling/world.h
@@ -6,16 +6,19 @@
 
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace jujubereach::bench {
 
 struct ClassFigures {
     std::vector<double> completion; ///< Seconds from arrival to completion, of jobs that completed.
+    std::size_t preempted = 0; ///< Gangs preempted for jobs of the class.
     std::vector<double> wait; ///< Seconds from arrival to the first start.
 };
 
 struct Figures {
+    std::unordered_map<JobId, double> completions; ///< Seconds, of each job that completed.
     std::map<std::string, ClassFigures> classes; ///< Calls for shapes stand under "shape".
     double completionMean = 0;
     double longestWait = 0;
--- a/packages/placement/include/jujubereach/placement/freeruns.h
+++ b/packages/placement/include/jujubereach/placement/freeruns.h
@@ -30,6 +30,9 @@
     /// Shortest free run that holds `count` adjacent accelerators, aligned ones first.
     std::optional<Run> bestFit(std::uint32_t count, Side side = Side::Low, const Accept& accept = {}) const;
 
+    /// Highest position that holds `count` adjacent accelerators, aligned ones first.
+    std::optional<Run> highestFit(std::uint32_t count, const Accept& accept = {}) const;
+
     std::uint32_t largest() const;
     std::uint32_t total() const { return m_total; }
     /// Length of each maximal free run by its first accelerator.
--- a/packages/placement/src/freeruns.cpp
+++ b/packages/placement/src/freeruns.cpp
@@ -95,6 +95,19 @@
     return std::nullopt;
 }
 
+std::optional<Run> FreeRuns::highestFit(std::uint32_t count, const Accept& accept) const
+{
+    auto step = alignmentOf(count, m_acceleratorsPerWorker);
+    for (auto each : { step, 1U }) {
+        for (auto it = m_byFirst.rbegin(); it != m_byFirst.rend(); ++it) {
+            ++m_work;
+            if (auto found = within({ it->first, it->second }, count, each, Side::High, accept))
+                return found;
+        }
+    }
+    return std::nullopt;
+}
+
 std::uint32_t FreeRuns::largest() const
 {
     return m_byCount.empty() ? 0 : m_byCount.rbegin()->first;
--- a/packages/scheduling/include/jujubereach/scheduling/policy.h
+++ b/packages/scheduling/include/jujubereach/scheduling/policy.h
@@ -13,6 +13,7 @@
     Duration agingTime { 15 * 60 * 1000 }; ///< Waiting time after which a job's area counts half.
     Duration rankAgingTime { 60 * 60 * 1000 }; ///< Waiting time that makes up for one rank of its class.
     Duration reservationDelay { 30 * 1000 }; ///< Waiting time after which a gang may reserve a run.
+    Duration displaceDelay { 60 * 1000 }; ///< Before a large gang displaces gangs that find no other run.
     std::uint32_t maxReservations = 2; ///< Runs kept for waiting gangs at the same time.
     std::uint32_t maxFailures = 4; ///< Failures after which a job ends as failing everywhere.
     std::uint32_t workerFailures = 3; ///< First failures of different jobs in a row that set a worker aside.
--- a/packages/scheduling/src/cells.cpp
+++ b/packages/scheduling/src/cells.cpp
@@ -44,6 +44,29 @@
         return cheapestWindow(state, search);
     }
 
+    /// The run without unusable workers whose last gang that can't be preempted ends first.
+    std::optional<Window> soonestRun(const State& state, const Cell& cell, TimePoint now)
+    {
+        WindowSearch search;
+        search.count = cell.run.count;
+        search.within = { 0, state.total };
+        search.addCosts = false;
+        search.gangCost = [&state, now](const Gang& gang) -> std::optional<double> {
+            bool waits = gang.state != GangState::Stopping && !preemptible(gang);
+            return waits ? static_cast<double>((state.predictedEnd(gang, now) - now).count()) : 0.0;
+        };
+        return cheapestWindow(state, search);
+    }
+
+    bool allUsable(const State& state, const Run& run)
+    {
+        for (auto at = run.first; at < run.end(); ++at) {
+            if (!state.line.usable(at))
+                return false;
+        }
+        return true;
+    }
+
     /// True while a worker of the run has not reported since this owner took over.
     bool awaitsReport(const State& state, const Run& run)
     {
@@ -142,7 +165,7 @@
     return true;
 }
 
-void repairCells(State& state, bool awaitReports)
+void repairCells(State& state, bool awaitReports, TimePoint now)
 {
     state.cellsBlocked = false;
     for (auto& cell : state.cells) {
@@ -154,7 +177,10 @@
         auto old = cell.run;
         bool placed = cell.placed;
         lift(state, cell);
-        if (auto window = freshRun(state, cell))
+        auto window = freshRun(state, cell);
+        if (!window && !(placed && allUsable(state, old)))
+            window = soonestRun(state, cell, now);
+        if (window)
             put(state, cell, window->run);
         else if (placed)
             put(state, cell, old);
--- a/packages/scheduling/src/cells.h
+++ b/packages/scheduling/src/cells.h
@@ -10,9 +10,10 @@
 /// possible, so that a change of the manifest moves as little as it can.
 void placeCells(State& state, const placement::Packing& packing);
 
-/// Gives each idle cell that can't be reclaimed another run, if one is there. With `awaitReports` a cell
+/// Gives each idle cell that can't be reclaimed another run: one that can, else the one that will be
+/// first, where no gang that can't be preempted starts from now on. With `awaitReports` a cell
 /// whose workers have not all reported yet stays.
-void repairCells(State& state, bool awaitReports);
+void repairCells(State& state, bool awaitReports, TimePoint now);
 
 /// True when the owner of an idle cell gets its run within the reclaim bound.
 bool reclaimable(const State& state, const Cell& cell);
--- a/packages/scheduling/src/clear.cpp
+++ b/packages/scheduling/src/clear.cpp
@@ -6,20 +6,150 @@
 
 namespace jujubereach::scheduling {
 
+namespace {
+    constexpr std::uint32_t largeGangWorkers = 4; ///< Whole workers of a gang that counts as large.
+}
+
 bool Scheduler::Impl::clearRunFor(Job* job, TimePoint now)
 {
     if (!withinQuota(*job))
         return false;
-    return m_state.urgent(*job) && clearForUrgent(job, now);
+    if (m_state.urgent(*job) && (clearForUrgent(job, false, now) || clearForUrgent(job, true, now)))
+        return true;
+    if (!m_state.policy.migrate || !withinKeptShares(*job, now))
+        return false;
+    return clearByMigration(job, now);
 }
 
-bool Scheduler::Impl::clearForUrgent(Job* job, TimePoint now)
+bool Scheduler::Impl::paysFor(const Job& job, double lost, TimePoint now) const
 {
-    auto usable = m_state.line.usableCount();
+    constexpr double ofRunTime = 0.1; ///< Of the job's own accelerator-seconds.
+    constexpr double ofWaiting = 0.25; ///< Of the accelerator-seconds that it has waited.
+    auto seconds = [](Duration time) { return static_cast<double>(time.count()) / 1000; };
+    auto worth = ofRunTime * seconds(job.predicted) + ofWaiting * seconds(job.waited(now));
+    return lost <= worth * job.spec.accelerators;
+}
+
+bool Scheduler::Impl::victimsFit(const Run& run) const
+{
+    auto free = m_state.line.any();
+    std::vector<std::uint32_t> victims;
+    for (auto at = run.first; at < run.end();) {
+        const auto* gang = m_state.line.gangAt(at);
+        if (!gang)
+            free.remove({ at, 1 });
+        else
+            victims.push_back(gang->run.count);
+        at = gang ? gang->run.end() : at + 1;
+    }
+    std::sort(victims.begin(), victims.end(), std::greater<>());
+    for (auto count : victims) {
+        auto place = free.bestFit(count);
+        if (!place)
+            return false;
+        free.remove(*place);
+    }
+    return true;
+}
+
+bool Scheduler::Impl::clearByMigration(Job* job, TimePoint now)
+{
+    const auto& free = job->lendable ? m_state.line.any() : m_state.line.open();
+    if (job->spec.accelerators < m_state.line.perWorker() || free.total() < job->spec.accelerators)
+        return false;
+    WindowSearch search;
+    search.count = job->spec.accelerators;
+    search.within = { 0, m_state.total };
+    search.mayUseProtected = job->lendable;
+    search.avoid = job->failedWorkers;
+    search.gangCost = [&](const Gang& gang) -> std::optional<double> {
+        if (gang.state != GangState::Stopping && (!preemptible(gang) || m_state.urgent(*gang.job)))
+            return std::nullopt;
+        return preemptionLoss(m_state, gang, now);
+    };
+    auto window = cheapestWindow(m_state, search);
+    // A large gang that has waited displaces gangs that have to look for a place themselves.
+    bool mayDisplace = job->spec.accelerators >= largeGangWorkers * m_state.line.perWorker()
+        && job->waited(now) >= m_state.policy.displaceDelay;
+    if (!window || !paysFor(*job, window->cost, now) || (!mayDisplace && !victimsFit(window->run)))
+        return false;
+    makeClaim(m_state, job, window->run, nullptr, now);
+    return true;
+}
+
+void Scheduler::Impl::reserve(Job* job, TimePoint now)
+{
+    bool has = std::any_of(m_state.reservations.begin(), m_state.reservations.end(),
+        [job](const Reservation& each) { return each.job == job; });
+    if (has || m_state.reservations.size() >= m_state.policy.maxReservations
+        || job->waited(now) < m_state.policy.reservationDelay || !withinQuota(*job))
+        return;
     WindowSearch search;
     search.count = job->spec.accelerators;
     search.within = { 0, m_state.total };
     search.mayUseProtected = job->lendable;
+    search.addCosts = false;
+    search.gangCost = [&](const Gang& gang) -> std::optional<double> {
+        return static_cast<double>((m_state.predictedEnd(gang, now) - now).count());
+    };
+    for (const auto& other : m_state.reservations) {
+        for (auto at = other.run.first; at < other.run.end(); ++at)
+            search.avoid.push_back(m_state.line.workerOf(at));
+    }
+    auto window = cheapestWindow(m_state, search);
+    if (!window)
+        return;
+    m_state.line.protect(window->run);
+    auto expected = now + Duration(static_cast<Duration::rep>(window->cost));
+    m_state.reservations.push_back({ job, window->run, expected });
+}
+
+bool Scheduler::Impl::serve(Reservation& reservation, TimePoint now)
+{
+    double lost = 0;
+    Order order(m_state, now);
+    auto* job = reservation.job;
+    reservation.expected = now;
+    for (auto at = reservation.run.first; at < reservation.run.end();) {
+        ++m_state.work;
+        if (!m_state.line.usable(at) || m_state.line.held(at))
+            return false;
+        const auto* gang = m_state.line.gangAt(at);
+        if (gang) {
+            bool waits
+                = gang->state != GangState::Stopping && (!preemptible(*gang) || !order.outranks(*job, *gang));
+            if (waits)
+                reservation.expected = std::max(reservation.expected, m_state.predictedEnd(*gang, now));
+            lost += preemptionLoss(m_state, *gang, now);
+        }
+        at = gang ? gang->run.end() : at + 1;
+    }
+    if (reservation.expected > now || !paysFor(*job, lost, now) || !withinQuota(*job)
+        || !withinKeptShares(*job, now))
+        return true;
+    makeClaim(m_state, job, reservation.run, nullptr, now);
+    return false;
+}
+
+void Scheduler::Impl::serveReservations(TimePoint now)
+{
+    for (auto it = m_state.reservations.begin(); it != m_state.reservations.end();) {
+        bool keep = it->job->queued && serve(*it, now);
+        if (!keep)
+            m_state.line.unprotect(it->run);
+        it = keep ? std::next(it) : m_state.reservations.erase(it);
+    }
+}
+
+bool Scheduler::Impl::clearForUrgent(Job* job, bool inProtected, TimePoint now)
+{
+    if (inProtected && !job->lendable)
+        return false;
+    auto usable = m_state.line.usableCount();
+    WindowSearch search;
+    search.count = job->spec.accelerators;
+    search.within = { 0, m_state.total };
+    search.mayUseProtected = inProtected;
     search.avoid = job->failedWorkers;
     search.gangCost = [&](const Gang& gang) -> std::optional<double> {
         const auto& victim = m_state.classes.at(gang.job->spec.workClass);
--- a/packages/scheduling/src/decide.cpp
+++ b/packages/scheduling/src/decide.cpp
@@ -86,10 +86,11 @@
     if (due || (probe && *probe <= now)) {
         m_changed = false;
         if (m_state.cellsBlocked)
-            repairCells(m_state, true);
+            repairCells(m_state, true, now);
         startClaims(m_state, now);
         callShapes(now);
         startProbes(now);
+        serveReservations(now);
         scanQueue(now);
         startClaims(m_state, now);
         m_recheck = m_state.lanes.size() > 0 ? std::optional(now + recheckInterval) : std::nullopt;
@@ -123,11 +124,12 @@
     for (auto* job : calls) {
         auto* cell = idleCellFor(m_state, *job);
         if (!cell && m_state.cellsBlocked) {
-            repairCells(m_state, false);
+            repairCells(m_state, false, now);
             cell = idleCellFor(m_state, *job);
         }
         if (!cell)
             continue;
+        dropClaimsIn(m_state, cell->run, now);
         WindowSearch search;
         search.count = job->spec.accelerators;
         search.within = cell->run;
@@ -152,7 +154,7 @@
                 probe = job;
         }
         if (probe) {
-            m_state.dequeue(probe);
+            m_state.dequeue(probe, now);
             startGang(m_state, probe, { run.first, probe->spec.accelerators }, nullptr, now)->probe = true;
         } else if (m_state.health.probeTime(worker) + m_state.policy.maxProbeDelay <= now) {
             m_state.health.pardon(worker);
@@ -168,13 +170,14 @@
     while (auto* job = candidates.next()) {
         auto key = Candidates::laneOf(job);
         if (auto run = freeRunFor(*job, now)) {
-            m_state.dequeue(job);
+            m_state.dequeue(job, now);
             startGang(m_state, job, *run, nullptr, now);
             candidates.started(key);
         } else if (clearRunFor(job, now)) {
             candidates.started(key);
         } else {
             candidates.blocked(job);
+            reserve(job, now);
             if (!m_state.policy.backfill)
                 return;
         }
@@ -190,7 +193,7 @@
 
 bool Scheduler::Impl::withinKeptShares(const Job& job, TimePoint now) const
 {
-    if (job.lendable || now - job.submitted > m_state.policy.rankAgingTime)
+    if (job.lendable || job.waited(now) > m_state.policy.rankAgingTime)
         return true;
     double kept = 0;
     for (const auto& [id, workClass] : m_state.classes) {
@@ -208,7 +211,12 @@
 {
     auto count = job.spec.accelerators;
     if (!job.lendable)
-        return m_state.line.open().bestFit(count, placement::Side::High, accept);
+        return m_state.line.open().highestFit(count, accept);
+    // An urgent gang in a cell would be stopped by a call for the shape.
+    if (m_state.urgent(job)) {
+        if (auto run = m_state.line.open().bestFit(count, placement::Side::Low, accept))
+            return run;
+    }
     auto run = m_state.line.lent().bestFit(count, placement::Side::Low, accept);
     return run ? run : m_state.line.any().bestFit(count, placement::Side::Low, accept);
 }
--- a/packages/scheduling/src/ends.cpp
+++ b/packages/scheduling/src/ends.cpp
@@ -44,7 +44,7 @@
     judgeWorkers(*gang, end, now);
     if (end.kind == EndKind::Completed)
         learn(*gang, now);
-    settle(job, end);
+    settle(job, end, now);
 }
 
 void Scheduler::Impl::judgeWorkers(const Gang& gang, const GangEnd& end, TimePoint now)
@@ -84,7 +84,7 @@
         m_state.predictAgain(spec.workspace, spec.kind);
 }
 
-void Scheduler::Impl::settle(Job* job, const GangEnd& end)
+void Scheduler::Impl::settle(Job* job, const GangEnd& end, TimePoint now)
 {
     if (job->spec.checkpointable)
         job->spec.progress = std::max(job->spec.progress, end.progress);
@@ -96,18 +96,18 @@
     if (job->cancelled)
         return endJob(job, EndKind::Stopped, RefusalReason::Cancelled, "The job was cancelled while it ran.");
     if (end.kind == EndKind::Checkpointed)
-        return requeue(job);
+        return requeue(job, now);
     if (isFailure(end.kind))
-        return settleFailure(job, end);
+        return settleFailure(job, end, now);
     if (job->spec.restartable)
-        return requeue(job);
+        return requeue(job, now);
     const auto* text = end.kind == EndKind::WorkerLost
         ? "A worker was lost while the job ran, and the job may not be started twice."
         : "The job was stopped before its checkpoint was done, and it may not be started twice.";
     endJob(job, end.kind, std::nullopt, text);
 }
 
-void Scheduler::Impl::settleFailure(Job* job, const GangEnd& end)
+void Scheduler::Impl::settleFailure(Job* job, const GangEnd& end, TimePoint now)
 {
     auto bound = std::min(m_state.policy.maxFailures,
         std::max<std::uint32_t>(1, m_state.line.usableCount() / m_state.line.perWorker()));
@@ -117,15 +117,15 @@
                 + " times on different workers where other jobs run.");
     if (end.kind == EndKind::Failed && !job->spec.restartable)
         return endJob(job, EndKind::Failed, std::nullopt, "The job failed and may not be started twice.");
-    requeue(job);
+    requeue(job, now);
 }
 
-void Scheduler::Impl::requeue(Job* job)
+void Scheduler::Impl::requeue(Job* job, TimePoint now)
 {
     auto refusal = refusalOf(job->spec);
     if (refusal)
         return endJob(job, EndKind::Stopped, refusal->refusal, refusal->text);
-    m_state.enqueue(job);
+    m_state.enqueue(job, now);
 }
 
 } // namespace jujubereach::scheduling
--- a/packages/scheduling/src/gangs.cpp
+++ b/packages/scheduling/src/gangs.cpp
@@ -67,7 +67,7 @@
 
 void makeClaim(State& state, Job* job, const Run& run, Cell* cell, TimePoint now)
 {
-    state.dequeue(job);
+    state.dequeue(job, now);
     for (auto at = run.first; at < run.end();) {
         auto* gang = state.line.gangAt(at);
         if (gang)
@@ -81,7 +81,7 @@
     state.line.hold(run);
 }
 
-void dropClaim(State& state, Claim* claim)
+void dropClaim(State& state, Claim* claim, TimePoint now)
 {
     auto* job = claim->job;
     state.line.release(claim->run);
@@ -90,7 +90,16 @@
         claim->cell->claim = nullptr;
     std::erase_if(state.claims, [claim](const Claim& each) { return &each == claim; });
     if (!job->cancelled)
-        state.enqueue(job);
+        state.enqueue(job, now);
+}
+
+void dropClaimsIn(State& state, const Run& run, TimePoint now)
+{
+    for (auto it = state.claims.begin(); it != state.claims.end();) {
+        auto& claim = *it++;
+        if (claim.run.overlaps(run))
+            dropClaim(state, &claim, now);
+    }
 }
 
 namespace {
@@ -119,10 +128,10 @@
         if (progress == Clearing::Waiting)
             continue;
         auto [job, run, cell, since] = claim;
-        dropClaim(state, &claim);
+        dropClaim(state, &claim, now);
         if (progress == Clearing::Lost)
             continue;
-        state.dequeue(job);
+        state.dequeue(job, now);
         startGang(state, job, run, cell, now);
     }
 }
--- a/packages/scheduling/src/gangs.h
+++ b/packages/scheduling/src/gangs.h
@@ -18,7 +18,9 @@
 /// Takes the job from the queue, holds the run and preempts every gang in it.
 void makeClaim(State& state, Job* job, const Run& run, Cell* cell, TimePoint now);
 /// Gives the run up; the job stands in the queue again unless it was cancelled.
-void dropClaim(State& state, Claim* claim);
+void dropClaim(State& state, Claim* claim, TimePoint now);
+/// Gives up every claim that overlaps the run.
+void dropClaimsIn(State& state, const Run& run, TimePoint now);
 /// Starts the jobs whose runs are clear; drops claims on workers that went down.
 void startClaims(State& state, TimePoint now);
 
--- a/packages/scheduling/src/impl.cpp
+++ b/packages/scheduling/src/impl.cpp
@@ -100,6 +100,8 @@
     m_changed = true;
     dropReservations();
     m_state.resize(geometryOf(manifest, m_state.zone, m_state.domain).accelerators);
+    m_state.limits = manifest.limits;
+    judgeLendable();
     takeManifest(manifest);
     endUnlisted();
 }
@@ -112,12 +114,25 @@
             queued.push_back(job);
     }
     for (auto* job : queued) {
-        m_state.dequeue(job);
+        auto since = job->queuedSince;
+        m_state.dequeue(job, since);
         auto refusal = refusalOf(job->spec);
         if (refusal)
             endJob(job, EndKind::Stopped, refusal->refusal, refusal->text);
         else
-            m_state.enqueue(job);
+            m_state.enqueue(job, since);
+    }
+}
+
+void Scheduler::Impl::judgeLendable()
+{
+    for (auto& [id, gang] : m_state.gangs) {
+        bool counted = gang->state != GangState::Stopping;
+        if (counted)
+            m_state.dropUse(*gang);
+        gang->job->lendable = lendable(gang->job->spec, m_state.limits);
+        if (counted)
+            m_state.addUse(*gang);
     }
 }
 
@@ -160,17 +175,16 @@
     if (m_state.lanes.size() >= m_state.policy.maxQueued)
         return refuse(spec, RefusalReason::QueueFull,
             "The domain's queue holds " + std::to_string(m_state.lanes.size()) + " jobs; try again later.");
-    m_state.enqueue(newJob(spec, now));
+    m_state.enqueue(newJob(spec), now);
     m_changed = true;
     return std::nullopt;
 }
 
-Job* Scheduler::Impl::newJob(const JobSpec& spec, TimePoint now)
+Job* Scheduler::Impl::newJob(const JobSpec& spec)
 {
     auto job = std::make_unique<Job>();
     job->spec = spec;
     job->sequence = m_state.nextSequence++;
-    job->submitted = now;
     job->started = spec.attempt > 0;
     job->lendable = lendable(spec, m_state.limits);
     job->predicted = m_state.predictedLeft(spec);
@@ -179,7 +193,7 @@
     return added;
 }
 
-void Scheduler::Impl::cancel(const JobId& id, TimePoint)
+void Scheduler::Impl::cancel(const JobId& id, TimePoint now)
 {
     auto found = m_state.jobs.find(id);
     if (found == m_state.jobs.end() || found->second->cancelled)
@@ -191,9 +205,9 @@
         stop(m_state, *job->gang, id);
         return;
     }
-    m_state.dequeue(job);
+    m_state.dequeue(job, now);
     if (job->claim)
-        dropClaim(m_state, job->claim);
+        dropClaim(m_state, job->claim, now);
     endJob(job, EndKind::Stopped, RefusalReason::Cancelled, "The job was cancelled while it waited.");
 }
 
@@ -203,13 +217,13 @@
     if (m_state.gangs.contains(id) || run.end() > m_state.line.size())
         return;
     auto found = m_state.jobs.find(spec.id);
-    auto* job = found == m_state.jobs.end() ? newJob(spec, now) : found->second.get();
+    auto* job = found == m_state.jobs.end() ? newJob(spec) : found->second.get();
     if (job->gang)
         return;
-    m_state.dequeue(job);
+    m_state.dequeue(job, now);
     if (job->claim) {
-        dropClaim(m_state, job->claim);
-        m_state.dequeue(job);
+        dropClaim(m_state, job->claim, now);
+        m_state.dequeue(job, now);
     }
     job->spec.attempt = std::max(job->spec.attempt, spec.attempt);
     job->started = true;
--- a/packages/scheduling/src/impl.h
+++ b/packages/scheduling/src/impl.h
@@ -35,15 +35,16 @@
     std::optional<EndJob> refusalOf(const JobSpec& spec) const;
     void takeManifest(const manifest::Manifest& manifest);
     void endUnlisted();
-    Job* newJob(const JobSpec& spec, TimePoint now);
+    void judgeLendable(); ///< The bound may have changed.
+    Job* newJob(const JobSpec& spec);
     void endJob(Job* job, EndKind kind, std::optional<RefusalReason> refusal, const std::string& text);
     void remember(const JobId& id, const std::string& text);
 
     // Ends of gangs.
     void judgeWorkers(const Gang& gang, const GangEnd& end, TimePoint now);
-    void settle(Job* job, const GangEnd& end);
-    void settleFailure(Job* job, const GangEnd& end);
-    void requeue(Job* job);
+    void settle(Job* job, const GangEnd& end, TimePoint now);
+    void settleFailure(Job* job, const GangEnd& end, TimePoint now);
+    void requeue(Job* job, TimePoint now);
     void learn(const Gang& gang, TimePoint now);
 
     // Decisions.
@@ -56,9 +57,13 @@
     bool withinKeptShares(const Job& job, TimePoint now) const;
     bool delaysReservation(const Job& job, const Run& run, TimePoint now) const;
     bool clearRunFor(Job* job, TimePoint now);
-    bool clearForUrgent(Job* job, TimePoint now);
+    bool clearForUrgent(Job* job, bool inProtected, TimePoint now);
+    bool victimsFit(const Run& run) const; ///< Each finds a free run outside at once.
     bool clearByMigration(Job* job, TimePoint now);
+    bool paysFor(const Job& job, double lost, TimePoint now) const;
     void reserve(Job* job, TimePoint now);
+    void serveReservations(TimePoint now);
+    bool serve(Reservation& reservation, TimePoint now);
     void dropReservations();
     std::string waitingReason(const Job& job, TimePoint now) const;
 
--- a/packages/scheduling/src/order.cpp
+++ b/packages/scheduling/src/order.cpp
@@ -25,23 +25,43 @@
     return workClass.used >= workClass.config.minimumShare * m_state.line.usableCount();
 }
 
+int Order::rankOf(const Job& job) const
+{
+    auto aged = static_cast<int>(job.waited(m_now) / m_state.policy.rankAgingTime);
+    return std::max(0, static_cast<int>(m_state.classes.at(job.spec.workClass).config.rank) - aged);
+}
+
+double Order::areaOf(const Job& job, Duration left) const
+{
+    auto area = static_cast<double>(std::max<Duration::rep>(left.count(), 1)) * job.spec.accelerators;
+    return std::log2(area)
+        - static_cast<double>(job.waited(m_now).count())
+        / static_cast<double>(m_state.policy.agingTime.count());
+}
+
 Priority Order::of(const Job& job) const
 {
     Priority priority;
     priority.sequence = job.sequence;
     if (!m_state.policy.shortestFirst)
         return priority;
-    const auto& workClass = m_state.classes.at(job.spec.workClass);
     const auto& workspace = m_state.workspaces.at(job.spec.workspace);
-    auto waited = m_now - job.submitted;
-    auto aged = static_cast<int>(waited / m_state.policy.rankAgingTime);
-    priority.aboveMinimum = aboveMinimum(workClass);
-    priority.rank = std::max(0, static_cast<int>(workClass.config.rank) - aged);
+    priority.aboveMinimum = aboveMinimum(m_state.classes.at(job.spec.workClass));
+    priority.rank = rankOf(job);
     priority.aboveShare = workspace.used >= fairShare(workspace);
-    auto area = static_cast<double>(job.predicted.count()) * job.spec.accelerators;
-    priority.area = std::log2(area)
-        - static_cast<double>(waited.count()) / static_cast<double>(m_state.policy.agingTime.count());
+    priority.area = areaOf(job, job.predicted);
     return priority;
 }
 
+bool Order::outranks(const Job& job, const Gang& gang) const
+{
+    constexpr double factor = 2; ///< Of the logarithm: a quarter of the area.
+    auto own = rankOf(job);
+    auto other = rankOf(*gang.job);
+    if (own != other)
+        return own < other;
+    auto left = m_state.predictedEnd(gang, m_now) - m_now;
+    return areaOf(job, job.predicted) + factor <= areaOf(*gang.job, left);
+}
+
 } // namespace jujubereach::scheduling
--- a/packages/scheduling/src/order.h
+++ b/packages/scheduling/src/order.h
@@ -25,11 +25,15 @@
     Order(const State& state, TimePoint now);
 
     Priority of(const Job& job) const;
+    /// True when the waiting job may displace the running gang: by rank, or by a much smaller aged area.
+    bool outranks(const Job& job, const Gang& gang) const;
     /// Accelerators that the workspace may use before others with queued work go first.
     double fairShare(const WorkspaceState& workspace) const;
 
 private:
     bool aboveMinimum(const ClassState& workClass) const;
+    int rankOf(const Job& job) const;
+    double areaOf(const Job& job, Duration left) const;
 
     const State& m_state;
     TimePoint m_now;
--- a/packages/scheduling/src/records.h
+++ b/packages/scheduling/src/records.h
@@ -17,7 +17,8 @@
 struct Job {
     JobSpec spec;
     std::uint64_t sequence = 0; ///< Order of arrival; kept when the job is queued again.
-    TimePoint submitted;
+    TimePoint queuedSince; ///< Start of the present stay in the queue.
+    Duration waitedBefore { 0 }; ///< In earlier stays.
     Duration predicted { 0 }; ///< Learned run time that is left.
     bool lendable = false; ///< Gives its accelerators back within the reclaim bound.
     bool cancelled = false;
@@ -27,6 +28,12 @@
     Gang* gang = nullptr; ///< Set while a gang of the job holds accelerators.
     Claim* claim = nullptr; ///< Set while a run is being cleared for the job.
     bool queued = false; ///< True exactly while the job stands in a lane.
+
+    /// Whole time in the queue; running does not count.
+    Duration waited(TimePoint now) const
+    {
+        return waitedBefore + (queued ? now - queuedSince : Duration { 0 });
+    }
 };
 
 enum class GangState { Starting, Running, Stopping };
--- a/packages/scheduling/src/state.cpp
+++ b/packages/scheduling/src/state.cpp
@@ -26,8 +26,9 @@
     return found != classes.end() && found->second.config.urgent;
 }
 
-void State::enqueue(Job* job)
+void State::enqueue(Job* job, TimePoint now)
 {
+    job->queuedSince = now;
     job->predicted = predictedLeft(job->spec);
     job->lendable = lendable(job->spec, limits);
     lanes.add(job);
@@ -36,10 +37,11 @@
         shapeCalls.emplace(job->sequence, job);
 }
 
-void State::dequeue(Job* job)
+void State::dequeue(Job* job, TimePoint now)
 {
     if (!job->queued)
         return;
+    job->waitedBefore = job->waited(now);
     lanes.remove(job);
     --workspaces[job->spec.workspace].queued;
     shapeCalls.erase(job->sequence);
--- a/packages/scheduling/src/state.h
+++ b/packages/scheduling/src/state.h
@@ -61,8 +61,8 @@
     mutable std::uint64_t work = 0; ///< Steps of scans and searches.
 
     bool urgent(const Job& job) const;
-    void enqueue(Job* job);
-    void dequeue(Job* job);
+    void enqueue(Job* job, TimePoint now);
+    void dequeue(Job* job, TimePoint now);
     /// Counts a gang's accelerators for its class and workspace.
     void addUse(const Gang& gang);
     void dropUse(const Gang& gang);
