--- /dev/null
+++ b/packages/jobs/src/gang.cpp
@@ -0,0 +1,340 @@
+#include "gang.h"
+
+#include "jujubereach/jobs/job-codec.h"
+
+#include <algorithm>
+
+namespace jujubereach::jobs {
+
+using platform::TaskState;
+using platform::WorkerOp;
+using scheduling::EndKind;
+
+template <typename F> bool Gang::all(F&& test) const
+{
+    return std::ranges::all_of(m_members, [&](const auto& entry) { return test(entry.second); });
+}
+
+Gang::Gang(GangId id, const OwnerConfig& config, TimePoint now)
+    : m_id(std::move(id))
+    , m_times(config.times)
+    , m_acceleratorsPerWorker(config.acceleratorsPerWorker)
+    , m_holdBeforeStart(config.switches.holdBeforeStart)
+    , m_deadline(now + config.times.startBound)
+{
+}
+
+Gang::Gang(
+    GangId id, GangId schedulerId, scheduling::StartGang start, const OwnerConfig& config, TimePoint now)
+    : Gang(std::move(id), config, now)
+{
+    m_schedulerId = std::move(schedulerId);
+    m_job = std::move(start.job);
+    m_run = start.run;
+    addMembers();
+}
+
+Gang::Gang(GangId id, TaskLabel label, const TaskReports& reports, const std::set<std::uint32_t>& lost,
+    const OwnerConfig& config, TimePoint now)
+    : Gang(std::move(id), config, now)
+{
+    m_job = std::move(label.job);
+    m_run = label.run;
+    addMembers();
+    m_phase = GangPhase::Running;
+    m_deadline = TimePoint::max();
+    // Starts go out only when every hold is granted, so a gang that is held everywhere has not run.
+    bool held = std::ranges::any_of(
+        reports, [](const auto& entry) { return entry.second.state == TaskState::Held; });
+    bool heldEverywhere = reports.size() == m_members.size()
+        && std::ranges::all_of(
+            reports, [](const auto& entry) { return entry.second.state == TaskState::Held; });
+    for (auto& [worker, member] : m_members) {
+        member.holdSent = true;
+        member.startSent = !heldEverywhere;
+        member.occupiedUntil = now + m_times.taskLease + m_times.recoveryMargin;
+    }
+    if (held)
+        stop(EndKind::Stopped, now);
+    for (auto worker : workers()) {
+        auto report = reports.find(worker);
+        if (report != reports.end())
+            onReport(worker, &report->second, now);
+        else if (lost.contains(worker))
+            onWorkerLost(worker, now);
+        else
+            onMemberEnded(worker, std::nullopt, now);
+    }
+}
+
+Gang Gang::stray(GangId id, const OwnerConfig& config, TimePoint now)
+{
+    Gang gang(std::move(id), config, now);
+    gang.m_phase = GangPhase::Stopping;
+    gang.m_endKind = EndKind::Stopped;
+    return gang;
+}
+
+void Gang::addMembers()
+{
+    for (std::uint32_t i = m_run.first; i < m_run.first + m_run.count; ++i)
+        m_members[i / m_acceleratorsPerWorker].accelerators.push_back(i % m_acceleratorsPerWorker);
+}
+
+std::vector<std::uint32_t> Gang::workers() const
+{
+    std::vector<std::uint32_t> workers;
+    workers.reserve(m_members.size());
+    for (const auto& [worker, member] : m_members)
+        workers.push_back(worker);
+    return workers;
+}
+
+std::optional<platform::WorkerCommand> Gang::nextCommand(std::uint32_t worker, bool allFresh, TimePoint now)
+{
+    auto entry = m_members.find(worker);
+    if (entry == m_members.end() || entry->second.ended)
+        return std::nullopt;
+    auto& member = entry->second;
+    if (m_phase == GangPhase::Stopping && member.holdSent) {
+        member.stopSent = true;
+        return command(WorkerOp::Stop);
+    }
+    if (m_phase == GangPhase::Holding && !member.held)
+        return hold(member, now);
+    if ((m_phase == GangPhase::Starting || !m_holdBeforeStart) && member.held && m_mayStart
+        && !member.running)
+        return start(member, now);
+    bool live = m_phase == GangPhase::Running || m_phase == GangPhase::Checkpointing;
+    if (live && member.running && allFresh && now >= member.nextRenew)
+        return renew(member, now);
+    if (m_phase == GangPhase::Checkpointing && member.running)
+        return command(WorkerOp::Checkpoint);
+    return std::nullopt;
+}
+
+platform::WorkerCommand Gang::command(WorkerOp op) const
+{
+    platform::WorkerCommand command;
+    command.op = op;
+    command.gang = m_id;
+    return command;
+}
+
+platform::WorkerCommand Gang::hold(Member& member, TimePoint now)
+{
+    member.holdSent = true;
+    member.occupiedUntil = std::max(member.occupiedUntil, now + m_times.holdLease + m_times.recoveryMargin);
+    auto result = command(WorkerOp::Hold);
+    result.accelerators = member.accelerators;
+    result.lease = m_times.holdLease;
+    result.label = encodeLabel({ m_job, m_run });
+    return result;
+}
+
+platform::WorkerCommand Gang::start(Member& member, TimePoint now)
+{
+    member.startSent = true;
+    member.occupiedUntil = std::max(member.occupiedUntil, now + m_times.taskLease + m_times.recoveryMargin);
+    auto result = command(WorkerOp::Start);
+    result.lease = m_times.taskLease;
+    result.runTime = std::max(m_job.declaredRunTime - m_job.progress, Duration(1));
+    result.checkpointTime = m_job.checkpointTime;
+    return result;
+}
+
+platform::WorkerCommand Gang::renew(Member& member, TimePoint now)
+{
+    member.nextRenew = now + m_times.renewInterval;
+    member.occupiedUntil = std::max(member.occupiedUntil, now + m_times.taskLease + m_times.recoveryMargin);
+    auto result = command(WorkerOp::Renew);
+    result.lease = m_times.taskLease;
+    return result;
+}
+
+void Gang::onResult(std::uint32_t worker, const platform::CommandResult& result, TimePoint now)
+{
+    auto entry = m_members.find(worker);
+    if (entry == m_members.end())
+        return;
+    auto& member = entry->second;
+    bool done = result.outcome == platform::CommandOutcome::Done;
+    if (result.op == WorkerOp::Hold && done)
+        member.held = true;
+    if (result.op == WorkerOp::Start && done && !member.ended)
+        member.running = true;
+    if (result.op == WorkerOp::Start && !done && !member.running)
+        member.startRefused = true;
+    bool starting = m_phase == GangPhase::Holding || m_phase == GangPhase::Starting;
+    if (starting && !done && (result.op == WorkerOp::Hold || result.op == WorkerOp::Start))
+        fail(EndKind::StartFailed, { worker }, now);
+    advance(now);
+}
+
+void Gang::onReport(std::uint32_t worker, const platform::TaskReport* report, TimePoint now)
+{
+    if (report && m_phase == GangPhase::Stopping && !isMember(worker)) {
+        m_members[worker].holdSent = m_members[worker].startSent = true;
+        m_members[worker].occupiedUntil = now + m_times.taskLease + m_times.recoveryMargin;
+    }
+    auto entry = m_members.find(worker);
+    if (entry == m_members.end() || entry->second.ended)
+        return;
+    auto& member = entry->second;
+    if (!report)
+        return onAbsent(worker, member, now);
+    member.progress = report->progress;
+    if (platform::hasEnded(report->state))
+        return onMemberEnded(worker, report->state, now);
+    member.held = true;
+    if (report->state != TaskState::Held)
+        member.running = true;
+    advance(now);
+}
+
+// A worker that does not know a task which it held or ran has lost it, as after a restart.
+void Gang::onAbsent(std::uint32_t worker, Member& member, TimePoint now)
+{
+    bool stopping = m_phase == GangPhase::Stopping;
+    if (member.held || member.running || (stopping && member.stopSent)
+        || (m_phase == GangPhase::Running && member.startSent))
+        onMemberEnded(worker, std::nullopt, now);
+}
+
+void Gang::onMemberEnded(std::uint32_t worker, std::optional<TaskState> state, TimePoint now)
+{
+    auto& member = m_members[worker];
+    member.ended = true;
+    member.endState = state;
+    bool live = m_phase == GangPhase::Running || m_phase == GangPhase::Checkpointing;
+    if (m_phase == GangPhase::Starting && state == TaskState::Completed)
+        member.running = true;
+    else if (m_phase == GangPhase::Holding || m_phase == GangPhase::Starting)
+        fail(state == TaskState::Failed ? EndKind::Failed : EndKind::StartFailed, { worker }, now);
+    else if (live && state == TaskState::Completed && m_phase == GangPhase::Running)
+        m_deadline = std::min(m_deadline, now + m_times.finishBound);
+    else if (live && state == TaskState::Checkpointed && m_phase == GangPhase::Running)
+        checkpoint(now);
+    else if (live && state == TaskState::Failed)
+        fail(EndKind::Failed, { worker }, now);
+    else if (live && state == TaskState::Stopped)
+        fail(EndKind::Stopped, {}, now);
+    else if (live && state != TaskState::Completed && state != TaskState::Checkpointed)
+        fail(EndKind::WorkerLost, { worker }, now);
+    advance(now);
+}
+
+void Gang::onWorkerLost(std::uint32_t worker, TimePoint now)
+{
+    auto entry = m_members.find(worker);
+    if (entry == m_members.end() || entry->second.ended || m_phase >= GangPhase::Stopping)
+        return;
+    bool ran = m_phase == GangPhase::Running || m_phase == GangPhase::Checkpointing;
+    fail(ran ? EndKind::WorkerLost : EndKind::StartFailed, { worker }, now);
+    advance(now);
+}
+
+void Gang::checkpoint(TimePoint now)
+{
+    if (m_phase == GangPhase::Holding || m_phase == GangPhase::Starting)
+        return stop(EndKind::Stopped, now);
+    if (m_phase != GangPhase::Running)
+        return;
+    m_phase = GangPhase::Checkpointing;
+    m_deadline = now + 2 * m_job.checkpointTime + m_times.finishBound;
+}
+
+void Gang::stop(EndKind kind, TimePoint now)
+{
+    fail(kind, {}, now);
+    advance(now);
+}
+
+void Gang::fail(EndKind kind, std::vector<std::uint32_t> blamed, TimePoint)
+{
+    if (m_phase >= GangPhase::Stopping)
+        return;
+    m_phase = GangPhase::Stopping;
+    m_endKind = kind;
+    m_blamed = std::move(blamed);
+}
+
+void Gang::tick(TimePoint now)
+{
+    if (m_phase == GangPhase::Stopping) {
+        for (auto& [worker, member] : m_members)
+            member.ended = member.ended || !member.holdSent || now >= member.occupiedUntil;
+    } else if (now >= m_deadline) {
+        bool starting = m_phase == GangPhase::Holding || m_phase == GangPhase::Starting;
+        if (m_phase == GangPhase::Checkpointing)
+            fail(EndKind::Stopped, {}, now);
+        else
+            fail(starting ? EndKind::StartFailed : EndKind::Failed, unfinished(), now);
+    }
+    advance(now);
+}
+
+std::vector<std::uint32_t> Gang::unfinished() const
+{
+    std::vector<std::uint32_t> workers;
+    for (const auto& [worker, member] : m_members) {
+        bool late = m_phase == GangPhase::Holding ? !member.held : !member.running;
+        if (m_phase == GangPhase::Running ? !member.ended : late && m_mayStart)
+            workers.push_back(worker);
+    }
+    return workers;
+}
+
+void Gang::advance(TimePoint now)
+{
+    if (m_phase == GangPhase::Holding && m_mayStart && all([](const Member& m) { return m.held; }))
+        m_phase = GangPhase::Starting;
+    if (m_phase == GangPhase::Starting && all([](const Member& m) { return m.running; })) {
+        m_phase = GangPhase::Running;
+        bool completed = std::ranges::any_of(m_members, [](const auto& entry) { return entry.second.ended; });
+        m_deadline = completed ? now + m_times.finishBound : TimePoint::max();
+    }
+    bool live = m_phase != GangPhase::Ended;
+    if (live && all([](const Member& m) { return m.ended || !m.holdSent; })
+        && m_phase != GangPhase::Holding) {
+        if (m_phase != GangPhase::Stopping && !hasCompleted())
+            m_endKind = EndKind::Checkpointed;
+        m_phase = GangPhase::Ended;
+    }
+}
+
+bool Gang::hasCompleted() const
+{
+    return !m_members.empty() && all([](const Member& m) { return m.endState == TaskState::Completed; });
+}
+
+Duration Gang::ranFor() const
+{
+    Duration least = Duration::max();
+    for (const auto& [worker, member] : m_members)
+        least = std::min(least, member.progress);
+    return m_members.empty() ? Duration(0) : least;
+}
+
+scheduling::GangEnd Gang::end() const
+{
+    scheduling::GangEnd end { m_schedulerId, m_endKind, m_job.progress, m_blamed };
+    if (hasCompleted()) {
+        end.kind = EndKind::Completed;
+        end.blamed.clear();
+    }
+    if (end.kind == EndKind::Checkpointed)
+        end.progress = m_job.progress + ranFor();
+    return end;
+}
+
+Ran Gang::ran() const
+{
+    bool sent = std::ranges::any_of(
+        m_members, [](const auto& entry) { return entry.second.startSent && !entry.second.startRefused; });
+    if (std::ranges::any_of(m_members, [](const auto& entry) { return entry.second.running; }))
+        return Ran::Yes;
+    return sent ? Ran::Unknown : Ran::No;
+}
+
+} // namespace jujubereach::jobs
--- /dev/null
+++ b/packages/jobs/src/owner-gangs.cpp
@@ -0,0 +1,243 @@
+// Decisions of the scheduler, carried out on gangs, and what becomes of their jobs.
+#include "owner-impl.h"
+
+#include <algorithm>
+
+namespace jujubereach::jobs {
+
+using scheduling::EndKind;
+
+namespace {
+
+    constexpr std::uint64_t noEvent = 0;
+
+    Ran merged(Ran earlier, Ran later)
+    {
+        if (earlier == Ran::Yes || later == Ran::Yes)
+            return Ran::Yes;
+        return earlier == Ran::Unknown ? earlier : later;
+    }
+
+} // namespace
+
+void DomainOwner::Impl::decide(TimePoint now)
+{
+    for (const auto& decision : m_scheduler.decide(now))
+        std::visit([&](const auto& each) { carryOut(each, now); }, decision);
+}
+
+void DomainOwner::Impl::carryOut(const scheduling::StartGang& start, TimePoint now)
+{
+    auto entry = m_jobs.find(start.job.id);
+    if (entry == m_jobs.end() || entry->second.ended)
+        return m_scheduler.gangEnded({ start.gang, EndKind::Unknown, {}, {} }, now);
+    auto& job = entry->second;
+    bool once = !job.spec.restartable && m_config.switches.claimBeforeStart;
+    if (once && job.claimed)
+        return m_scheduler.gangEnded({ start.gang, EndKind::Unknown, job.spec.progress, {} }, now);
+    if (once && !m_journalAvailable)
+        return park(job, start.gang, now);
+    GangId id(job.spec.id.str() + "/" + std::to_string(m_term) + "." + std::to_string(m_nextGang++));
+    auto attempt = start;
+    attempt.job = job.spec;
+    Gang gang(id, start.gang, std::move(attempt), m_config, now);
+    if (once) {
+        job.claimed = true;
+        gang.setMayStart(false);
+        m_claims[emit(JobEventKind::Claimed, job, id).number] = id;
+    }
+    addGang(std::move(gang));
+}
+
+// The scheduler must not reserve accelerators for a job that cannot start before the journal is back.
+void DomainOwner::Impl::park(Job& job, const GangId& schedulerGang, TimePoint now)
+{
+    job.parked = true;
+    m_scheduler.gangEnded({ schedulerGang, EndKind::Stopped, job.spec.progress, {} }, now);
+    m_scheduler.cancel(job.spec.id, now);
+}
+
+void DomainOwner::Impl::carryOut(const scheduling::PreemptGang& preempt, TimePoint now)
+{
+    auto id = m_bySchedulerId.find(preempt.gang);
+    if (id == m_bySchedulerId.end())
+        return;
+    auto& gang = m_gangs.at(id->second);
+    if (preempt.checkpoint)
+        gang.checkpoint(now);
+    else
+        gang.stop(EndKind::Stopped, now);
+    afterChange(gang, now);
+}
+
+void DomainOwner::Impl::carryOut(const scheduling::EndJob& end, TimePoint)
+{
+    auto job = m_jobs.find(end.job);
+    if (job != m_jobs.end() && !job->second.ended && !job->second.parked)
+        endJob(job->second, end);
+}
+
+void DomainOwner::Impl::endJob(Job& job, const scheduling::EndJob& end)
+{
+    job.ended = true;
+    job.parked = false;
+    auto& event = emit(JobEventKind::Ended, job, job.lastGang);
+    event.end = end.kind;
+    if (end.kind == EndKind::Unknown && job.lastEnd == EndKind::Failed)
+        event.end = EndKind::Failed;
+    event.refusal = end.refusal;
+    event.text = end.text;
+    event.ran = event.end == EndKind::Completed ? Ran::Yes : job.ran;
+    if (event.ran == Ran::No && !end.neverRan && event.end == EndKind::Unknown)
+        event.ran = Ran::Unknown;
+    m_ends[event.number] = job.spec.id;
+    if (!job.lastGang.empty())
+        m_keep[job.lastGang] = event.number;
+    m_undecided.erase(job.lastGang);
+}
+
+JobEvent& DomainOwner::Impl::emit(JobEventKind kind, const Job& job, const GangId& gang)
+{
+    JobEvent event;
+    event.number = m_nextEvent++;
+    event.kind = kind;
+    event.term = m_term;
+    event.job = job.spec;
+    event.gang = gang;
+    m_events.push_back(std::move(event));
+    return m_events.back();
+}
+
+void DomainOwner::Impl::addGang(Gang gang)
+{
+    auto id = gang.id();
+    if (gang.isAdopted())
+        m_bySchedulerId[gang.schedulerId()] = id;
+    for (auto worker : gang.workers()) {
+        if (worker < m_gangsOn.size())
+            m_gangsOn[worker].insert(id);
+    }
+    gang.takePhaseChange();
+    auto& added = m_gangs.insert_or_assign(id, std::move(gang)).first->second;
+    want(added);
+}
+
+void DomainOwner::Impl::want(const Gang& gang)
+{
+    for (auto worker : gang.workers()) {
+        if (worker < m_wanted.size())
+            m_wanted[worker] = true;
+    }
+}
+
+void DomainOwner::Impl::tickGangs(TimePoint now)
+{
+    std::vector<GangId> ids;
+    ids.reserve(m_gangs.size());
+    for (const auto& [id, gang] : m_gangs)
+        ids.push_back(id);
+    for (const auto& id : ids) {
+        auto& gang = m_gangs.at(id);
+        gang.tick(now);
+        afterChange(gang, now);
+    }
+}
+
+/// Follows a change of phase; an ended gang is gone afterwards.
+void DomainOwner::Impl::afterChange(Gang& gang, TimePoint now)
+{
+    if (!gang.takePhaseChange())
+        return;
+    want(gang);
+    if (gang.phase() == GangPhase::Running && gang.isAdopted()) {
+        m_scheduler.gangRunning(gang.schedulerId(), now);
+        emit(JobEventKind::Started, m_jobs.at(gang.job().id), gang.id());
+    }
+    if (gang.phase() != GangPhase::Ended)
+        return;
+    auto ended = gang;
+    m_gangs.erase(ended.id());
+    m_bySchedulerId.erase(ended.schedulerId());
+    for (auto worker : ended.workers()) {
+        if (worker < m_gangsOn.size())
+            m_gangsOn[worker].erase(ended.id());
+    }
+    if (ended.isAdopted())
+        onGangEnded(ended, now);
+    else
+        onFoundEnd(ended, now);
+}
+
+void DomainOwner::Impl::onGangEnded(const Gang& gang, TimePoint now)
+{
+    auto& job = m_jobs.at(gang.job().id);
+    auto end = gang.end();
+    job.ran = merged(job.ran, gang.ran());
+    job.lastGang = gang.id();
+    job.lastEnd = end.kind;
+    if (gang.ran() != Ran::No || end.kind == EndKind::Checkpointed)
+        ++job.spec.attempt;
+    job.spec.progress = end.progress;
+    m_keep[gang.id()] = noEvent;
+    m_undecided.insert(gang.id());
+    bool again = gang.ran() == Ran::No || end.kind == EndKind::Checkpointed;
+    if (job.claimed && again) {
+        job.claimed = false;
+        m_keep[gang.id()] = emit(JobEventKind::Unclaimed, job, gang.id()).number;
+    } else if (end.kind == EndKind::Checkpointed) {
+        m_keep[gang.id()] = emit(JobEventKind::Progress, job, gang.id()).number;
+    } else if (job.claimed && end.kind == EndKind::StartFailed) {
+        end.kind = EndKind::Unknown; // It may have run in part, which a retry would repeat.
+    }
+    m_scheduler.gangEnded(end, now);
+}
+
+// Ended gangs of jobs that go on without an event need not be kept by the workers.
+void DomainOwner::Impl::releaseEndedGangs()
+{
+    for (const auto& id : m_undecided) {
+        if (auto kept = m_keep.find(id); kept != m_keep.end() && kept->second == noEvent)
+            m_keep.erase(kept);
+    }
+    m_undecided.clear();
+}
+
+void DomainOwner::Impl::eventCommitted(std::uint64_t number, TimePoint now)
+{
+    refreshRole(now);
+    std::erase_if(m_keep, [&](const auto& entry) { return entry.second == number; });
+    if (auto end = m_ends.find(number); end != m_ends.end()) {
+        m_jobs.erase(end->second);
+        m_ends.erase(end);
+    }
+    auto claim = m_claims.find(number);
+    if (claim == m_claims.end())
+        return;
+    if (auto gang = m_gangs.find(claim->second); gang != m_gangs.end()) {
+        gang->second.setMayStart(true);
+        gang->second.tick(now);
+        want(gang->second);
+        afterChange(gang->second, now);
+    }
+    m_claims.erase(claim);
+}
+
+void DomainOwner::Impl::eventRejected(std::uint64_t number, TimePoint now)
+{
+    refreshRole(now);
+    auto claim = m_claims.find(number);
+    if (claim == m_claims.end())
+        return eventCommitted(number, now);
+    auto id = claim->second;
+    m_claims.erase(claim);
+    auto entry = m_gangs.find(id);
+    if (entry == m_gangs.end())
+        return;
+    auto& gang = entry->second;
+    m_jobs.at(gang.job().id).ran = Ran::Unknown;
+    say("job " + gang.job().id.str() + " was claimed by another owner and is not started");
+    gang.stop(EndKind::Unknown, now);
+    afterChange(gang, now);
+}
+
+} // namespace jujubereach::jobs
--- /dev/null
+++ b/packages/jobs/src/owner-impl.h
@@ -0,0 +1,160 @@
+// State of a domain's owner. Its parts: owner.cpp roles and inputs, owner-sync.cpp syncs and replies,
+// owner-gangs.cpp gangs and decisions, owner-recovery.cpp gangs and jobs found after a change of owner.
+#pragma once
+
+#include "gang.h"
+#include "recovery.h"
+#include "worker-leases.h"
+
+#include "jujubereach/base/random.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jujubereach::jobs {
+
+enum class Role {
+    Idle,
+    Contending, ///< Takes leases; starts and renews nothing.
+    Owning, ///< Holds a fresh majority.
+    Draining, ///< Owns, but starts nothing more before it hands over.
+    Releasing,
+};
+
+class DomainOwner::Impl {
+public:
+    Impl(OwnerConfig config, SchedulerFactory makeScheduler);
+
+    // owner.cpp
+    void setOwning(bool should, TimePoint now);
+    void setJournalAvailable(bool available, TimePoint now);
+    std::optional<scheduling::EndJob> submit(const scheduling::JobSpec& job, TimePoint now);
+    void cancel(const JobId& job, TimePoint now);
+    void tick(TimePoint now);
+    TimePoint nextDue(TimePoint now) const;
+    bool isOwner(TimePoint now) const;
+    scheduling::Explanation explain(const JobId& job, TimePoint now) const;
+
+    // owner-sync.cpp
+    std::vector<WorkerSyncOut> due(TimePoint now);
+    void onSyncReply(std::uint32_t worker, const platform::WorkerReply& reply, TimePoint now);
+
+    // owner-gangs.cpp
+    void eventCommitted(std::uint64_t number, TimePoint now);
+    void eventRejected(std::uint64_t number, TimePoint now);
+
+    // owner-recovery.cpp
+    void journaledJobs(const std::vector<JournaledJob>& jobs, TimePoint now);
+
+    OwnerConfig m_config;
+    SchedulerFactory m_makeScheduler;
+    SchedulerHooks m_scheduler; ///< Of this term.
+    WorkerLeases m_leases;
+    Role m_role = Role::Idle;
+    std::uint64_t m_term = 0;
+    std::vector<JobEvent> m_events;
+    std::vector<std::string> m_log;
+    bool m_recovered = false; ///< In this term.
+
+    struct Job {
+        scheduling::JobSpec spec;
+        Ran ran = Ran::No; ///< Of all attempts so far.
+        bool claimed = false; ///< Not restartable, and an attempt may have run.
+        bool ended = false; ///< The end is not committed yet; kept so that no list starts it again.
+        bool parked = false; ///< Waits for the journal; the scheduler does not know it.
+        GangId lastGang; ///< Last attempt that ended.
+        std::optional<scheduling::EndKind> lastEnd; ///< Of it.
+    };
+    std::map<JobId, Job> m_jobs; ///< Every job of this term until its end is committed.
+
+private:
+    // owner.cpp
+    void refreshRole(TimePoint now);
+    void becomeContender(TimePoint now);
+    void becomeOwner(TimePoint now);
+    void dropTerm();
+    void refreshContender(TimePoint now);
+    void refreshOwner(TimePoint now);
+    void startReleasing(const std::string& why);
+    bool owns() const { return m_role == Role::Owning || m_role == Role::Draining; }
+    std::optional<scheduling::EndJob> enqueue(Job& job, TimePoint now);
+    void say(const std::string& sentence);
+
+    // owner-sync.cpp
+    WorkerSyncOut syncFor(std::uint32_t worker, Duration ttl, TimePoint now);
+    std::vector<platform::WorkerCommand> commandsFor(std::uint32_t worker, TimePoint now);
+    bool allFresh(const Gang& gang, TimePoint now) const;
+    void onTasks(
+        std::uint32_t worker, const std::vector<platform::TaskReport>& tasks, bool granted, TimePoint now);
+    void onUnknownTask(std::uint32_t worker, const platform::TaskReport& task, TimePoint now);
+    bool isAlive(std::uint32_t worker, TimePoint now) const;
+    bool isLost(std::uint32_t worker, TimePoint now) const;
+    void refreshWorkers(TimePoint now);
+    bool isUsable(std::uint32_t worker, TimePoint now) const;
+
+    // owner-gangs.cpp
+    void decide(TimePoint now);
+    void carryOut(const scheduling::StartGang& start, TimePoint now);
+    void carryOut(const scheduling::PreemptGang& preempt, TimePoint now);
+    void carryOut(const scheduling::EndJob& end, TimePoint now);
+    void park(Job& job, const GangId& schedulerGang, TimePoint now);
+    void addGang(Gang gang);
+    void want(const Gang& gang);
+    void tickGangs(TimePoint now);
+    void afterChange(Gang& gang, TimePoint now);
+    void onGangEnded(const Gang& gang, TimePoint now);
+    void endJob(Job& job, const scheduling::EndJob& end);
+    void releaseEndedGangs();
+    JobEvent& emit(JobEventKind kind, const Job& job, const GangId& gang);
+
+    // owner-recovery.cpp
+    /// The last attempt of a job that workers report as ended.
+    struct ReportedEnd {
+        scheduling::JobSpec spec;
+        scheduling::GangEnd end;
+        GangId gang;
+        Ran ran = Ran::Unknown;
+    };
+    struct Found {
+        std::optional<JournaledJob> journaled;
+        std::optional<ReportedEnd> reported;
+        bool cancelled = false;
+    };
+    void recover(TimePoint now);
+    void settle(const Recovery::FoundGang& found, TimePoint now);
+    void adopt(Gang gang, TimePoint now);
+    void onFoundEnd(const Gang& gang, TimePoint now);
+    void resolveFound(TimePoint now);
+    void resolve(const Found& found, TimePoint now);
+    void restart(Job& job, const ReportedEnd* reported, TimePoint now);
+    bool hasGang(const JobId& job) const;
+
+    Random m_random;
+    TimePoint m_contendFrom; ///< While it is ahead, a contender keeps quiet.
+    std::optional<TimePoint> m_holdsSince; ///< Contending: holds some leases but no majority.
+    TimePoint m_drainUntil;
+    bool m_journalAvailable = true;
+    std::uint64_t m_nextEvent = 1;
+    std::uint64_t m_nextJob = 1;
+    std::uint64_t m_nextGang = 1; ///< With the term it makes a gang's id unique.
+    std::map<GangId, Gang> m_gangs; ///< By the workers' name; kept until Ended.
+    std::map<GangId, GangId> m_bySchedulerId;
+    std::vector<std::set<GangId>> m_gangsOn; ///< By worker.
+    std::vector<bool> m_wanted; ///< By worker: commands may wait.
+    std::vector<bool> m_up; ///< By worker: as the scheduler was told.
+    std::set<std::pair<std::uint32_t, GangId>> m_forget; ///< Ended tasks that the next sync forgets.
+    std::map<std::uint64_t, GangId> m_claims; ///< Claims under way, by event.
+    std::map<std::uint64_t, JobId> m_ends; ///< Ends under way, by event.
+    std::map<GangId, std::uint64_t> m_keep; ///< Ended gangs that workers must not forget before the event.
+    std::set<GangId> m_undecided; ///< Ended gangs of which the scheduler has not yet said what follows.
+    std::optional<Recovery> m_recovery; ///< Of this term, also when it is complete.
+    TimePoint m_ownerSince;
+    std::map<JobId, Found>
+        m_found; ///< Found jobs that are not running, until it is certain that they run nowhere.
+
+    friend class DomainOwner;
+};
+
+} // namespace jujubereach::jobs
--- /dev/null
+++ b/packages/jobs/src/owner-recovery.cpp
@@ -0,0 +1,166 @@
+// Gangs and jobs that an owner finds after a change of owner.
+#include "owner-impl.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace jujubereach::jobs {
+
+using scheduling::EndKind;
+
+namespace {
+
+    constexpr std::uint64_t untilResolved = std::numeric_limits<std::uint64_t>::max();
+
+} // namespace
+
+void DomainOwner::Impl::recover(TimePoint now)
+{
+    for (const auto& found :
+        m_recovery->takeSettled([&](std::uint32_t worker) { return isLost(worker, now); }))
+        settle(found, now);
+    if (!m_recovered && m_recovery->isComplete(now)) {
+        m_recovered = true;
+        say("has recovered with " + std::to_string(m_gangs.size()) + " gangs");
+    }
+    if (m_recovered)
+        resolveFound(now);
+}
+
+void DomainOwner::Impl::settle(const Recovery::FoundGang& found, TimePoint now)
+{
+    if (!found.label) {
+        for (const auto& [worker, report] : found.reports)
+            onUnknownTask(worker, report, now);
+        return;
+    }
+    Gang gang(found.id, *found.label, found.reports, found.lost, m_config, now);
+    const auto& job = gang.job().id;
+    auto journaled = m_found.find(job);
+    bool over
+        = journaled != m_found.end() && journaled->second.journaled && journaled->second.journaled->ended;
+    if (gang.phase() < GangPhase::Stopping && !over && !m_jobs.contains(job))
+        return adopt(std::move(gang), now);
+    gang.stop(EndKind::Stopped, now);
+    if (gang.phase() == GangPhase::Ended)
+        return onFoundEnd(gang, now);
+    addGang(std::move(gang));
+}
+
+void DomainOwner::Impl::adopt(Gang gang, TimePoint now)
+{
+    auto& job = m_jobs[gang.job().id];
+    job.spec = gang.job();
+    job.ran = Ran::Yes;
+    job.claimed = !job.spec.restartable;
+    gang.setSchedulerId(gang.id());
+    m_scheduler.adopt(job.spec, gang.id(), gang.run(), gang.ranFor(), now);
+    emit(JobEventKind::Started, job, gang.id());
+    auto found = m_found.find(job.spec.id);
+    bool cancelled = found != m_found.end() && found->second.cancelled;
+    m_found.erase(job.spec.id);
+    auto id = job.spec.id;
+    addGang(std::move(gang));
+    if (cancelled)
+        m_scheduler.cancel(id, now);
+}
+
+void DomainOwner::Impl::onFoundEnd(const Gang& gang, TimePoint)
+{
+    const auto& id = gang.job().id;
+    if (id.empty() || m_jobs.contains(id))
+        return;
+    auto& found = m_found[id];
+    if (found.reported && found.reported->spec.attempt > gang.job().attempt)
+        return;
+    if (found.reported)
+        m_keep.erase(found.reported->gang);
+    found.reported = ReportedEnd { gang.job(), gang.end(), gang.id(), gang.ran() };
+    m_keep[gang.id()] = untilResolved;
+}
+
+void DomainOwner::Impl::journaledJobs(const std::vector<JournaledJob>& jobs, TimePoint now)
+{
+    refreshRole(now);
+    if (!owns())
+        return;
+    for (const auto& journaled : jobs) {
+        auto job = m_jobs.find(journaled.job.id);
+        if (job == m_jobs.end())
+            m_found[journaled.job.id].journaled = journaled;
+        else if (journaled.ended && !job->second.ended)
+            m_scheduler.cancel(journaled.job.id, now);
+    }
+    recover(now);
+}
+
+bool DomainOwner::Impl::hasGang(const JobId& job) const
+{
+    return std::ranges::any_of(m_gangs, [&](const auto& entry) { return entry.second.job().id == job; });
+}
+
+void DomainOwner::Impl::resolveFound(TimePoint now)
+{
+    for (auto entry = m_found.begin(); entry != m_found.end();) {
+        if (hasGang(entry->first)) {
+            ++entry;
+            continue;
+        }
+        auto found = std::move(entry->second);
+        entry = m_found.erase(entry);
+        resolve(found, now);
+    }
+}
+
+void DomainOwner::Impl::resolve(const Found& found, TimePoint now)
+{
+    auto reported = found.reported;
+    if (reported)
+        m_keep.erase(reported->gang);
+    if (found.journaled && found.journaled->ended)
+        return;
+    // An end of an attempt before the one that the journal knows says nothing about the latter.
+    if (reported && found.journaled && reported->spec.attempt < found.journaled->job.attempt
+        && reported->end.kind != EndKind::Completed)
+        reported.reset();
+    auto& job = m_jobs[reported ? reported->spec.id : found.journaled->job.id];
+    job.spec = reported ? reported->spec : found.journaled->job;
+    job.claimed = (found.journaled && found.journaled->claimed) || (reported && !job.spec.restartable);
+    job.ran = reported ? reported->ran : (job.claimed || job.spec.attempt > 0 ? Ran::Unknown : Ran::No);
+    if (reported) {
+        job.lastGang = reported->gang;
+        job.lastEnd = reported->end.kind;
+    }
+    if (reported && reported->end.kind == EndKind::Completed)
+        return endJob(job, { job.spec.id, EndKind::Completed, {}, false, "The job completed." });
+    if (found.cancelled)
+        return endJob(job,
+            { job.spec.id, EndKind::Stopped, scheduling::RefusalReason::Cancelled, job.ran == Ran::No,
+                "The job was cancelled." });
+    bool again = reported && (reported->ran == Ran::No || reported->end.kind == EndKind::Checkpointed);
+    if (job.claimed && !again) {
+        bool failed = reported && reported->end.kind == EndKind::Failed;
+        return endJob(job,
+            { job.spec.id, failed ? EndKind::Failed : EndKind::Unknown,
+                scheduling::RefusalReason::OutcomeUnknown, false,
+                "It is not restartable, and an attempt was lost with its owner." });
+    }
+    restart(job, reported ? &*reported : nullptr, now);
+}
+
+void DomainOwner::Impl::restart(Job& job, const ReportedEnd* reported, TimePoint now)
+{
+    if (reported) {
+        job.spec.attempt += reported->ran == Ran::No ? 0 : 1;
+        job.spec.progress = reported->end.progress;
+    }
+    bool saved = reported && reported->end.kind == EndKind::Checkpointed;
+    if (job.claimed || saved) {
+        auto kind = job.claimed ? JobEventKind::Unclaimed : JobEventKind::Progress;
+        m_keep[job.lastGang] = emit(kind, job, job.lastGang).number;
+        job.claimed = false;
+    }
+    enqueue(job, now);
+}
+
+} // namespace jujubereach::jobs
--- /dev/null
+++ b/packages/jobs/src/owner.cpp
@@ -0,0 +1,377 @@
+// Roles and inputs of a domain's owner.
+#include "owner-impl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jujubereach::jobs {
+
+namespace {
+
+    constexpr Duration tickInterval { 100 };
+    constexpr Duration idleInterval { 1'000 };
+    constexpr Duration minContendPause { 300 };
+    constexpr std::uint64_t contendPauseSpread = 1'500; ///< Milliseconds.
+
+} // namespace
+
+DomainOwner::Impl::Impl(OwnerConfig config, SchedulerFactory makeScheduler)
+    : m_config(std::move(config))
+    , m_makeScheduler(std::move(makeScheduler))
+    , m_leases(m_config.workers.size(), m_config.times)
+    , m_random(m_config.seed ^ stableHash(m_config.holder))
+    , m_gangsOn(m_config.workers.size())
+    , m_wanted(m_config.workers.size(), false)
+    , m_up(m_config.workers.size(), false)
+{
+}
+
+void DomainOwner::Impl::say(const std::string& sentence)
+{
+    m_log.push_back("jobs: " + m_config.domain.str() + ": " + sentence);
+}
+
+void DomainOwner::Impl::setOwning(bool should, TimePoint now)
+{
+    refreshRole(now);
+    if (should && m_role == Role::Draining)
+        m_role = Role::Owning;
+    else if (should && (m_role == Role::Idle || m_role == Role::Releasing))
+        becomeContender(now);
+    else if (!should && m_role == Role::Contending)
+        startReleasing("gives up contending");
+    else if (!should && m_role == Role::Owning) {
+        m_role = Role::Draining;
+        m_drainUntil = now + m_config.times.drainBound;
+        for (auto& [id, gang] : m_gangs) {
+            if (gang.phase() == GangPhase::Holding)
+                gang.stop(scheduling::EndKind::Stopped, now);
+            want(gang);
+        }
+    }
+    refreshRole(now);
+}
+
+void DomainOwner::Impl::becomeContender(TimePoint now)
+{
+    m_role = Role::Contending;
+    m_contendFrom = now;
+    m_holdsSince.reset();
+    m_leases.beginContending(now);
+}
+
+void DomainOwner::Impl::startReleasing(const std::string& why)
+{
+    say(why);
+    dropTerm();
+    m_role = Role::Releasing;
+}
+
+void DomainOwner::Impl::becomeOwner(TimePoint now)
+{
+    m_role = Role::Owning;
+    m_term = m_leases.epoch();
+    m_ownerSince = now;
+    m_nextJob = 1;
+    m_scheduler = m_makeScheduler();
+    auto wait = m_config.times.taskLease + m_config.times.recoveryMargin;
+    auto deadline = m_config.switches.waitForReports ? now + wait : now;
+    m_recovery.emplace(m_config.workers.size(), m_config.acceleratorsPerWorker, deadline);
+    m_leases.beginTerm(now);
+    say("owns with term " + std::to_string(m_term));
+}
+
+// Everything of a term is rebuilt from the workers' reports and the journal by whoever owns next.
+void DomainOwner::Impl::dropTerm()
+{
+    m_term = 0;
+    m_recovered = false;
+    m_scheduler = {};
+    m_recovery.reset();
+    m_jobs.clear();
+    m_found.clear();
+    m_gangs.clear();
+    m_bySchedulerId.clear();
+    m_events.clear();
+    m_claims.clear();
+    m_ends.clear();
+    m_keep.clear();
+    m_undecided.clear();
+    m_forget.clear();
+    for (auto& gangs : m_gangsOn)
+        gangs.clear();
+    std::fill(m_wanted.begin(), m_wanted.end(), false);
+    std::fill(m_up.begin(), m_up.end(), false);
+}
+
+// Runs before every step, so that a process that was paused notices the gap before it acts.
+void DomainOwner::Impl::refreshRole(TimePoint now)
+{
+    switch (m_role) {
+    case Role::Idle:
+        break;
+    case Role::Contending:
+        refreshContender(now);
+        break;
+    case Role::Owning:
+    case Role::Draining:
+        refreshOwner(now);
+        break;
+    case Role::Releasing:
+        if (!m_leases.mayHoldAny(now))
+            m_role = Role::Idle;
+        break;
+    }
+}
+
+// Two contenders that each hold a part would block each other for ever, so a part is given back and tried
+// again after a random pause.
+void DomainOwner::Impl::refreshContender(TimePoint now)
+{
+    if (now < m_contendFrom)
+        return;
+    if (m_config.switches.majority ? m_leases.hasMajority(now) : m_leases.holdsAny(now))
+        return becomeOwner(now);
+    if (!m_leases.holdsAny(now)) {
+        m_holdsSince.reset();
+        return;
+    }
+    if (!m_holdsSince)
+        m_holdsSince = now;
+    if (now - *m_holdsSince < m_config.times.contendBound)
+        return;
+    auto pause = minContendPause + Duration(m_random.below(contendPauseSpread));
+    say("holds no majority, tries again in " + std::to_string(pause.count()) + " ms");
+    becomeContender(now);
+    m_contendFrom = now + pause;
+}
+
+void DomainOwner::Impl::refreshOwner(TimePoint now)
+{
+    if (!(m_config.switches.majority ? m_leases.hasMajority(now) : m_leases.holdsAny(now))) {
+        say("lost the majority of term " + std::to_string(m_term));
+        bool draining = m_role == Role::Draining;
+        dropTerm();
+        return draining ? startReleasing("hands over") : becomeContender(now);
+    }
+    if (m_role != Role::Draining)
+        return;
+    bool starting = std::ranges::any_of(m_gangs, [](const auto& entry) {
+        return entry.second.phase() == GangPhase::Holding || entry.second.phase() == GangPhase::Starting;
+    });
+    if (!starting || now >= m_drainUntil)
+        startReleasing("hands over");
+}
+
+bool DomainOwner::Impl::isOwner(TimePoint now) const
+{
+    bool majority = m_config.switches.majority ? m_leases.hasMajority(now) : m_leases.holdsAny(now);
+    return owns() && majority;
+}
+
+void DomainOwner::Impl::tick(TimePoint now)
+{
+    refreshRole(now);
+    if (!owns())
+        return;
+    recover(now);
+    refreshWorkers(now);
+    tickGangs(now);
+    if (m_role == Role::Owning)
+        decide(now);
+    releaseEndedGangs();
+}
+
+TimePoint DomainOwner::Impl::nextDue(TimePoint now) const
+{
+    return m_role == Role::Idle ? now + idleInterval : m_leases.nextDue(now + tickInterval);
+}
+
+void DomainOwner::Impl::setJournalAvailable(bool available, TimePoint now)
+{
+    refreshRole(now);
+    if (std::exchange(m_journalAvailable, available) == available || !available || !owns())
+        return;
+    for (auto& [id, job] : m_jobs) {
+        if (std::exchange(job.parked, false))
+            enqueue(job, now);
+    }
+}
+
+std::optional<scheduling::EndJob> DomainOwner::Impl::submit(const scheduling::JobSpec& spec, TimePoint now)
+{
+    refreshRole(now);
+    if (!owns() || m_jobs.contains(spec.id) || m_found.contains(spec.id))
+        return std::nullopt;
+    auto& job = m_jobs[spec.id];
+    job.spec = spec;
+    return enqueue(job, now);
+}
+
+std::optional<scheduling::EndJob> DomainOwner::Impl::enqueue(Job& job, TimePoint now)
+{
+    if (!m_journalAvailable && !job.spec.restartable && m_config.switches.claimBeforeStart) {
+        job.parked = true;
+        return std::nullopt;
+    }
+    auto end = m_scheduler.submit(job.spec, now);
+    if (end)
+        endJob(job, *end);
+    return end;
+}
+
+void DomainOwner::Impl::cancel(const JobId& id, TimePoint now)
+{
+    refreshRole(now);
+    if (!owns())
+        return;
+    if (auto found = m_found.find(id); found != m_found.end())
+        found->second.cancelled = true;
+    auto job = m_jobs.find(id);
+    if (job == m_jobs.end() || job->second.ended)
+        return;
+    if (!job->second.parked)
+        return m_scheduler.cancel(id, now);
+    bool neverRan = job->second.ran == Ran::No;
+    endJob(job->second,
+        { id, scheduling::EndKind::Stopped, scheduling::RefusalReason::Cancelled, neverRan,
+            "The job was cancelled." });
+}
+
+scheduling::Explanation DomainOwner::Impl::explain(const JobId& id, TimePoint now) const
+{
+    auto job = m_jobs.find(id);
+    scheduling::Explanation explanation;
+    explanation.known = true;
+    explanation.state = "queued";
+    if (m_found.contains(id))
+        explanation.text = "Waits until it is certain that no worker runs it after a change of owner.";
+    else if (job != m_jobs.end() && job->second.parked)
+        explanation.text
+            = "It is not restartable and waits for the key-value service, which must record its start.";
+    else
+        return m_scheduler.explain ? m_scheduler.explain(id, now) : scheduling::Explanation {};
+    return explanation;
+}
+
+DomainOwner::DomainOwner(OwnerConfig config, SchedulerFactory makeScheduler)
+    : m_impl(std::make_unique<Impl>(std::move(config), std::move(makeScheduler)))
+{
+}
+
+DomainOwner::~DomainOwner() = default;
+
+void DomainOwner::setOwning(bool should, TimePoint now)
+{
+    m_impl->setOwning(should, now);
+}
+
+void DomainOwner::setReachable(std::uint32_t workerIndex, bool reachable, TimePoint)
+{
+    m_impl->m_leases.setReachable(workerIndex, reachable);
+}
+
+void DomainOwner::setJournalAvailable(bool available, TimePoint now)
+{
+    m_impl->setJournalAvailable(available, now);
+}
+
+void DomainOwner::reconfigure(const manifest::Manifest& manifest)
+{
+    if (m_impl->m_scheduler.reconfigure)
+        m_impl->m_scheduler.reconfigure(manifest);
+}
+
+std::optional<scheduling::EndJob> DomainOwner::submit(const scheduling::JobSpec& job, TimePoint now)
+{
+    return m_impl->submit(job, now);
+}
+
+void DomainOwner::cancel(const JobId& job, TimePoint now)
+{
+    m_impl->cancel(job, now);
+}
+
+void DomainOwner::journaledJobs(const std::vector<JournaledJob>& jobs, TimePoint now)
+{
+    m_impl->journaledJobs(jobs, now);
+}
+
+void DomainOwner::eventCommitted(std::uint64_t number, TimePoint now)
+{
+    m_impl->eventCommitted(number, now);
+}
+
+void DomainOwner::eventRejected(std::uint64_t number, TimePoint now)
+{
+    m_impl->eventRejected(number, now);
+}
+
+void DomainOwner::onSyncReply(std::uint32_t workerIndex, const platform::WorkerReply& reply, TimePoint now)
+{
+    m_impl->onSyncReply(workerIndex, reply, now);
+}
+
+void DomainOwner::tick(TimePoint now)
+{
+    m_impl->tick(now);
+}
+
+std::vector<WorkerSyncOut> DomainOwner::due(TimePoint now)
+{
+    return m_impl->due(now);
+}
+
+TimePoint DomainOwner::nextDue(TimePoint now) const
+{
+    return m_impl->nextDue(now);
+}
+
+std::vector<JobEvent> DomainOwner::takeEvents()
+{
+    return std::exchange(m_impl->m_events, {});
+}
+
+std::vector<std::string> DomainOwner::takeLog()
+{
+    return std::exchange(m_impl->m_log, {});
+}
+
+bool DomainOwner::isOwner(TimePoint now) const
+{
+    return m_impl->isOwner(now);
+}
+
+std::uint64_t DomainOwner::term() const
+{
+    return m_impl->m_term;
+}
+
+bool DomainOwner::released() const
+{
+    return m_impl->m_role == Role::Idle;
+}
+
+bool DomainOwner::recovered() const
+{
+    return m_impl->m_recovered;
+}
+
+JobId DomainOwner::newJobId()
+{
+    const auto& config = m_impl->m_config;
+    return JobId(config.zone.str() + "/" + config.domain.str() + "/" + std::to_string(m_impl->m_term) + "-"
+        + std::to_string(m_impl->m_nextJob++));
+}
+
+scheduling::Explanation DomainOwner::explain(const JobId& job, TimePoint now) const
+{
+    return m_impl->explain(job, now);
+}
+
+scheduling::Scheduler::Usage DomainOwner::usage() const
+{
+    return m_impl->m_scheduler.usage ? m_impl->m_scheduler.usage() : scheduling::Scheduler::Usage {};
+}
+
+} // namespace jujubereach::jobs
