Prove the owner's invariants under seeded faults in virtual time

Ruled out: a job that completes twice counts as a fault only when no worker or link is lost, since a restartable job whose worker is lost with the report of its completion may run again by its contract.

--- /dev/null
+++ b/packages/jobs/test/fake-fleet.h
@@ -0,0 +1,414 @@
+// Hosts, workers and a journal in virtual time, with seeded faults, and an observer that reads what the
+// workers did. Steps of 10 ms.
+#pragma once
+
+#include "fake-journal.h"
+#include "fake-scheduler.h"
+#include "fake-worker.h"
+
+#include "jujubereach/base/random.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jujubereach::jobs::test {
+
+constexpr Duration step { 10 };
+
+struct Faults {
+    bool killHosts = false;
+    bool freezeHosts = false;
+    bool killWorkers = false;
+    bool cutLinks = false;
+    bool wrongViews = false; ///< Several hosts believe that they should own the domain.
+    bool journalOutages = false;
+    double lostReplies = 0; ///< Share of syncs whose reply is lost after they took effect.
+};
+
+struct FleetConfig {
+    std::uint64_t seed = 1;
+    Faults faults;
+    OwnerSwitches switches;
+    bool dropLateSyncs = true; ///< Switch of the daemon's part: WorkerSyncOut::sendBy.
+    std::uint32_t hosts = 3;
+    std::uint32_t workers = 6;
+    std::uint32_t perWorker = 2;
+    std::uint32_t jobs = 40;
+    Duration faultTime { 60'000 };
+    Duration quietTime { 60'000 }; ///< Without faults, for everything to end.
+};
+
+class FakeFleet {
+public:
+    explicit FakeFleet(FleetConfig config)
+        : m_config(config)
+        , m_random(config.seed)
+        , m_workers(config.workers)
+        , m_downUntil(config.workers)
+        , m_hosts(config.hosts)
+    {
+        for (std::uint32_t host = 0; host < config.hosts; ++host)
+            startHost(host);
+    }
+
+    /// Runs to the end. Answers each violation once.
+    std::set<std::string> run()
+    {
+        auto faultsEnd = m_now + m_config.faultTime;
+        for (auto end = faultsEnd + m_config.quietTime; m_now < end; m_now += step) {
+            m_quiet = m_now >= faultsEnd;
+            if (!m_quiet)
+                injectFaults();
+            submitJobs();
+            for (std::uint32_t host = 0; host < m_hosts.size(); ++host)
+                runHost(host);
+            observe();
+        }
+        observeEnd();
+        return m_violations;
+    }
+
+    std::uint32_t takeovers = 0;
+    std::uint32_t accepted = 0;
+    std::uint32_t completed = 0;
+
+private:
+    struct Message {
+        WorkerSyncOut out;
+        TimePoint sendAt;
+        TimePoint arriveAt;
+        TimePoint replyAt;
+        bool sent = false;
+        bool arrived = false;
+        bool lost = false;
+        platform::WorkerReply reply;
+    };
+    struct Host {
+        std::unique_ptr<DomainOwner> owner;
+        std::uint32_t incarnation = 0;
+        TimePoint downUntil;
+        TimePoint frozenUntil;
+        TimePoint believesUntil; ///< That it should own, whatever the others do.
+        std::vector<Message> messages;
+        std::vector<TimePoint> cutUntil; ///< By worker.
+        std::deque<JobEvent> events; ///< Not journaled yet, in order.
+        TimePoint nextCommit;
+        std::uint64_t knownTerm = 0; ///< Of which the journal was fenced and read.
+    };
+
+    bool chance(double perSecond)
+    {
+        return m_random.unit() < perSecond * std::chrono::duration<double>(step).count();
+    }
+
+    Duration between(std::uint64_t from, std::uint64_t to)
+    {
+        return Duration(from + m_random.below(to - from));
+    }
+
+    void startHost(std::uint32_t index)
+    {
+        auto& host = m_hosts[index];
+        OwnerConfig config;
+        config.zone = ZoneId("z");
+        config.domain = DomainId("d");
+        config.holder = "h" + std::to_string(index) + "#" + std::to_string(++host.incarnation);
+        for (std::uint32_t i = 0; i < m_config.workers; ++i)
+            config.workers.emplace_back("r/" + std::to_string(i));
+        config.acceleratorsPerWorker = m_config.perWorker;
+        config.switches = m_config.switches;
+        config.seed = m_config.seed;
+        auto hooks = [this] { return FakeScheduler::hooks(m_config.workers, m_config.perWorker); };
+        host.owner = std::make_unique<DomainOwner>(config, hooks);
+        host.messages.clear();
+        host.events.clear();
+        host.cutUntil.assign(m_config.workers, TimePoint());
+        host.knownTerm = 0;
+    }
+
+    void injectFaults()
+    {
+        const auto& faults = m_config.faults;
+        for (auto& host : m_hosts) {
+            if (faults.killHosts && chance(0.03))
+                host.downUntil = m_now + between(200, 8'000);
+            if (faults.freezeHosts && chance(0.04))
+                host.frozenUntil = m_now + between(500, 20'000);
+            if (faults.wrongViews && chance(0.1))
+                host.believesUntil = m_now + between(500, 30'000);
+            if (faults.cutLinks && chance(0.1))
+                host.cutUntil[m_random.below(m_config.workers)] = m_now + between(500, 20'000);
+        }
+        for (std::uint32_t worker = 0; worker < m_config.workers; ++worker) {
+            if (faults.killWorkers && m_now >= m_downUntil[worker] && chance(0.01)) {
+                m_downUntil[worker] = m_now + between(200, 20'000);
+                m_workers[worker].restart(m_downUntil[worker]);
+            }
+        }
+        if (faults.journalOutages && chance(0.03))
+            m_journalDownUntil = m_now + between(2'000, 15'000);
+    }
+
+    bool journalUp() const { return m_quiet || m_now >= m_journalDownUntil; }
+
+    /// A caller's submit, accepted by an owner whose record the journal takes.
+    void submitJobs()
+    {
+        if (accepted == m_config.jobs || m_quiet || !chance(2.0 * m_config.jobs / 60))
+            return;
+        auto& host = m_hosts[m_random.below(m_hosts.size())];
+        bool acts = host.owner && m_now >= host.downUntil && m_now >= host.frozenUntil;
+        if (!acts || !host.owner->isOwner(m_now) || !journalUp())
+            return;
+        scheduling::JobSpec job;
+        job.id = host.owner->newJobId();
+        job.accelerators = 1 + static_cast<std::uint32_t>(m_random.below(6));
+        job.declaredRunTime = between(200, 12'000);
+        job.restartable = m_random.below(2) == 0;
+        if (host.knownTerm != host.owner->term() || !m_journal.accept(job, host.owner->term()))
+            return;
+        ++accepted;
+        m_accepted[job.id] = job;
+        host.owner->submit(job, m_now);
+    }
+
+    void runHost(std::uint32_t index)
+    {
+        auto& host = m_hosts[index];
+        if (m_quiet)
+            host.downUntil = host.frozenUntil = std::min(host.downUntil, m_now);
+        if (m_now < host.downUntil) {
+            host.owner.reset();
+            deliver(host);
+            return;
+        }
+        if (!host.owner)
+            startHost(index);
+        deliver(host);
+        if (m_now < host.frozenUntil)
+            return;
+        host.owner->setOwning(index == firstLive() || (!m_quiet && m_now < host.believesUntil), m_now);
+        journal(host);
+        answer(host);
+        host.owner->tick(m_now);
+        for (auto& out : host.owner->due(m_now))
+            post(host, std::move(out));
+    }
+
+    std::uint32_t firstLive() const
+    {
+        for (std::uint32_t index = 0; index < m_hosts.size(); ++index) {
+            if (m_now >= m_hosts[index].downUntil && m_now >= m_hosts[index].frozenUntil)
+                return index;
+        }
+        return 0;
+    }
+
+    void post(Host& host, WorkerSyncOut out)
+    {
+        Message message;
+        message.sendAt = m_now + between(0, 20);
+        message.arriveAt = message.sendAt + between(0, 40);
+        message.replyAt = message.arriveAt + between(0, 40);
+        message.lost = !m_quiet && m_random.unit() < m_config.faults.lostReplies;
+        message.out = std::move(out);
+        host.messages.push_back(std::move(message));
+    }
+
+    /// Carries syncs to the workers. A frozen or dead host sends nothing, but what it sent arrives.
+    void deliver(Host& host)
+    {
+        bool acts = host.owner && m_now >= host.frozenUntil;
+        for (auto& message : host.messages) {
+            auto worker = message.out.workerIndex;
+            if (!message.sent && acts && m_now >= message.sendAt) {
+                message.sent = true;
+                bool late = m_config.dropLateSyncs && m_now > message.out.sendBy;
+                bool cut = !m_quiet && m_now < host.cutUntil[worker];
+                message.arriveAt = std::max(message.arriveAt, m_now);
+                if (late || cut || m_now < m_downUntil[worker]) {
+                    message.arrived = true;
+                    message.reply.status = platform::SyncStatus::Unreachable;
+                    message.replyAt = m_now + (cut ? Duration(400) : Duration(0));
+                }
+            }
+            if (message.sent && !message.arrived && m_now >= message.arriveAt) {
+                message.arrived = true;
+                if (m_now >= m_downUntil[worker])
+                    message.reply = m_workers[worker].sync(message.out.sync, m_now);
+                if (message.lost) {
+                    message.reply = {};
+                    message.replyAt = m_now + Duration(400);
+                }
+            }
+        }
+    }
+
+    void answer(Host& host)
+    {
+        auto messages = std::exchange(host.messages, {});
+        for (auto& message : messages) {
+            if (message.arrived && m_now >= message.replyAt)
+                host.owner->onSyncReply(message.out.workerIndex, message.reply, m_now);
+            else
+                host.messages.push_back(std::move(message));
+        }
+    }
+
+    /// The daemon's part: fences and reads the journal once a term, commits events in order.
+    void journal(Host& host)
+    {
+        auto& owner = *host.owner;
+        owner.setJournalAvailable(journalUp(), m_now);
+        for (auto& event : owner.takeEvents())
+            host.events.push_back(std::move(event));
+        owner.takeLog();
+        if (!journalUp() || m_now < host.nextCommit)
+            return;
+        host.nextCommit = m_now + between(10, 100);
+        auto term = owner.term();
+        if (term != 0 && term != host.knownTerm && m_journal.fence(term)) {
+            host.knownTerm = term;
+            ++takeovers;
+            owner.journaledJobs(m_journal.list(), m_now);
+        }
+        for (auto& event : std::exchange(host.events, {})) {
+            bool committed = m_journal.apply(event);
+            if (event.term != owner.term())
+                continue;
+            if (committed)
+                owner.eventCommitted(event.number, m_now);
+            else
+                owner.eventRejected(event.number, m_now);
+        }
+    }
+
+    struct Seen {
+        std::set<std::uint32_t> running; ///< Workers.
+        std::set<std::uint32_t> completed;
+        std::optional<scheduling::Run> run;
+        JobId job;
+        bool started = false;
+        TimePoint partialSince = TimePoint::max();
+    };
+
+    std::set<std::uint32_t> membersOf(const scheduling::Run& run) const
+    {
+        std::set<std::uint32_t> members;
+        for (std::uint32_t i = run.first; i < run.first + run.count; ++i)
+            members.insert(i / m_config.perWorker);
+        return members;
+    }
+
+    /// Reads the workers' own records.
+    void observe()
+    {
+        std::map<JobId, std::set<GangId>> runningGangs;
+        for (auto& [id, seen] : m_seen)
+            seen.running.clear();
+        for (std::uint32_t worker = 0; worker < m_config.workers; ++worker) {
+            m_workers[worker].advance(m_now);
+            std::set<std::uint32_t> taken;
+            for (const auto& [id, task] : m_workers[worker].tasks)
+                observe(worker, id, task, taken);
+        }
+        for (auto& [id, seen] : m_seen) {
+            if (!seen.running.empty())
+                runningGangs[seen.job].insert(id);
+            observePart(seen);
+        }
+        for (const auto& [job, gangs] : runningGangs) {
+            if (gangs.size() > 1)
+                m_violations.insert("a job runs twice at the same time");
+        }
+    }
+
+    void observe(
+        std::uint32_t worker, const GangId& id, const FakeWorker::Task& task, std::set<std::uint32_t>& taken)
+    {
+        for (auto accelerator : task.accelerators) {
+            if (isRunning(task.state) && !taken.insert(accelerator).second)
+                m_violations.insert("an accelerator runs two gangs");
+        }
+        if (!task.started)
+            return;
+        auto& seen = m_seen[id];
+        if (!seen.started) {
+            seen.started = true;
+            seen.job = task.job;
+            seen.run = decodeLabel(task.label)->run;
+            m_starts[task.job].insert(id);
+            for (auto member : membersOf(*seen.run)) {
+                if (!m_workers[member].heldOnce.contains(id))
+                    m_violations.insert("a task started before its whole gang was held");
+            }
+        }
+        if (isRunning(task.state))
+            seen.running.insert(worker);
+        if (task.state == TaskState::Completed)
+            seen.completed.insert(worker);
+    }
+
+    // A member that completed is not missing while the last ones finish within the bound.
+    void observePart(Seen& seen)
+    {
+        bool part = !seen.running.empty() && seen.running.size() < membersOf(*seen.run).size();
+        if (!part)
+            seen.partialSince = TimePoint::max();
+        else if (seen.partialSince == TimePoint::max())
+            seen.partialSince = m_now;
+        else if (m_now - seen.partialSince > partialBound)
+            m_violations.insert("a gang runs in part beyond the bound");
+    }
+
+    void observeEnd()
+    {
+        for (const auto& worker : m_workers) {
+            if (std::ranges::any_of(
+                    worker.tasks, [](const auto& entry) { return !hasEnded(entry.second.state); }))
+                m_violations.insert("an accelerator is still held at the end");
+        }
+        std::map<JobId, std::uint32_t> wholeRuns;
+        for (const auto& [id, seen] : m_seen) {
+            if (seen.completed == membersOf(*seen.run))
+                ++wholeRuns[seen.job];
+        }
+        for (const auto& [id, job] : m_accepted) {
+            const auto& entry = m_journal.jobs.at(id);
+            completed += entry.job.ended && entry.end == EndKind::Completed ? 1 : 0;
+            if (!entry.job.ended)
+                m_violations.insert("an accepted job is lost");
+            if (!job.restartable && m_starts[id].size() > 1)
+                m_violations.insert("a job that is not restartable started twice");
+            // A restartable job runs again when the worker that knows of its completion is lost.
+            bool mayRunAgain = job.restartable && (m_config.faults.killWorkers || m_config.faults.cutLinks);
+            if (wholeRuns[id] > 1 && !mayRunAgain)
+                m_violations.insert("a job completed twice");
+            if (entry.ran == Ran::No && !m_starts[id].empty())
+                m_violations.insert("a job that ran is told as not run");
+        }
+    }
+
+    /// Task lease, and the worker's lease during which an owner may renew after it lost a member's sight.
+    static constexpr Duration partialBound { 17'500 };
+
+    FleetConfig m_config;
+    Random m_random;
+    TimePoint m_now { Duration(1'000'000) };
+    bool m_quiet = false;
+    std::vector<FakeWorker> m_workers;
+    std::vector<TimePoint> m_downUntil; ///< By worker.
+    std::vector<Host> m_hosts;
+    FakeJournal m_journal;
+    TimePoint m_journalDownUntil;
+    std::map<JobId, scheduling::JobSpec> m_accepted;
+    std::map<GangId, Seen> m_seen;
+    std::map<JobId, std::set<GangId>> m_starts; ///< Attempts that ran anywhere.
+    std::set<std::string> m_violations;
+};
+
+} // namespace jujubereach::jobs::test
