--- a/packages/jobs/include/jujubereach/jobs/owner.h
+++ b/packages/jobs/include/jujubereach/jobs/owner.h
@@ -39,6 +39,7 @@
     bool holdBeforeStart = true;
     bool waitForReports = true;
     bool claimBeforeStart = true;
+    bool forgetAfterCommit = true;
 };
 
 struct OwnerConfig {
--- a/packages/jobs/src/owner-sync.cpp
+++ b/packages/jobs/src/owner-sync.cpp
@@ -107,7 +107,7 @@
 void DomainOwner::Impl::onUnknownTask(std::uint32_t worker, const platform::TaskReport& task, TimePoint now)
 {
     if (platform::hasEnded(task.state)) {
-        if (!m_keep.contains(task.gang))
+        if (!m_keep.contains(task.gang) || !m_config.switches.forgetAfterCommit)
             m_forget.insert({ worker, task.gang });
         return;
     }
--- a/packages/jobs/test/fake-worker.h
+++ b/packages/jobs/test/fake-worker.h
@@ -82,6 +82,12 @@
         m_leaseUntil = now + Duration(2'000);
     }
 
+    bool isHeld() const
+    {
+        return std::ranges::any_of(
+            tasks, [](const auto& entry) { return !platform::hasEnded(entry.second.state); });
+    }
+
     std::map<GangId, Task> tasks;
     std::set<GangId> heldOnce;
 
--- a/packages/jobs/test/jobs-test.cpp
+++ b/packages/jobs/test/jobs-test.cpp
@@ -73,8 +73,58 @@
     CPPUNIT_TEST(nextOwnerAdoptsRunningGang);
     CPPUNIT_TEST(handOverTakesLessThanASecond);
     CPPUNIT_TEST(minorityOwnsNothing);
+    CPPUNIT_TEST(lateRenewIsDropped);
     CPPUNIT_TEST_SUITE_END();
 
+    /// A frozen owner wakes up with a renewal in hand. The next owner, which can't see that worker, has
+    /// restarted the job once the task's lease and a margin had passed.
+    std::ptrdiff_t runsAfterLateRenewal(bool dropsLateSyncs)
+    {
+        Rig first("a#1");
+        first.owner.setOwning(true, m_now);
+        first.runFor(Duration(200), m_workers, m_now);
+        auto job = jobOf("j", 2);
+        job.declaredRunTime = Duration(60'000);
+        first.owner.submit(job, m_now);
+        first.runFor(Duration(6'000), m_workers, m_now);
+        auto late = nextRenewal(first);
+        Rig second("b#1");
+        second.owner.setReachable(0, false, m_now);
+        second.owner.setOwning(true, m_now);
+        second.runFor(Duration(5'000), m_workers, m_now);
+        second.owner.journaledJobs({ { job, false, false } }, m_now);
+        second.runFor(Duration(6'000), m_workers, m_now);
+        if (!dropsLateSyncs || m_now <= late.sendBy)
+            m_workers[0].sync(late.sync, m_now);
+        second.runFor(Duration(10'000), m_workers, m_now);
+        return std::ranges::count_if(m_workers, [&](FakeWorker& worker) {
+            worker.advance(m_now);
+            return worker.isHeld();
+        });
+    }
+
+    /// The next sync to worker 0 that carries a command; the others are carried out.
+    WorkerSyncOut nextRenewal(Rig& rig)
+    {
+        while (true) {
+            m_now += Duration(10);
+            rig.owner.tick(m_now);
+            for (auto& out : rig.owner.due(m_now)) {
+                if (!out.sync.commands.empty())
+                    return std::move(out);
+                rig.owner.onSyncReply(
+                    out.workerIndex, m_workers[out.workerIndex].sync(out.sync, m_now), m_now);
+            }
+        }
+    }
+
+    void lateRenewIsDropped()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1), runsAfterLateRenewal(true));
+        m_workers = std::vector<FakeWorker>(workerCount);
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(2), runsAfterLateRenewal(false)); // The twin without the check.
+    }
+
     std::vector<FakeWorker> m_workers { workerCount };
     TimePoint m_now { Duration(100'000) };
 
