--- /dev/null
+++ b/packages/daemon/main.cpp
@@ -0,0 +1,82 @@
+// The entry host's daemon: settings, signals, exit status.
+#include "host.h"
+#include "settings.h"
+
+#include <glog/logging.h>
+
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+namespace {
+
+using namespace jujubereach;
+
+constexpr Duration upstreamConnectTimeout { 500 };
+constexpr Duration upstreamIdleBound { 5000 };
+
+daemon::Platform connectPlatform(const daemon::Settings& settings)
+{
+    const auto caller = settings.host.str();
+    daemon::Platform platform;
+    platform.kv = platform::httpKvService(settings.platformAddress, settings.platformTimeout, caller);
+    platform.hostList = platform::httpHostList(settings.platformAddress, settings.platformTimeout, caller);
+    platform.heartbeat
+        = platform::httpHostHeartbeat(settings.platformAddress, settings.platformTimeout, caller);
+    platform.worker = platform::httpWorkerClient(settings.workerTimeout, caller);
+    platform.upstream = platform::httpUpstreamClient(upstreamConnectTimeout, upstreamIdleBound, caller);
+    return platform;
+}
+
+void startLog(const daemon::Settings& settings, const char* program)
+{
+    FLAGS_logtostderr = true;
+    FLAGS_minloglevel = settings.logLevel == "error" ? 2 : settings.logLevel == "warning" ? 1 : 0;
+    FLAGS_v = settings.logLevel == "debug" ? 1 : 0;
+    google::InitGoogleLogging(program);
+}
+
+// Waits for SIGTERM or SIGINT on a thread of its own, then starts a planned stop.
+void drainOnSignal(daemon::Host& host)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::thread([&host, signals] {
+        int signal = 0;
+        sigwait(&signals, &signal);
+        host.drain();
+    }).detach();
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto choice = daemon::readSettings(argc, argv);
+    if (choice.action == daemon::StartAction::Exit) {
+        (choice.exitStatus == 0 ? std::cout : std::cerr) << choice.message << '\n';
+        return choice.exitStatus;
+    }
+    startLog(choice.settings, argv[0]);
+    std::signal(SIGPIPE, SIG_IGN);
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+
+    daemon::Host host(choice.settings, connectPlatform(choice.settings));
+    drainOnSignal(host);
+    const auto served = outcomeOf([&]() -> Result<bool> {
+        if (auto ran = host.run(); !ran)
+            return ran.error();
+        return true;
+    });
+    if (served)
+        return 0;
+    std::cerr << "jujubereachd: " << served.error.where << ": " << served.error.what << '\n';
+    return daemon::badSettingStatus;
+}
--- a/packages/daemon/src/api.cpp
+++ b/packages/daemon/src/api.cpp
@@ -87,17 +87,23 @@
     return errorAnswer(api);
 }
 
-Result<FieldReader> FieldReader::parse(const std::string& text)
+Result<Json> parseObject(const std::string& text)
 {
     try {
         Poco::JSON::Parser parser;
-        return FieldReader(parser.parse(text).extract<Json>());
+        return parser.parse(text).extract<Json>();
     } catch (const Poco::Exception&) {
         return fail({ ErrorCode::InvalidInput, "the body is not a JSON object", "body",
             text.substr(0, longestQuotedInput) });
     }
 }
 
+Result<FieldReader> FieldReader::parse(const std::string& text)
+{
+    BOOST_LEAF_AUTO(json, parseObject(text));
+    return FieldReader(json);
+}
+
 bool FieldReader::take(const std::string& name)
 {
     m_read.push_back(name);
--- a/packages/daemon/src/api.h
+++ b/packages/daemon/src/api.h
@@ -60,6 +60,9 @@
 ApiAnswer errorAnswer(const ApiError& error);
 ApiAnswer errorAnswer(const Error& error);
 
+/// InvalidInput when the text is not a JSON object.
+Result<Json> parseObject(const std::string& text);
+
 /// Reads fields of a JSON body; the first fault is kept and names its field. Unknown fields are faults.
 class FieldReader {
 public:
--- a/packages/daemon/src/cluster.cpp
+++ b/packages/daemon/src/cluster.cpp
@@ -248,6 +248,28 @@
     return addresses;
 }
 
+std::vector<std::string> Cluster::allAddresses() const
+{
+    auto addresses = peerAddresses();
+    for (const auto& [host, machine] : m_listed) {
+        if (machine.zone != m_ctx.settings.zone)
+            addresses.push_back(machine.address);
+    }
+    return addresses;
+}
+
+std::optional<std::string> Cluster::addressInZone(const ZoneId& zone) const
+{
+    auto it = m_links.zones().find(zone);
+    if (it != m_links.zones().end() && !it->second.digest.delegates.empty())
+        return it->second.digest.delegates.front().address;
+    for (const auto& [host, machine] : m_listed) {
+        if (machine.zone == zone && machine.state == platform::MachineState::Live)
+            return machine.address;
+    }
+    return std::nullopt;
+}
+
 std::vector<HostRow> Cluster::rows() const
 {
     std::vector<HostRow> rows;
--- a/packages/daemon/src/cluster.h
+++ b/packages/daemon/src/cluster.h
@@ -50,6 +50,9 @@
     std::vector<std::string> peerAddresses() const;
     /// One inner address of each other zone that was heard lately.
     std::vector<std::string> otherZoneAddresses() const;
+    /// Inner addresses of every other known entry host, of all zones.
+    std::vector<std::string> allAddresses() const;
+    std::optional<std::string> addressInZone(const ZoneId& zone) const;
     /// Inner address of any entry host that the platform has listed, this zone's or another's.
     std::optional<std::string> listedAddressOf(const HostId& host) const;
     bool joined() const { return m_members.joined(m_ctx.clock()); }
--- a/packages/daemon/src/context.h
+++ b/packages/daemon/src/context.h
@@ -41,6 +41,7 @@
     IoPool& workerIo;
     IoPool& upstreamIo;
     IoPool& platformIo; ///< For the platform, so that its outage holds up nothing else.
+    IoPool& watchIo; ///< For the one waiting watch.
     const Platform& platform;
     metrics::Registry& metrics;
     TestHooks& testHooks;
--- a/packages/daemon/src/copies.cpp
+++ b/packages/daemon/src/copies.cpp
@@ -58,12 +58,13 @@
         copy.kind = wire::CopyKind::Jobs;
         copy.scope = scope;
         copy.records.push_back(packed(record));
-        m_ctx.peers->call(address, wire::bodyOf(std::move(copy)), copyTimeout, [count, then](wire::CallResult result) {
-            if (result.reply && result.reply->body.AsAccepted())
-                ++count->taken;
-            if (--count->waiting == 0)
-                then(count->taken);
-        });
+        m_ctx.peers->call(
+            address, wire::bodyOf(std::move(copy)), copyTimeout, [count, then](wire::CallResult result) {
+                if (result.reply && result.reply->body.AsAccepted())
+                    ++count->taken;
+                if (--count->waiting == 0)
+                    then(count->taken);
+            });
     }
 }
 
@@ -127,7 +128,8 @@
 {
     std::size_t flushed = 0;
     for (auto& [name, scope] : m_scopes) {
-        std::erase_if(scope, [&](const auto& entry) { return m_ctx.clock() - entry.second.keptAt > copyRetention; });
+        std::erase_if(
+            scope, [&](const auto& entry) { return m_ctx.clock() - entry.second.keptAt > copyRetention; });
         for (auto& [id, copy] : scope) {
             if (flushed >= flushedAtOnce)
                 return;
--- a/packages/daemon/src/domain.cpp
+++ b/packages/daemon/src/domain.cpp
@@ -77,6 +77,7 @@
     , m_copies(copies)
     , m_hooks(std::move(hooks))
     , m_id(domain.id)
+    , m_accelerators(manifest::acceleratorsOf(domain))
     , m_manifest(manifest)
     , m_journalKey(journal::journalKey(ctx.settings.zone, domain.id))
     , m_owner(configOf(ctx, domain), [this] {
@@ -97,7 +98,8 @@
     config.seed = ctx.random.next();
     DriverHooks driverHooks;
     driverHooks.onCompletion = [this](const journal::Completion& completion) { onCompletion(completion); };
-    m_journal = CommitterDriver::create(ctx, std::move(config), journal::jobJournalApply(), std::move(driverHooks));
+    m_journal
+        = CommitterDriver::create(ctx, std::move(config), journal::jobJournalApply(), std::move(driverHooks));
 }
 
 void Domain::reconfigure(const manifest::Manifest& manifest)
@@ -144,10 +146,10 @@
     if (m_driveSet)
         return;
     m_driveSet = true;
-    m_ctx.loop.postAfter(driveDelay, [this] {
+    m_ctx.loop.postAfter(driveDelay, guarded([this] {
         m_driveSet = false;
         drive();
-    });
+    }));
 }
 
 void Domain::drive()
@@ -170,7 +172,8 @@
     m_fenced = false;
     if (m_term == 0)
         return;
-    LOG(INFO) << "domain " << m_id << ": this host holds the majority of the workers' leases, term " << m_term;
+    LOG(INFO) << "domain " << m_id << ": this host holds the majority of the workers' leases, term "
+              << m_term;
     journal::JobRecord fence;
     fence.kind = journal::JobRecordKind::Fence;
     addRecord("fence/" + m_ctx.holder() + "/" + std::to_string(m_term), std::move(fence));
@@ -183,7 +186,8 @@
     record.term = m_term;
     record.at = m_ctx.wallClock();
     if (!m_journal->add(journal::encodeRecord(id, record)))
-        LOG(WARNING) << "domain " << m_id << ": too many records wait for the journal, one is dropped: " << id;
+        LOG(WARNING) << "domain " << m_id
+                     << ": too many records wait for the journal, one is dropped: " << id;
 }
 
 void Domain::sendSyncs()
@@ -194,20 +198,21 @@
 
 void Domain::sync(const jobs::WorkerSyncOut& out)
 {
-    auto send = [client = m_ctx.platform.worker, clock = m_ctx.clock, address = m_addresses[out.workerIndex], out] {
-        if (clock() > out.sendBy || address.empty()) {
-            platform::WorkerReply unsent;
-            unsent.status = platform::SyncStatus::Unreachable;
-            return unsent;
-        }
-        return client(address, out.sync);
-    };
+    auto send
+        = [client = m_ctx.platform.worker, clock = m_ctx.clock, address = m_addresses[out.workerIndex], out] {
+              if (clock() > out.sendBy || address.empty()) {
+                  platform::WorkerReply unsent;
+                  unsent.status = platform::SyncStatus::Unreachable;
+                  return unsent;
+              }
+              return client(address, out.sync);
+          };
     callThen(m_ctx.workerIo, m_ctx.loop, std::move(send),
-        [this, index = out.workerIndex](const platform::WorkerReply& reply) {
+        guarded([this, index = out.workerIndex](const platform::WorkerReply& reply) {
             m_lastReplies[index] = reply;
             m_owner.onSyncReply(index, reply, m_ctx.clock());
             driveSoon();
-        });
+        }));
 }
 
 void Domain::carryOutEvents()
@@ -348,8 +353,8 @@
 void Domain::submit(const JobCall& call, Answer answer)
 {
     if (!isOwner())
-        return answer(errorAnswer(ApiError { 503, "no_owner", "the domain is between owners; try again", {}, Ran::No,
-            {}, noOwnerRetryAfter }));
+        return answer(errorAnswer(ApiError { 503, "no_owner", "the domain is between owners; try again", {},
+            Ran::No, {}, noOwnerRetryAfter }));
     if (const auto known = findKey(call.key)) {
         auto it = m_accepting.find(*known);
         if (it != m_accepting.end() && !it->second.queued)
@@ -374,7 +379,7 @@
     addRecord("accept/" + job.str(), std::move(record));
     if (!available)
         return acceptInOutage(job);
-    m_ctx.loop.postAfter(journalPatience, [this, job] { acceptInOutage(job); });
+    m_ctx.loop.postAfter(journalPatience, guarded([this, job] { acceptInOutage(job); }));
 }
 
 void Domain::acceptInOutage(const JobId& job)
@@ -390,7 +395,7 @@
     record.term = m_term;
     record.at = m_ctx.wallClock();
     m_copies.spread(m_journalKey, journal::encodeRecord("accept/" + job.str(), record),
-        [this, job](std::size_t copies) { onAccepted(job, copies > 0 ? "peer" : "memory"); });
+        guarded([this, job](std::size_t copies) { onAccepted(job, copies > 0 ? "peer" : "memory"); }));
 }
 
 void Domain::onAccepted(const JobId& job, const std::string& durability)
@@ -440,8 +445,7 @@
         if (earlier)
             answerAccepted(answer, *earlier, "journal", true);
         else
-            answer(errorAnswer(
-                ApiError { 503, "not_accepted", reason, {}, Ran::No, {}, noOwnerRetryAfter }));
+            answer(errorAnswer(ApiError { 503, "not_accepted", reason, {}, Ran::No, {}, noOwnerRetryAfter }));
     }
 }
 
@@ -515,14 +519,15 @@
     // The value may be older than the last change: read it again, and give the read time to arrive.
     constexpr Duration readTime { 300 };
     m_journal->requestRead();
-    m_ctx.loop.postAfter(readTime, [this, job, answer] { answer(fromJournal(job)); });
+    m_ctx.loop.postAfter(readTime, guarded([this, job, answer] { answer(fromJournal(job)); }));
 }
 
 void Domain::explain(const JobId& job, const Answer& answer) const
 {
     const auto explanation = m_owner.explain(job, m_ctx.clock());
     if (!explanation.known)
-        return answer(errorAnswer(Error { ErrorCode::NotFound, "no such job waits or runs here", "id", job.str() }));
+        return answer(
+            errorAnswer(Error { ErrorCode::NotFound, "no such job waits or runs here", "id", job.str() }));
     answer(jsonAnswer(200, jobJson(job, explanation)));
 }
 
@@ -542,7 +547,10 @@
         auto row = makeJson();
         row->set("job", id.str());
         const auto explanation = m_owner.explain(id, m_ctx.clock());
-        row->set("state", entry.end ? std::string("ended") : explanation.known ? explanation.state : "queued");
+        row->set("state",
+            entry.end               ? std::string("ended")
+                : explanation.known ? explanation.state
+                                    : "queued");
         row->set("text", entry.end ? entry.end->text : explanation.text);
         if (auto spec = outcomeOf([&] { return jobs::decodeJob(entry.spec); })) {
             row->set("workspace", spec.value->workspace.str());
--- a/packages/daemon/src/domain.h
+++ b/packages/daemon/src/domain.h
@@ -35,6 +35,8 @@
         const manifest::Domain& domain, DomainHooks hooks);
 
     const DomainId& id() const { return m_id; }
+    const std::vector<WorkerId>& workers() const { return m_workers; }
+    std::uint32_t accelerators() const { return m_accelerators; }
     void reconfigure(const manifest::Manifest& manifest);
     void setOwning(bool owning);
     void setMachines(const std::vector<platform::Machine>& machines);
@@ -62,6 +64,15 @@
         bool queued = false; ///< Given to the owner, in an outage before it is journaled.
     };
 
+    /// Wraps a function so that it does nothing once this domain is gone.
+    template <typename F> auto guarded(F f)
+    {
+        return [alive = std::weak_ptr<bool>(m_alive), f = std::move(f)]<typename... Args>(Args&&... args) {
+            if (alive.lock())
+                f(std::forward<Args>(args)...);
+        };
+    }
+
     void driveSoon();
     void startTerm();
     void sendSyncs();
@@ -87,6 +98,7 @@
     Copies& m_copies;
     const DomainHooks m_hooks;
     const DomainId m_id;
+    const std::uint32_t m_accelerators; ///< Of the whole domain.
     manifest::Manifest m_manifest;
     std::vector<WorkerId> m_workers; ///< In the order of the domain's line.
     std::vector<std::string> m_addresses; ///< Of m_workers; empty when unknown.
@@ -104,6 +116,7 @@
     bool m_owning = false;
     bool m_fenced = false; ///< The journal knows this term.
     bool m_driveSet = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< Last, so that it ends first.
 };
 
 } // namespace jujubereach::daemon
--- a/packages/daemon/src/refusals.h
+++ b/packages/daemon/src/refusals.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include "api.h"
+#include "cluster.h"
 #include "context.h"
 
+#include <deque>
 #include <functional>
 #include <string>
 #include <vector>
@@ -18,4 +20,27 @@
     std::string reason;
 };
 
+class Refusals {
+public:
+    Refusals(Context& ctx, Cluster& cluster);
+
+    /// Returns the reference.
+    std::string add(const RefusedWork& work);
+    /// GET /v1/refusals, over all hosts.
+    void list(const ApiRequest& call, Answer answer);
+    void onPeerCall(const wire::ApiCallT& call, const Answer& answer) const;
+
+private:
+    struct Row {
+        std::string reference;
+        WallTime time;
+        RefusedWork work;
+    };
+
+    Context& m_ctx;
+    Cluster& m_cluster;
+    std::deque<Row> m_rows;
+    std::uint64_t m_lastNumber = 0;
+};
+
 } // namespace jujubereach::daemon
--- a/packages/jobs/src/owner.cpp
+++ b/packages/jobs/src/owner.cpp
@@ -360,7 +360,7 @@
 JobId DomainOwner::newJobId()
 {
     const auto& config = m_impl->m_config;
-    return JobId(config.zone.str() + "/" + config.domain.str() + "/" + std::to_string(m_impl->m_term) + "-"
+    return JobId(config.zone.str() + "." + config.domain.str() + "." + std::to_string(m_impl->m_term) + "-"
         + std::to_string(m_impl->m_nextJob++));
 }
 
