--- a/packages/daemon/src/committer-driver.cpp
+++ b/packages/daemon/src/committer-driver.cpp
@@ -46,9 +46,10 @@
     if (m_calling)
         return;
     auto call = m_committer.next(m_ctx.clock(), m_ctx.budget);
+    m_calling = call.has_value();
+    complete();
     if (!call)
         return wakeLater();
-    m_calling = true;
     const bool isRead = call->kind == journal::CallKind::Read;
     m_ctx.metrics.add("jujubereach_platform_calls_total", { { "kind", isRead ? "read" : "write" } });
     auto carry = [kv = m_ctx.platform.kv, call = std::move(*call)] { return journal::carryOut(kv, call); };
@@ -62,13 +63,19 @@
 {
     m_calling = false;
     m_committer.onReply(reply, m_ctx.clock());
-    for (const auto& completion : m_committer.takeCompletions())
-        m_hooks.onCompletion(completion);
+    complete();
     if (m_hooks.onReply)
         m_hooks.onReply();
     advance();
 }
 
+// Records that are refused as a whole complete without a call.
+void CommitterDriver::complete()
+{
+    for (const auto& completion : m_committer.takeCompletions())
+        m_hooks.onCompletion(completion);
+}
+
 void CommitterDriver::wakeLater()
 {
     const auto now = m_ctx.clock();
--- a/packages/daemon/src/committer-driver.h
+++ b/packages/daemon/src/committer-driver.h
@@ -29,6 +29,7 @@
 private:
     CommitterDriver(Context& ctx, journal::CommitterConfig config, journal::Apply apply, DriverHooks hooks);
     void advance();
+    void complete();
     void wakeLater();
     void onReply(const platform::KvReply& reply);
 
--- a/packages/daemon/src/domains.cpp
+++ b/packages/daemon/src/domains.cpp
@@ -30,7 +30,7 @@
         return { ZoneId(text.substr(0, first)), DomainId(text.substr(first + 1, second - first - 1)) };
     }
 
-    std::vector<WorkerId> workersOf(const manifest::Domain& domain)
+    std::vector<WorkerId> workerIdsOf(const manifest::Domain& domain)
     {
         std::vector<WorkerId> workers;
         for (std::uint32_t i = 0; i < manifest::workersOf(domain); ++i)
@@ -70,7 +70,7 @@
     std::map<DomainId, std::unique_ptr<Domain>> kept;
     for (const auto& domain : zone ? zone->domains : std::vector<manifest::Domain>()) {
         auto it = m_domains.find(domain.id);
-        if (it != m_domains.end() && it->second->workers() == workersOf(domain)) {
+        if (it != m_domains.end() && it->second->workers() == workerIdsOf(domain)) {
             it->second->reconfigure(manifest);
             kept[domain.id] = std::move(it->second);
         } else {
--- a/packages/daemon/src/loop.h
+++ b/packages/daemon/src/loop.h
@@ -45,8 +45,7 @@
 template <typename F, typename Then> void callThen(IoPool& pool, ControlLoop& loop, F call, Then then)
 {
     pool.submit([&loop, call = std::move(call), then = std::move(then)]() mutable {
-        using Answer = decltype(call());
-        auto result = std::make_shared<Answer>(call());
+        auto result = std::make_shared<decltype(call())>(call());
         loop.post([result, then = std::move(then)]() mutable { then(std::move(*result)); });
     });
 }
--- a/packages/daemon/src/requests-api.cpp
+++ b/packages/daemon/src/requests-api.cpp
@@ -33,15 +33,6 @@
         return it == query.end() ? std::string() : it->second;
     }
 
-    wire::BodyUnion replyOf(const ApiAnswer& answer)
-    {
-        wire::ApiReplyT reply;
-        reply.status = static_cast<std::uint16_t>(answer.status);
-        reply.document = answer.body;
-        reply.retry_after_ms = answer.retryAfter ? static_cast<std::uint32_t>(answer.retryAfter->count()) : 0;
-        return wire::bodyOf(std::move(reply));
-    }
-
 } // namespace
 
 std::string Requests::newId()
@@ -128,9 +119,8 @@
     answer(finalAnswer(*m_table.find(id)));
 }
 
-void Requests::onPeerCall(const wire::ApiCallT& call, wire::Responder respond)
+void Requests::onPeerCall(const wire::ApiCallT& call, const Answer& answer)
 {
-    auto answer = [respond = std::move(respond)](const ApiAnswer& out) { respond(replyOf(out)); };
     const RequestId id(call.id);
     if (call.operation == wire::ApiOperation::ShowRequest)
         return fetchLocal(id, WorkspaceId(call.query), CallerId(call.document), answer);
--- a/packages/daemon/src/requests.h
+++ b/packages/daemon/src/requests.h
@@ -42,7 +42,7 @@
     /// GET /v1/requests/{id}: an answer that is kept here or at the host that the id names.
     void show(const ApiRequest& call, Answer answer);
     /// A peer's call for a request of this host.
-    void onPeerCall(const wire::ApiCallT& call, wire::Responder respond);
+    void onPeerCall(const wire::ApiCallT& call, const Answer& answer);
 
     /// Refuses new requests from now on.
     void drain() { m_draining = true; }
