--- /dev/null
+++ b/packages/journal/test/group-log-test.cpp
@@ -0,0 +1,160 @@
+// Several writers on one value of a faulty service: every record stands in it once or not at all, as told.
+#include "fake-service.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <set>
+#include <sstream>
+
+using namespace jujubereach;
+using namespace jujubereach::journal;
+using namespace jujubereach::journal::test;
+
+namespace {
+
+/// Not idempotent on purpose: a record that is applied twice stands twice. Refuses records named "bad".
+Applied append(const std::string& payload, const std::vector<Record>& records)
+{
+    Applied applied { payload, {} };
+    for (const auto& record : records) {
+        bool bad = record.body == "bad";
+        applied.rejections.emplace_back(bad ? "bad" : "");
+        if (!bad)
+            applied.payload += record.id + " ";
+    }
+    return applied;
+}
+
+struct Outcome {
+    std::map<std::string, CommitStatus> told;
+    std::vector<std::string> stored; ///< Record ids in the order of the value.
+    std::size_t pending = 0;
+    std::uint32_t writes = 0;
+};
+
+constexpr std::uint32_t writers = 3;
+constexpr std::uint32_t records = 60; ///< Of each writer.
+
+Outcome run(std::uint64_t seed, const ServiceFaults& faults)
+{
+    FakeService service(seed, faults);
+    Random random(seed);
+    TimePoint now { Duration(1'000) };
+    CallBudget budget({}, 1, now);
+    std::vector<std::unique_ptr<GroupCommitter>> committers;
+    for (std::uint32_t i = 0; i < writers; ++i) {
+        CommitterConfig config { "log", "h" + std::to_string(i) + "#1" };
+        config.maxBackoff = Duration(1'000);
+        committers.push_back(std::make_unique<GroupCommitter>(config, append));
+    }
+    Outcome outcome;
+    for (std::uint32_t step = 0; step < 12'000; ++step, now += Duration(10)) {
+        service.isDown = step > 200 && step < 700;
+        for (std::uint32_t i = 0; i < writers; ++i) {
+            auto& committer = *committers[i];
+            auto id = std::to_string(i) + "." + std::to_string(step / 20);
+            if (step % 20 == 0 && step / 20 < records)
+                committer.add({ id, random.below(10) == 0 ? "bad" : "good" }, now);
+            if (step % 20 == 5 && step / 20 < records && random.below(10) == 0 && committer.pending() > 0)
+                outcome.told.emplace(id, committer.withdraw(id));
+            if (auto call = committer.next(now, budget))
+                committer.onReply(service.call(*call, now), now);
+            for (const auto& completion : committer.takeCompletions())
+                outcome.told.emplace(completion.id, completion.status);
+        }
+    }
+    for (const auto& committer : committers)
+        outcome.pending += committer->pending();
+    std::string value = service.values["log"].value;
+    std::istringstream stored(value.substr(value.find('\n') + 1));
+    for (std::string id; stored >> id;)
+        outcome.stored.push_back(id);
+    outcome.writes = service.writes;
+    return outcome;
+}
+
+std::set<std::string> violations(const Outcome& outcome)
+{
+    std::set<std::string> found;
+    std::map<std::string, std::uint32_t> counts;
+    for (const auto& id : outcome.stored) {
+        if (++counts[id] > 1)
+            found.insert("a record stands twice");
+    }
+    for (const auto& [id, status] : outcome.told) {
+        bool stored = counts.contains(id);
+        if (status == CommitStatus::Committed && !stored)
+            found.insert("a committed record is missing");
+        if ((status == CommitStatus::Rejected || status == CommitStatus::NotWritten) && stored)
+            found.insert("a record that was told as not written stands");
+    }
+    if (outcome.pending > 0)
+        found.insert("a record is pending at the end");
+    return found;
+}
+
+} // namespace
+
+class GroupLogTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(GroupLogTest);
+    CPPUNIT_TEST(recordsStandOnceUnderFaults);
+    CPPUNIT_TEST(twinWithoutOperationsDoubles);
+    CPPUNIT_TEST(pendingIsBounded);
+    CPPUNIT_TEST(largeValueIsSplitThenRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+    void recordsStandOnceUnderFaults()
+    {
+        for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+            auto outcome = run(seed, { 0.1, 0.1, 0.1, 0.1 });
+            for (const auto& violation : violations(outcome))
+                CPPUNIT_FAIL(violation + ", seed " + std::to_string(seed));
+            CPPUNIT_ASSERT(outcome.told.size() >= writers * records * 9 / 10);
+        }
+    }
+
+    void twinWithoutOperationsDoubles()
+    {
+        auto found = violations(run(1, { 0, 0.2, 0, 0, true }));
+        CPPUNIT_ASSERT(found.contains("a record stands twice"));
+    }
+
+    void pendingIsBounded()
+    {
+        CommitterConfig config { "log", "h#1" };
+        config.maxPending = 2;
+        GroupCommitter committer(config, append);
+        CPPUNIT_ASSERT(committer.add({ "1", {} }, TimePoint()));
+        CPPUNIT_ASSERT(committer.add({ "2", {} }, TimePoint()));
+        CPPUNIT_ASSERT(!committer.add({ "3", {} }, TimePoint()));
+        CPPUNIT_ASSERT(committer.withdraw("1") == CommitStatus::NotWritten);
+        CPPUNIT_ASSERT(committer.add({ "3", {} }, TimePoint()));
+    }
+
+    void largeValueIsSplitThenRefused()
+    {
+        FakeService service(1, {});
+        TimePoint now { Duration(1'000) };
+        CallBudget budget({}, 1, now);
+        auto concatenate = [](const std::string& payload, const std::vector<Record>& batch) {
+            Applied applied { payload, {} };
+            for (const auto& record : batch)
+                applied.payload += record.body;
+            return applied;
+        };
+        GroupCommitter committer({ "log", "h#1" }, concatenate);
+        for (const char* id : { "1", "2", "3" })
+            committer.add({ id, std::string(400'000, 'x') }, now);
+        for (int i = 0; i < 20; ++i, now += Duration(100)) {
+            if (auto call = committer.next(now, budget))
+                committer.onReply(service.call(*call, now), now);
+        }
+        auto completions = committer.takeCompletions();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), completions.size());
+        CPPUNIT_ASSERT(completions[1].status == CommitStatus::Committed);
+        CPPUNIT_ASSERT(completions[2].status == CommitStatus::Rejected);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GroupLogTest);
