--- a/packages/admission/src/core.cpp
+++ b/packages/admission/src/core.cpp
@@ -19,6 +19,7 @@
     };
     std::sort(all.begin(), all.end(), byArrival);
     std::vector<Waiting> kept;
+    kept.reserve(all.size());
     for (const auto& waiting : all)
         kept.push_back(*waiting);
     m_index.clear();
--- a/packages/admission/src/offer.cpp
+++ b/packages/admission/src/offer.cpp
@@ -2,6 +2,7 @@
 #include "core.h"
 
 #include <algorithm>
+#include <ranges>
 
 namespace jujubereach::admission {
 
@@ -97,11 +98,11 @@
 // The least urgent class that holds more places than its minimum share, the newcomer counted in.
 ClassQueue* AdmissionQueue::Core::classToDisplace(const Request& request, Scope scope)
 {
-    for (auto queue = m_classes.rbegin(); queue != m_classes.rend(); ++queue) {
-        bool own = queue->workClass().id == request.workClass;
-        std::uint32_t places = waitingIn(*queue, request, scope) + (own ? 1 : 0);
-        if (places > 0 && places > queue->workClass().minimumShare * boundOf(scope))
-            return &*queue;
+    for (ClassQueue& queue : std::views::reverse(m_classes)) {
+        bool own = queue.workClass().id == request.workClass;
+        std::uint32_t places = waitingIn(queue, request, scope) + (own ? 1 : 0);
+        if (places > 0 && places > queue.workClass().minimumShare * boundOf(scope))
+            return &queue;
     }
     return nullptr;
 }
--- a/packages/dispatch/src/upstream.cpp
+++ b/packages/dispatch/src/upstream.cpp
@@ -22,7 +22,7 @@
     constexpr std::uint32_t failuresToSetAside = 5;
     constexpr std::uint32_t unreachableToSetAside = 2;
     constexpr Duration firstProbe { 250 };
-    constexpr Duration lastProbe { 5000 };
+    constexpr Duration lastProbe { 2000 };
 
 } // namespace
 
--- a/packages/dispatch/src/upstreams.cpp
+++ b/packages/dispatch/src/upstreams.cpp
@@ -66,6 +66,8 @@
     for (const auto& [id, upstream] : m_upstreams) {
         if (upstream->health(now) == UpstreamHealth::Working)
             sum += std::min(upstream->limit(), m_credits.usable(id, now));
+        else if (upstream->probeDue(true, now))
+            ++sum; // or no request would ever come to be the probe
     }
     return sum;
 }
