Add the ledger of refusals

Cause: a flood must not cost a write for each refusal, and each reference must lead back to its record. Weighed: one growing value for each host against segments; a commit rewrites its value, so segments are small. Proved: ledger-test: 120,000 refusals by 500 callers in 60 s with the service down for 30 s and a tenth of the replies lost keep every count and every reference, with at most 2,000 entries in memory.

--- /dev/null
+++ b/packages/ledger/src/ledger.cpp
@@ -0,0 +1,213 @@
+#include "jujubereach/ledger/ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jujubereach::ledger {
+
+namespace {
+
+    constexpr std::int64_t secondMs = 1'000;
+    constexpr std::int64_t minuteMs = 60'000;
+    constexpr std::int64_t hourMs = 3'600'000;
+
+    /// Fill of the bound from which refusals are aggregated further.
+    constexpr double mergeCallersFrom = 0.5;
+    constexpr double mergeSecondsFrom = 0.7;
+    constexpr double mergeWorkspacesFrom = 0.85;
+
+    journal::BufferLimits bufferLimits(std::size_t entries)
+    {
+        journal::BufferLimits limits;
+        limits.maxRecords = 2 * entries;
+        limits.maxBytes = 16 << 20;
+        return limits;
+    }
+
+} // namespace
+
+RefusalLedger::RefusalLedger(LedgerConfig config)
+    : m_config(std::move(config))
+    , m_buffer(m_config.host.str() + "#" + std::to_string(m_config.incarnation.value),
+          bufferLimits(m_config.maxEntries))
+{
+}
+
+std::string RefusalLedger::record(const Refusal& refusal, TimePoint now)
+{
+    ++m_recorded;
+    auto& open = this->open(keyOf(refusal), now);
+    ++open.entry.count;
+    return open.entry.reference;
+}
+
+// Coarser as the bound comes nearer. The coarsest keys are few: one for each reason and hour.
+RefusalLedger::Key RefusalLedger::keyOf(const Refusal& refusal) const
+{
+    auto cut = [&](const std::string& text) { return text.substr(0, m_config.maxFieldBytes); };
+    double fill = static_cast<double>(entries()) / static_cast<double>(m_config.maxEntries);
+    Key key { WorkspaceId(cut(refusal.workspace.str())), CallerId(cut(refusal.caller.str())),
+        ClassId(cut(refusal.workClass.str())), cut(refusal.reason), refusal.ran, 0, secondMs };
+    if (fill >= mergeCallersFrom)
+        key.caller = CallerId(anyId);
+    if (fill >= mergeSecondsFrom)
+        key.span = minuteMs;
+    if (fill >= mergeWorkspacesFrom) {
+        key.workspace = WorkspaceId(anyId);
+        key.workClass = ClassId(anyId);
+        key.span = hourMs;
+    }
+    key.from = refusal.at.milliseconds / key.span * key.span;
+    return key;
+}
+
+RefusalLedger::Open& RefusalLedger::open(const Key& key, TimePoint now)
+{
+    auto [entry, added] = m_open.try_emplace(key);
+    auto& open = entry->second;
+    if (!added)
+        return open;
+    if (m_nextNumber >= m_config.entriesPerSegment) {
+        ++m_segment;
+        m_nextNumber = 0;
+    }
+    open.segment = m_segment;
+    open.since = now;
+    Reference reference { m_config.zone, m_config.host, m_config.incarnation, m_segment, m_nextNumber++ };
+    open.entry = { textOf(reference), key.workspace, key.caller, key.workClass, key.reason, key.ran,
+        WallTime { key.from }, Duration(key.span), 0 };
+    return open;
+}
+
+// Entries stay open, and go on aggregating, while the committers can't take them.
+void RefusalLedger::closeEntries(TimePoint now)
+{
+    for (auto entry = m_open.begin(); entry != m_open.end();) {
+        bool due = now - entry->second.since >= m_config.openTime;
+        if (!due || 2 * m_closedCount >= m_config.maxEntries) {
+            ++entry;
+            continue;
+        }
+        close(entry->second, now);
+        entry = m_open.erase(entry);
+    }
+}
+
+void RefusalLedger::close(Open& open, TimePoint now)
+{
+    auto record = encodeEntry(open.entry);
+    auto& segment = segmentOf(open.segment);
+    segment.committer->add(record, now);
+    m_buffer.add(keyOfSegment(open.segment), record);
+    segment.closed.emplace(open.entry.reference, std::move(open.entry));
+    ++m_closedCount;
+}
+
+RefusalLedger::Segment& RefusalLedger::segmentOf(std::uint64_t number)
+{
+    auto& segment = m_segments[number];
+    if (!segment.committer) {
+        journal::CommitterConfig config;
+        config.key = keyOfSegment(number);
+        config.writer = m_config.host.str() + "#" + std::to_string(m_config.incarnation.value);
+        config.rank = journal::CallRank::Refusals;
+        config.maxPending = m_config.entriesPerSegment;
+        config.interval = m_config.openTime;
+        config.seed = m_config.seed;
+        segment.committer = std::make_unique<journal::GroupCommitter>(config, applyEntries);
+    }
+    return segment;
+}
+
+std::string RefusalLedger::keyOfSegment(std::uint64_t number) const
+{
+    return segmentKey({ m_config.zone, m_config.host, m_config.incarnation, number, 0 });
+}
+
+std::optional<journal::KvCall> RefusalLedger::next(TimePoint now, journal::CallBudget& budget)
+{
+    if (m_calling)
+        return std::nullopt;
+    closeEntries(now);
+    for (auto& [number, segment] : m_segments) {
+        if (auto call = segment.committer->next(now, budget)) {
+            m_calling = number;
+            return call;
+        }
+        complete(segment);
+    }
+    std::erase_if(
+        m_segments, [&](const auto& each) { return each.first != m_segment && each.second.closed.empty(); });
+    return std::nullopt;
+}
+
+void RefusalLedger::onReply(const platform::KvReply& reply, TimePoint now)
+{
+    if (!m_calling)
+        return;
+    auto& segment = m_segments.at(*std::exchange(m_calling, std::nullopt));
+    segment.committer->onReply(reply, now);
+    complete(segment);
+}
+
+void RefusalLedger::complete(Segment& segment)
+{
+    for (const auto& completion : segment.committer->takeCompletions()) {
+        auto entry = segment.closed.find(completion.id);
+        if (entry == segment.closed.end())
+            continue;
+        if (completion.status == journal::CommitStatus::Committed)
+            m_durable += entry->second.count;
+        segment.closed.erase(entry);
+        --m_closedCount;
+        auto reference = outcomeOf([&] { return parseReference(completion.id); });
+        if (reference)
+            m_buffer.onJournaled(segmentKey(*reference.value), completion.id);
+    }
+}
+
+TimePoint RefusalLedger::nextDue(TimePoint now) const
+{
+    auto due = TimePoint::max();
+    if (!m_open.empty())
+        due = now + m_config.openTime;
+    for (const auto& [number, segment] : m_segments)
+        due = std::min(due, segment.committer->nextDue());
+    return due;
+}
+
+std::vector<RefusalEntry> RefusalLedger::pending(const RefusalQuery& query) const
+{
+    std::vector<RefusalEntry> entries;
+    for (const auto& [key, open] : m_open)
+        entries.push_back(open.entry);
+    for (const auto& [number, segment] : m_segments) {
+        for (const auto& [reference, entry] : segment.closed)
+            entries.push_back(entry);
+    }
+    return merge(entries, query);
+}
+
+RefusalLedger::Stats RefusalLedger::stats() const
+{
+    return { m_recorded, m_durable, entries() };
+}
+
+std::vector<platform::KvEntry> expiredSegments(
+    const std::vector<platform::KvEntry>& segments, WallTime now, Duration keep)
+{
+    std::vector<platform::KvEntry> expired;
+    for (const auto& segment : segments) {
+        auto entries = outcomeOf([&] { return decodeSegment(segment.value); });
+        if (!entries)
+            continue;
+        bool old = std::ranges::all_of(*entries.value, [&](const RefusalEntry& entry) {
+            return entry.from.milliseconds + entry.span.count() < now.milliseconds - keep.count();
+        });
+        if (old)
+            expired.push_back(segment);
+    }
+    return expired;
+}
+
+} // namespace jujubereach::ledger
