--- a/packages/jobs/include/jujubereach/jobs/owner.h
+++ b/packages/jobs/include/jujubereach/jobs/owner.h
@@ -91,6 +91,11 @@
     bool ended = false;
 };
 
+enum class JournalView {
+    Partial, ///< Perhaps not every job, as in an outage.
+    Complete, ///< Every job that the journal holds, the ended ones too; of those id and `ended` suffice.
+};
+
 class DomainOwner {
 public:
     DomainOwner(OwnerConfig config, SchedulerFactory makeScheduler);
@@ -108,8 +113,13 @@
     std::optional<scheduling::EndJob> submit(const scheduling::JobSpec& job, TimePoint now);
     void cancel(const JobId& job, TimePoint now);
     /// What the journal holds; may be called again with a newer list. Jobs that this owner does not know
-    /// are started once it is certain that they run nowhere.
-    void journaledJobs(const std::vector<JournaledJob>& jobs, TimePoint now);
+    /// are started once it is certain that they run nowhere. A job of which only a worker tells that an
+    /// attempt ended is not started again before a complete view, since the journal may have its end.
+    void journaledJobs(
+        const std::vector<JournaledJob>& jobs, TimePoint now, JournalView view = JournalView::Partial);
+    /// The journal refused the fence of this term, because workers that restarted forgot their epochs. The
+    /// owner contends again for a term above `journaledTerm`.
+    void onFenceRefused(std::uint64_t journaledTerm, TimePoint now);
     void eventCommitted(std::uint64_t number, TimePoint now);
     /// The journal refused the event, such as a claim that another owner made before.
     void eventRejected(std::uint64_t number, TimePoint now);
--- a/packages/jobs/src/owner-gangs.cpp
+++ b/packages/jobs/src/owner-gangs.cpp
@@ -2,6 +2,7 @@
 #include "owner-impl.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jujubereach::jobs {
 
@@ -28,10 +29,10 @@
 
 void DomainOwner::Impl::carryOut(const scheduling::StartGang& start, TimePoint now)
 {
-    auto entry = m_jobs.find(start.job.id);
-    if (entry == m_jobs.end() || entry->second.ended)
+    auto* found = findBySchedulerId(start.job.id);
+    if (!found || found->ended)
         return m_scheduler.gangEnded({ start.gang, EndKind::Unknown, {}, {} }, now);
-    auto& job = entry->second;
+    auto& job = *found;
     bool once = !job.spec.restartable && m_config.switches.claimBeforeStart;
     if (once && job.claimed)
         return m_scheduler.gangEnded({ start.gang, EndKind::Unknown, job.spec.progress, {} }, now);
@@ -50,11 +51,12 @@
 }
 
 // The scheduler must not reserve accelerators for a job that cannot start before the journal is back.
+// Its answer to the cancel is ignored, since the job then has another name or none.
 void DomainOwner::Impl::park(Job& job, const GangId& schedulerGang, TimePoint now)
 {
     job.parked = true;
-    m_scheduler.gangEnded({ schedulerGang, EndKind::Stopped, job.spec.progress, {} }, now);
-    m_scheduler.cancel(job.spec.id, now);
+    m_scheduler.gangEnded({ schedulerGang, EndKind::Checkpointed, job.spec.progress, {} }, now);
+    m_scheduler.cancel(job.schedulerId, now);
 }
 
 void DomainOwner::Impl::carryOut(const scheduling::PreemptGang& preempt, TimePoint now)
@@ -72,9 +74,9 @@
 
 void DomainOwner::Impl::carryOut(const scheduling::EndJob& end, TimePoint)
 {
-    auto job = m_jobs.find(end.job);
-    if (job != m_jobs.end() && !job->second.ended && !job->second.parked)
-        endJob(job->second, end);
+    auto* job = findBySchedulerId(end.job);
+    if (job && !job->ended && !job->parked)
+        endJob(*job, end);
 }
 
 void DomainOwner::Impl::endJob(Job& job, const scheduling::EndJob& end)
@@ -189,6 +191,10 @@
     } else if (job.claimed && end.kind == EndKind::StartFailed) {
         end.kind = EndKind::Unknown; // It may have run in part, which a retry would repeat.
     }
+    // Nothing was lost and no worker is to blame, which a scheduler knows as a checkpoint.
+    bool blameless = end.kind == EndKind::Stopped || (end.kind == EndKind::StartFailed && end.blamed.empty());
+    if (gang.ran() == Ran::No && blameless)
+        end.kind = EndKind::Checkpointed;
     m_scheduler.gangEnded(end, now);
 }
 
@@ -207,6 +213,7 @@
     refreshRole(now);
     std::erase_if(m_keep, [&](const auto& entry) { return entry.second == number; });
     if (auto end = m_ends.find(number); end != m_ends.end()) {
+        m_resubmitted.erase(m_jobs.at(end->second).schedulerId);
         m_jobs.erase(end->second);
         m_ends.erase(end);
     }
--- a/packages/jobs/src/owner-impl.h
+++ b/packages/jobs/src/owner-impl.h
@@ -33,6 +33,7 @@
     std::optional<scheduling::EndJob> submit(const scheduling::JobSpec& job, TimePoint now);
     void cancel(const JobId& job, TimePoint now);
     void tick(TimePoint now);
+    void onFenceRefused(std::uint64_t journaledTerm, TimePoint now);
     TimePoint nextDue(TimePoint now) const;
     bool isOwner(TimePoint now) const;
     scheduling::Explanation explain(const JobId& job, TimePoint now) const;
@@ -46,7 +47,7 @@
     void eventRejected(std::uint64_t number, TimePoint now);
 
     // owner-recovery.cpp
-    void journaledJobs(const std::vector<JournaledJob>& jobs, TimePoint now);
+    void journaledJobs(const std::vector<JournaledJob>& jobs, JournalView view, TimePoint now);
 
     OwnerConfig m_config;
     SchedulerFactory m_makeScheduler;
@@ -64,6 +65,7 @@
         bool claimed = false; ///< Not restartable, and an attempt may have run.
         bool ended = false; ///< The end is not committed yet; kept so that no list starts it again.
         bool parked = false; ///< Waits for the journal; the scheduler does not know it.
+        JobId schedulerId; ///< The scheduler's name for it; a scheduler takes no id twice.
         GangId lastGang; ///< Last attempt that ended.
         std::optional<scheduling::EndKind> lastEnd; ///< Of it.
     };
@@ -80,6 +82,7 @@
     void startReleasing(const std::string& why);
     bool owns() const { return m_role == Role::Owning || m_role == Role::Draining; }
     std::optional<scheduling::EndJob> enqueue(Job& job, TimePoint now);
+    Job* findBySchedulerId(const JobId& id);
     void say(const std::string& sentence);
 
     // owner-sync.cpp
@@ -138,6 +141,8 @@
     bool m_journalAvailable = true;
     std::uint64_t m_nextEvent = 1;
     std::uint64_t m_nextJob = 1;
+    std::uint64_t m_nextSubmit = 1; ///< Of jobs that were parked.
+    std::map<JobId, JobId> m_resubmitted; ///< Scheduler's names that differ from the job's id.
     std::uint64_t m_nextGang = 1; ///< With the term it makes a gang's id unique.
     std::map<GangId, Gang> m_gangs; ///< By the workers' name; kept until Ended.
     std::map<GangId, GangId> m_bySchedulerId;
@@ -151,6 +156,7 @@
     std::set<GangId> m_undecided; ///< Ended gangs of which the scheduler has not yet said what follows.
     std::optional<Recovery> m_recovery; ///< Of this term, also when it is complete.
     TimePoint m_ownerSince;
+    bool m_journalKnown = false; ///< A complete view of the journal came in this term.
     std::map<JobId, Found>
         m_found; ///< Found jobs that are not running, until it is certain that they run nowhere.
 
--- a/packages/jobs/src/owner-recovery.cpp
+++ b/packages/jobs/src/owner-recovery.cpp
@@ -53,6 +53,7 @@
     job.spec = gang.job();
     job.ran = Ran::Yes;
     job.claimed = !job.spec.restartable;
+    job.schedulerId = job.spec.id;
     gang.setSchedulerId(gang.id());
     m_scheduler.adopt(job.spec, gang.id(), gang.run(), gang.ranFor(), now);
     emit(JobEventKind::Started, job, gang.id());
@@ -79,17 +80,18 @@
     m_keep[gang.id()] = untilResolved;
 }
 
-void DomainOwner::Impl::journaledJobs(const std::vector<JournaledJob>& jobs, TimePoint now)
+void DomainOwner::Impl::journaledJobs(const std::vector<JournaledJob>& jobs, JournalView view, TimePoint now)
 {
     refreshRole(now);
     if (!owns())
         return;
+    m_journalKnown = m_journalKnown || view == JournalView::Complete;
     for (const auto& journaled : jobs) {
         auto job = m_jobs.find(journaled.job.id);
         if (job == m_jobs.end())
             m_found[journaled.job.id].journaled = journaled;
         else if (journaled.ended && !job->second.ended)
-            m_scheduler.cancel(journaled.job.id, now);
+            cancel(journaled.job.id, now);
     }
     recover(now);
 }
@@ -102,7 +104,10 @@
 void DomainOwner::Impl::resolveFound(TimePoint now)
 {
     for (auto entry = m_found.begin(); entry != m_found.end();) {
-        if (hasGang(entry->first)) {
+        const auto& reported = entry->second.reported;
+        bool unclear = !entry->second.journaled && !m_journalKnown
+            && !(reported && reported->end.kind == EndKind::Completed);
+        if (unclear || hasGang(entry->first)) {
             ++entry;
             continue;
         }
--- a/packages/jobs/src/owner.cpp
+++ b/packages/jobs/src/owner.cpp
@@ -86,6 +86,7 @@
 {
     m_term = 0;
     m_recovered = false;
+    m_journalKnown = false;
     m_scheduler = {};
     m_recovery.reset();
     m_jobs.clear();
@@ -97,6 +98,7 @@
     m_ends.clear();
     m_keep.clear();
     m_undecided.clear();
+    m_resubmitted.clear();
     m_forget.clear();
     for (auto& gangs : m_gangsOn)
         gangs.clear();
@@ -163,6 +165,17 @@
         startReleasing("hands over");
 }
 
+void DomainOwner::Impl::onFenceRefused(std::uint64_t journaledTerm, TimePoint now)
+{
+    refreshRole(now);
+    if (m_role != Role::Owning || m_term >= journaledTerm)
+        return;
+    say("contends again, the journal knows term " + std::to_string(journaledTerm));
+    dropTerm();
+    m_leases.raiseEpochAbove(journaledTerm);
+    becomeContender(now);
+}
+
 bool DomainOwner::Impl::isOwner(TimePoint now) const
 {
     bool majority = m_config.switches.majority ? m_leases.hasMajority(now) : m_leases.holdsAny(now);
@@ -214,12 +227,26 @@
         job.parked = true;
         return std::nullopt;
     }
-    auto end = m_scheduler.submit(job.spec, now);
+    auto spec = job.spec;
+    if (!job.schedulerId.empty()) {
+        m_resubmitted.erase(job.schedulerId);
+        spec.id = JobId(job.spec.id.str() + "~" + std::to_string(m_nextSubmit++));
+        m_resubmitted[spec.id] = job.spec.id;
+    }
+    job.schedulerId = spec.id;
+    auto end = m_scheduler.submit(spec, now);
     if (end)
         endJob(job, *end);
     return end;
 }
 
+DomainOwner::Impl::Job* DomainOwner::Impl::findBySchedulerId(const JobId& id)
+{
+    auto other = m_resubmitted.find(id);
+    auto job = m_jobs.find(other == m_resubmitted.end() ? id : other->second);
+    return job != m_jobs.end() && job->second.schedulerId == id ? &job->second : nullptr;
+}
+
 void DomainOwner::Impl::cancel(const JobId& id, TimePoint now)
 {
     refreshRole(now);
@@ -231,7 +258,7 @@
     if (job == m_jobs.end() || job->second.ended)
         return;
     if (!job->second.parked)
-        return m_scheduler.cancel(id, now);
+        return m_scheduler.cancel(job->second.schedulerId, now);
     bool neverRan = job->second.ran == Ran::No;
     endJob(job->second,
         { id, scheduling::EndKind::Stopped, scheduling::RefusalReason::Cancelled, neverRan,
@@ -249,8 +276,10 @@
     else if (job != m_jobs.end() && job->second.parked)
         explanation.text
             = "It is not restartable and waits for the key-value service, which must record its start.";
+    else if (m_scheduler.explain)
+        return m_scheduler.explain(job == m_jobs.end() ? id : job->second.schedulerId, now);
     else
-        return m_scheduler.explain ? m_scheduler.explain(id, now) : scheduling::Explanation {};
+        return {};
     return explanation;
 }
 
@@ -292,9 +321,14 @@
     m_impl->cancel(job, now);
 }
 
-void DomainOwner::journaledJobs(const std::vector<JournaledJob>& jobs, TimePoint now)
+void DomainOwner::journaledJobs(const std::vector<JournaledJob>& jobs, TimePoint now, JournalView view)
+{
+    m_impl->journaledJobs(jobs, view, now);
+}
+
+void DomainOwner::onFenceRefused(std::uint64_t journaledTerm, TimePoint now)
 {
-    m_impl->journaledJobs(jobs, now);
+    m_impl->onFenceRefused(journaledTerm, now);
 }
 
 void DomainOwner::eventCommitted(std::uint64_t number, TimePoint now)
--- a/packages/jobs/src/worker-leases.h
+++ b/packages/jobs/src/worker-leases.h
@@ -3,6 +3,7 @@
 
 #include "jujubereach/jobs/owner.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -18,6 +19,7 @@
 
     /// Starts a new try for the majority: no grant of an earlier one counts.
     void beginContending(TimePoint now);
+    void raiseEpochAbove(std::uint64_t epoch) { m_epoch = std::max(m_epoch, epoch); }
     /// The majority was won: the epoch becomes the term.
     void beginTerm(TimePoint now);
     std::uint64_t epoch() const { return m_epoch; }
--- a/packages/jobs/test/fake-fleet.h
+++ b/packages/jobs/test/fake-fleet.h
@@ -34,6 +34,7 @@
     Faults faults;
     OwnerSwitches switches;
     bool dropLateSyncs = true; ///< Switch of the daemon's part: WorkerSyncOut::sendBy.
+    SchedulerFactory makeScheduler; ///< Else a FakeScheduler.
     std::uint32_t hosts = 3;
     std::uint32_t workers = 6;
     std::uint32_t perWorker = 2;
@@ -123,8 +124,9 @@
         config.acceleratorsPerWorker = m_config.perWorker;
         config.switches = m_config.switches;
         config.seed = m_config.seed;
-        auto hooks = [this] { return FakeScheduler::hooks(m_config.workers, m_config.perWorker); };
-        host.owner = std::make_unique<DomainOwner>(config, hooks);
+        auto fake = [this] { return FakeScheduler::hooks(m_config.workers, m_config.perWorker); };
+        host.owner
+            = std::make_unique<DomainOwner>(config, m_config.makeScheduler ? m_config.makeScheduler : fake);
         host.messages.clear();
         host.events.clear();
         host.cutUntil.assign(m_config.workers, TimePoint());
@@ -178,6 +180,11 @@
         auto& host = *owner;
         scheduling::JobSpec job;
         job.id = host.owner->newJobId();
+        job.workspace = WorkspaceId("w");
+        job.workClass = ClassId("k");
+        job.kind = "render";
+        job.checkpointable = m_random.below(3) == 0;
+        job.checkpointTime = Duration(500);
         job.accelerators = 1 + static_cast<std::uint32_t>(m_random.below(6));
         job.declaredRunTime = between(200, 12'000);
         job.restartable = m_random.below(2) == 0;
@@ -286,7 +293,7 @@
         if (term != 0 && term != host.knownTerm && m_journal.fence(term)) {
             host.knownTerm = term;
             ++takeovers;
-            owner.journaledJobs(m_journal.list(), m_now);
+            owner.journaledJobs(m_journal.list(), m_now, JournalView::Complete);
         }
         for (auto& event : std::exchange(host.events, {})) {
             bool committed = m_journal.apply(event);
--- a/packages/jobs/test/ownership-test.cpp
+++ b/packages/jobs/test/ownership-test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(wrongViews);
     CPPUNIT_TEST(journalOutages);
     CPPUNIT_TEST(allTogether);
+    CPPUNIT_TEST(allTogetherWithRealScheduler);
     CPPUNIT_TEST(twinWithoutMajority);
     CPPUNIT_TEST(twinWithoutHolds);
     CPPUNIT_TEST(twinWithoutWaitingForReports);
@@ -57,10 +58,11 @@
         return found;
     }
 
-    void holdsUnder(const Faults& faults)
+    void holdsUnder(const Faults& faults, const SchedulerFactory& makeScheduler = {})
     {
         FleetConfig config;
         config.faults = faults;
+        config.makeScheduler = makeScheduler;
         std::string text;
         for (const auto& [violation, seed] : violations(config))
             text += violation + ", first with seed " + std::to_string(seed) + "; ";
@@ -95,6 +97,17 @@
     void journalOutages() { holdsUnder({ .killHosts = true, .journalOutages = true }); }
     void allTogether() { holdsUnder(allFaults()); }
 
+    void allTogetherWithRealScheduler()
+    {
+        manifest::Manifest manifest;
+        manifest.zones = { { ZoneId("z"), RegionId("g"), { { DomainId("d"), { { RackId("r"), 6, 2 } } } } } };
+        manifest.classes = { { ClassId("k") } };
+        manifest.workspaces = { { WorkspaceId("w"), 1, 0, {} } };
+        holdsUnder(allFaults(), [manifest] {
+            return hooksOf(std::make_shared<scheduling::Scheduler>(manifest, ZoneId("z"), DomainId("d")));
+        });
+    }
+
     void twinWithoutMajority()
     {
         OwnerSwitches switches;
--- a/packages/journal/include/jujubereach/journal/group-log.h
+++ b/packages/journal/include/jujubereach/journal/group-log.h
@@ -69,6 +69,9 @@
     std::uint64_t seed = 1;
 };
 
+/// The payload of a value that a committer wrote.
+std::string payloadOf(const std::string& value);
+
 class GroupCommitter {
 public:
     GroupCommitter(CommitterConfig config, Apply apply);
--- a/packages/journal/src/group-log.cpp
+++ b/packages/journal/src/group-log.cpp
@@ -256,6 +256,12 @@
     m_notBefore = now + Duration(half + static_cast<std::int64_t>(m_random.below(half + 1)));
 }
 
+std::string payloadOf(const std::string& value)
+{
+    auto end = value.find('\n');
+    return end == std::string::npos ? std::string() : value.substr(end + 1);
+}
+
 // A line of operation ids, then the payload.
 std::string GroupCommitter::encode(const Write& write) const
 {
@@ -273,7 +279,7 @@
     std::istringstream line(value.substr(0, end));
     for (std::string operation; line >> operation;)
         m_value->operations.push_back(operation);
-    m_value->payload = value.substr(end + 1);
+    m_value->payload = payloadOf(value);
 }
 
 } // namespace jujubereach::journal
