--- a/packages/jobs/test/jobs-test.cpp
+++ b/packages/jobs/test/jobs-test.cpp
@@ -74,6 +74,11 @@
     CPPUNIT_TEST(handOverTakesLessThanASecond);
     CPPUNIT_TEST(minorityOwnsNothing);
     CPPUNIT_TEST(lateRenewIsDropped);
+    CPPUNIT_TEST(refusedFenceRaisesTheTerm);
+    CPPUNIT_TEST(endedAttemptWaitsForTheJournal);
+    CPPUNIT_TEST(parkedJobStartsWhenTheJournalIsBack);
+    CPPUNIT_TEST(cancelledJobEndsOnce);
+    CPPUNIT_TEST(lostWorkerEndsTheGang);
     CPPUNIT_TEST_SUITE_END();
 
     /// A frozen owner wakes up with a renewal in hand. The next owner, which can't see that worker, has
@@ -187,6 +192,96 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), second.events.size()); // Adopted and ended, never started again.
     }
 
+    void refusedFenceRaisesTheTerm()
+    {
+        Rig rig;
+        rig.owner.setOwning(true, m_now);
+        rig.runFor(Duration(200), m_workers, m_now);
+        rig.owner.onFenceRefused(40, m_now);
+        CPPUNIT_ASSERT(!rig.owner.isOwner(m_now));
+        rig.runFor(Duration(200), m_workers, m_now);
+        CPPUNIT_ASSERT(rig.owner.term() > 40);
+    }
+
+    /// A new owner finds a task whose lease lapsed; the journal may hold the job's end.
+    void endedAttemptWaitsForTheJournal()
+    {
+        Rig first("a#1");
+        first.owner.setOwning(true, m_now);
+        first.runFor(Duration(200), m_workers, m_now);
+        auto job = jobOf("j", 2);
+        job.declaredRunTime = Duration(60'000);
+        first.owner.submit(job, m_now);
+        first.runFor(Duration(500), m_workers, m_now);
+        m_now += Duration(20'000);
+        Rig second("b#1");
+        second.owner.setOwning(true, m_now);
+        second.runFor(Duration(500), m_workers, m_now);
+        CPPUNIT_ASSERT(second.owner.recovered());
+        CPPUNIT_ASSERT_EQUAL(std::string("queued"), second.owner.explain(job.id, m_now).state);
+        CPPUNIT_ASSERT(!m_workers[0].isHeld());
+        second.owner.journaledJobs({ { job, false, true } }, m_now, JournalView::Complete);
+        second.runFor(Duration(1'000), m_workers, m_now);
+        CPPUNIT_ASSERT(second.events.empty()); // It had ended.
+        CPPUNIT_ASSERT(m_workers[0].tasks.empty());
+    }
+
+    void parkedJobStartsWhenTheJournalIsBack()
+    {
+        Rig rig;
+        rig.owner.setOwning(true, m_now);
+        rig.runFor(Duration(200), m_workers, m_now);
+        rig.owner.setJournalAvailable(false, m_now);
+        rig.owner.submit(jobOf("once", 2, false), m_now);
+        rig.owner.submit(jobOf("again", 2, true), m_now);
+        rig.runFor(Duration(4'000), m_workers, m_now);
+        CPPUNIT_ASSERT_EQUAL(JobId("again"), rig.events.back().job.id);
+        CPPUNIT_ASSERT(rig.events.back().end == scheduling::EndKind::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::string("queued"), rig.owner.explain(JobId("once"), m_now).state);
+        rig.owner.setJournalAvailable(true, m_now);
+        rig.runFor(Duration(2'000), m_workers, m_now);
+        CPPUNIT_ASSERT_EQUAL(JobId("once"), rig.events.back().job.id);
+        CPPUNIT_ASSERT(rig.events.back().ran == Ran::Yes);
+    }
+
+    void cancelledJobEndsOnce()
+    {
+        Rig rig;
+        rig.owner.setOwning(true, m_now);
+        rig.runFor(Duration(200), m_workers, m_now);
+        rig.owner.submit(jobOf("running", 8), m_now);
+        rig.owner.submit(jobOf("waiting", 8), m_now);
+        rig.runFor(Duration(300), m_workers, m_now);
+        for (const char* job : { "running", "waiting", "running", "unknown" })
+            rig.owner.cancel(JobId(job), m_now);
+        rig.runFor(Duration(2'000), m_workers, m_now); // The task is forgotten with the second sync from now.
+        std::map<JobId, Ran> ends;
+        for (const auto& event : rig.events) {
+            if (event.kind == JobEventKind::Ended)
+                CPPUNIT_ASSERT(ends.emplace(event.job.id, event.ran).second);
+        }
+        CPPUNIT_ASSERT(ends.at(JobId("running")) == Ran::Yes);
+        CPPUNIT_ASSERT(ends.at(JobId("waiting")) == Ran::No);
+        CPPUNIT_ASSERT(m_workers[0].tasks.empty());
+    }
+
+    void lostWorkerEndsTheGang()
+    {
+        Rig rig;
+        rig.owner.setOwning(true, m_now);
+        rig.runFor(Duration(200), m_workers, m_now);
+        auto job = jobOf("j", 6, false);
+        job.declaredRunTime = Duration(60'000);
+        rig.owner.submit(job, m_now);
+        rig.runFor(Duration(500), m_workers, m_now);
+        rig.owner.setReachable(2, false, m_now);
+        rig.runFor(Duration(3'600), m_workers, m_now);
+        CPPUNIT_ASSERT(!m_workers[0].isHeld() && !m_workers[1].isHeld());
+        CPPUNIT_ASSERT(rig.events.back().kind == JobEventKind::Started); // Worker 2 may still run it.
+        rig.runFor(Duration(17'000), m_workers, m_now);
+        CPPUNIT_ASSERT(rig.events.back().end == scheduling::EndKind::WorkerLost);
+    }
+
     void handOverTakesLessThanASecond()
     {
         Rig first("a#1");
