--- a/packages/ctl/src/job-commands.cpp
+++ b/packages/ctl/src/job-commands.cpp
@@ -23,7 +23,7 @@
         std::string kind;
         std::string shape;
         unsigned accelerators = 1;
-        std::int64_t runTimeMs = 0;
+        std::int64_t runTimeMs = 60'000;
         std::int64_t checkpointTimeMs = 0;
         bool checkpointable = false;
         bool restartable = false;
--- a/packages/daemon/src/copies.cpp
+++ b/packages/daemon/src/copies.cpp
@@ -42,7 +42,7 @@
 }
 
 void Copies::spread(
-    const std::string& scope, const journal::Record& record, std::function<void(std::size_t)> then)
+    const std::string& scope, const journal::Record& record, const std::function<void(std::size_t)>& then)
 {
     struct Count {
         std::size_t waiting = 0;
--- a/packages/daemon/src/copies.h
+++ b/packages/daemon/src/copies.h
@@ -22,8 +22,8 @@
     void start();
 
     /// Gives the record to the other hosts of the zone; `then` gets the number that took it.
-    void spread(
-        const std::string& scope, const journal::Record& record, std::function<void(std::size_t)> then);
+    void spread(const std::string& scope, const journal::Record& record,
+        const std::function<void(std::size_t)>& then);
     /// The record is durable: the copies may go.
     void release(const std::string& scope, const std::string& recordId);
 
--- a/packages/daemon/src/domain.cpp
+++ b/packages/daemon/src/domain.cpp
@@ -63,6 +63,11 @@
         return config;
     }
 
+    std::optional<scheduling::JobSpec> specOf(const journal::JournalEntry& entry)
+    {
+        return outcomeOf([&] { return jobs::decodeJob(entry.spec); }).value;
+    }
+
     std::string recordIdOf(const jobs::JobEvent& event, const std::string& holder)
     {
         return "event/" + holder + "/" + std::to_string(event.term) + "/" + std::to_string(event.number);
@@ -70,10 +75,9 @@
 
 } // namespace
 
-Domain::Domain(Context& ctx, Cluster& cluster, Copies& copies, const manifest::Manifest& manifest,
+Domain::Domain(Context& ctx, Copies& copies, const manifest::Manifest& manifest,
     const manifest::Domain& domain, DomainHooks hooks)
     : m_ctx(ctx)
-    , m_cluster(cluster)
     , m_copies(copies)
     , m_hooks(std::move(hooks))
     , m_id(domain.id)
@@ -326,9 +330,8 @@
     for (const auto& [id, entry] : journalView().jobs) {
         if (entry.end)
             continue;
-        auto spec = outcomeOf([&] { return jobs::decodeJob(entry.spec); });
-        if (spec)
-            known.push_back({ std::move(*spec.value), !entry.claim.empty(), false });
+        if (auto spec = specOf(entry))
+            known.push_back({ std::move(*spec), !entry.claim.empty(), false });
     }
     if (!m_journal->committer().isAvailable()) {
         for (const auto& record : m_copies.orphansOf(m_journalKey)) {
@@ -552,10 +555,10 @@
                 : explanation.known ? explanation.state
                                     : "queued");
         row->set("text", entry.end ? entry.end->text : explanation.text);
-        if (auto spec = outcomeOf([&] { return jobs::decodeJob(entry.spec); })) {
-            row->set("workspace", spec.value->workspace.str());
-            row->set("class", spec.value->workClass.str());
-            row->set("accelerators", spec.value->accelerators);
+        if (const auto spec = specOf(entry)) {
+            row->set("workspace", spec->workspace.str());
+            row->set("class", spec->workClass.str());
+            row->set("accelerators", spec->accelerators);
         }
         rows.add(row);
     }
--- a/packages/daemon/src/domain.h
+++ b/packages/daemon/src/domain.h
@@ -31,8 +31,8 @@
 
 class Domain {
 public:
-    Domain(Context& ctx, Cluster& cluster, Copies& copies, const manifest::Manifest& manifest,
-        const manifest::Domain& domain, DomainHooks hooks);
+    Domain(Context& ctx, Copies& copies, const manifest::Manifest& manifest, const manifest::Domain& domain,
+        DomainHooks hooks);
 
     const DomainId& id() const { return m_id; }
     const std::vector<WorkerId>& workers() const { return m_workers; }
@@ -94,7 +94,6 @@
     void addRecord(const std::string& id, journal::JobRecord record);
 
     Context& m_ctx;
-    Cluster& m_cluster;
     Copies& m_copies;
     const DomainHooks m_hooks;
     const DomainId m_id;
--- a/packages/daemon/src/domains.cpp
+++ b/packages/daemon/src/domains.cpp
@@ -8,6 +8,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <set>
 
 namespace jujubereach::daemon {
 
@@ -30,6 +31,18 @@
         return { ZoneId(text.substr(0, first)), DomainId(text.substr(first + 1, second - first - 1)) };
     }
 
+    const char* fieldOf(wire::ApiOperation operation)
+    {
+        switch (operation) {
+        case wire::ApiOperation::ListJobs:
+            return "jobs";
+        case wire::ApiOperation::ListWorkers:
+            return "workers";
+        default:
+            return "domains";
+        }
+    }
+
     std::vector<WorkerId> workerIdsOf(const manifest::Domain& domain)
     {
         std::vector<WorkerId> workers;
@@ -74,7 +87,7 @@
             it->second->reconfigure(manifest);
             kept[domain.id] = std::move(it->second);
         } else {
-            kept[domain.id] = std::make_unique<Domain>(m_ctx, m_cluster, m_copies, manifest, domain, m_hooks);
+            kept[domain.id] = std::make_unique<Domain>(m_ctx, m_copies, manifest, domain, m_hooks);
             kept[domain.id]->setMachines(m_machines);
         }
     }
@@ -275,7 +288,7 @@
     forward(*address, std::move(call), answer, [answer] { answer(errorAnswer(notReached())); });
 }
 
-void Domains::onJob(wire::ApiOperation operation, const JobId& job, Answer answer)
+void Domains::onJob(wire::ApiOperation operation, const JobId& job, const Answer& answer)
 {
     runOperation(operation, job, 0, answer);
 }
@@ -320,41 +333,50 @@
     case wire::ApiOperation::CancelJob:
     case wire::ApiOperation::ExplainJob:
         return runOperation(call.operation, JobId(call.id), call.hops, answer);
+    case wire::ApiOperation::ListJobs:
+    case wire::ApiOperation::ListWorkers:
+    case wire::ApiOperation::Status:
+        return answer(rowsAnswer(fieldOf(call.operation), ownRows(call.operation)));
     default:
         answer(errorAnswer(Error { ErrorCode::InvalidInput, "unknown operation", "operation", {} }));
     }
 }
 
-void Domains::list(const Answer& answer)
+// Domains whose owner is another host are asked there.
+std::vector<std::string> Domains::otherOwners() const
 {
-    auto json = makeJson();
-    Poco::JSON::Array::Ptr rows = new Poco::JSON::Array;
-    for (auto& [id, domain] : m_domains)
-        domain->listJobs(*rows);
-    json->set("jobs", rows);
-    answer(jsonAnswer(200, json));
+    std::set<std::string> addresses;
+    for (const auto& [id, domain] : m_domains) {
+        const auto owner = membership::preferredOwner(m_cluster.live(), m_ctx.settings.zone, id);
+        if (domain->isOwner() || !owner || *owner == m_ctx.self.host)
+            continue;
+        if (const auto address = m_cluster.addressOf(*owner))
+            addresses.insert(*address);
+    }
+    return { addresses.begin(), addresses.end() };
 }
 
-void Domains::workers(const Answer& answer) const
+Rows Domains::ownRows(wire::ApiOperation operation)
 {
-    auto json = makeJson();
-    Poco::JSON::Array::Ptr rows = new Poco::JSON::Array;
-    for (const auto& [id, domain] : m_domains)
-        domain->listWorkers(*rows);
-    json->set("workers", rows);
-    answer(jsonAnswer(200, json));
+    Rows rows = new Poco::JSON::Array;
+    for (auto& [id, domain] : m_domains) {
+        if (!domain->isOwner())
+            continue;
+        if (operation == wire::ApiOperation::ListJobs)
+            domain->listJobs(*rows);
+        else if (operation == wire::ApiOperation::ListWorkers)
+            domain->listWorkers(*rows);
+        else
+            rows->add(domain->usageJson());
+    }
+    return rows;
 }
 
-void Domains::addUsage(Poco::JSON::Array& rows) const
+void Domains::gather(wire::ApiOperation operation, const Answer& answer)
 {
-    for (const auto& [id, domain] : m_domains) {
-        auto row = domain->usageJson();
-        if (!domain->isOwner()) {
-            const auto owner = membership::preferredOwner(m_cluster.live(), m_ctx.settings.zone, id);
-            row->set("owner", owner ? owner->str() : std::string());
-        }
-        rows.add(row);
-    }
+    wire::ApiCallT call;
+    call.operation = operation;
+    gatherRows(m_ctx, fieldOf(operation), ownRows(operation), otherOwners(), call, answer);
 }
 
 } // namespace jujubereach::daemon
--- a/packages/daemon/src/domains.h
+++ b/packages/daemon/src/domains.h
@@ -3,6 +3,7 @@
 
 #include "copies.h"
 #include "domain.h"
+#include "gather.h"
 
 #include <map>
 #include <memory>
@@ -28,10 +29,9 @@
     /// POST /v1/jobs.
     void submit(const ApiRequest& call, Answer answer);
     /// GET and DELETE /v1/jobs/{id}, GET /v1/jobs/{id}/explain.
-    void onJob(wire::ApiOperation operation, const JobId& job, Answer answer);
-    void list(const Answer& answer);
-    void workers(const Answer& answer) const;
-    void addUsage(Poco::JSON::Array& rows) const;
+    void onJob(wire::ApiOperation operation, const JobId& job, const Answer& answer);
+    /// Jobs, workers or usage of the zone's domains, from this host and the other owners.
+    void gather(wire::ApiOperation operation, const Answer& answer);
     /// A call that a peer has forwarded.
     void onPeerCall(const wire::ApiCallT& call, Answer answer);
     Copies& copies() { return m_copies; }
@@ -53,6 +53,8 @@
     void toOwner(
         const DomainId& domain, wire::ApiCallT call, Answer answer, std::function<void()> notReached);
     void toZone(const ZoneId& zone, wire::ApiCallT call, const Answer& answer);
+    std::vector<std::string> otherOwners() const;
+    Rows ownRows(wire::ApiOperation operation);
     Domain* find(const DomainId& domain);
 
     Context& m_ctx;
--- a/packages/daemon/src/host-routes.cpp
+++ b/packages/daemon/src/host-routes.cpp
@@ -22,7 +22,7 @@
     {
         std::string out;
         for (const auto& [name, value] : labels)
-            out += (out.empty() ? "" : " ") + name + "=" + value;
+            out.append(out.empty() ? "" : " ").append(name).append("=").append(value);
         return out;
     }
 
@@ -87,7 +87,7 @@
     if (is(1, "hosts"))
         return hosts(answer);
     if (is(1, "workers"))
-        return m_domains.workers(answer);
+        return m_domains.gather(wire::ApiOperation::ListWorkers, answer);
     if (is(1, "upstreams"))
         return answer(jsonAnswer(200, m_requests.upstreamsJson()));
     answer(noSuchCall());
@@ -103,7 +103,7 @@
         return m_domains.submit(call, answer);
     }
     if (path.size() == 2 && call.method == Method::Get)
-        return m_domains.list(answer);
+        return m_domains.gather(wire::ApiOperation::ListJobs, answer);
     if (path.size() == 3 && call.method == Method::Get)
         return m_domains.onJob(wire::ApiOperation::ShowJob, JobId(path[2]), answer);
     if (path.size() == 3 && call.method == Method::Delete)
@@ -185,11 +185,12 @@
     const auto counters = m_ctx.peers->counters();
     json->set("innerBytesIn", static_cast<Poco::UInt64>(counters.bytesIn));
     json->set("innerBytesOut", static_cast<Poco::UInt64>(counters.bytesOut));
-    Poco::JSON::Array::Ptr domains = new Poco::JSON::Array;
-    m_domains.addUsage(*domains);
-    json->set("domains", domains);
     json->set("histograms", histogramRows(m_metrics));
-    answer(jsonAnswer(200, json));
+    m_domains.gather(wire::ApiOperation::Status, [json, answer](const ApiAnswer& domains) mutable {
+        if (const auto parsed = outcomeOf([&] { return parseObject(domains.body); }))
+            json->set("domains", (*parsed.value)->getArray("domains"));
+        answer(jsonAnswer(200, json));
+    });
 }
 
 void Host::hosts(const Answer& answer) const
--- a/packages/daemon/src/http-server.cpp
+++ b/packages/daemon/src/http-server.cpp
@@ -1,5 +1,6 @@
 #include "http-server.h"
 
+#include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerParams.h>
--- a/packages/daemon/src/refusals.cpp
+++ b/packages/daemon/src/refusals.cpp
@@ -1,24 +1,12 @@
 #include "refusals.h"
 
 #include <Poco/JSON/Array.h>
-#include <Poco/JSON/Parser.h>
 
 namespace jujubereach::daemon {
 
 namespace {
 
     constexpr std::size_t maxRows = 10'000;
-    constexpr Duration peerTimeout { 1000 };
-
-    Poco::JSON::Array::Ptr rowsOf(const std::string& document)
-    {
-        try {
-            Poco::JSON::Parser parser;
-            return parser.parse(document).extract<Json>()->getArray("refusals");
-        } catch (const Poco::Exception&) {
-            return new Poco::JSON::Array;
-        }
-    }
 
 } // namespace
 
@@ -32,7 +20,7 @@
 {
     if (m_rows.size() >= maxRows)
         m_rows.pop_front();
-    const auto reference = m_ctx.holder() + "-" + std::to_string(++m_lastNumber);
+    auto reference = m_ctx.holder() + "-" + std::to_string(++m_lastNumber);
     m_rows.push_back({ reference, m_ctx.wallClock(), work });
     m_ctx.metrics.add("jujubereach_refusals_total",
         { { "workspace", work.workspace.str() }, { "class", work.workClass.str() },
@@ -40,12 +28,11 @@
     return reference;
 }
 
-void Refusals::onPeerCall(const wire::ApiCallT& call, const Answer& answer) const
+Rows Refusals::ownRows(const std::string& reference) const
 {
-    auto json = makeJson();
-    Poco::JSON::Array::Ptr rows = new Poco::JSON::Array;
+    Rows rows = new Poco::JSON::Array;
     for (const auto& row : m_rows) {
-        if (!call.query.empty() && call.query != row.reference)
+        if (!reference.empty() && reference != row.reference)
             continue;
         auto out = makeJson();
         out->set("reference", row.reference);
@@ -58,45 +45,21 @@
         out->set("ran", std::string("no"));
         rows->add(out);
     }
-    json->set("refusals", rows);
-    answer(jsonAnswer(200, json));
+    return rows;
+}
+
+void Refusals::onPeerCall(const wire::ApiCallT& call, const Answer& answer) const
+{
+    answer(rowsAnswer("refusals", ownRows(call.query)));
 }
 
-void Refusals::list(const ApiRequest& call, Answer answer)
+void Refusals::list(const ApiRequest& call, const Answer& answer)
 {
-    struct Gather {
-        Poco::JSON::Array::Ptr rows = new Poco::JSON::Array;
-        std::size_t waiting = 1;
-        Answer answer;
-        void add(const std::string& document)
-        {
-            if (const auto more = rowsOf(document)) {
-                for (const auto& row : *more)
-                    rows->add(row);
-            }
-            if (--waiting > 0)
-                return;
-            auto json = makeJson();
-            json->set("refusals", rows);
-            answer(jsonAnswer(200, json));
-        }
-    };
-    auto gather = std::make_shared<Gather>();
-    gather->answer = std::move(answer);
     wire::ApiCallT query;
     query.operation = wire::ApiOperation::ListRefusals;
     if (auto it = call.query.find("reference"); it != call.query.end())
         query.query = it->second;
-    const auto addresses = m_cluster.allAddresses();
-    gather->waiting += addresses.size();
-    for (const auto& address : addresses) {
-        m_ctx.peers->call(
-            address, wire::bodyOf(wire::ApiCallT(query)), peerTimeout, [gather](wire::CallResult result) {
-                auto* reply = result.reply ? result.reply->body.AsApiReply() : nullptr;
-                gather->add(reply ? reply->document : std::string());
-            });
-    }
-    onPeerCall(query, [gather](const ApiAnswer& own) { gather->add(own.body); });
+    gatherRows(m_ctx, "refusals", ownRows(query.query), m_cluster.allAddresses(), query, answer);
 }
 
 } // namespace jujubereach::daemon
--- a/packages/daemon/src/refusals.h
+++ b/packages/daemon/src/refusals.h
@@ -4,6 +4,7 @@
 #include "api.h"
 #include "cluster.h"
 #include "context.h"
+#include "gather.h"
 
 #include <deque>
 #include <functional>
@@ -27,7 +28,7 @@
     /// Returns the reference.
     std::string add(const RefusedWork& work);
     /// GET /v1/refusals, over all hosts.
-    void list(const ApiRequest& call, Answer answer);
+    void list(const ApiRequest& call, const Answer& answer);
     void onPeerCall(const wire::ApiCallT& call, const Answer& answer) const;
 
 private:
@@ -37,6 +38,8 @@
         RefusedWork work;
     };
 
+    Rows ownRows(const std::string& reference) const;
+
     Context& m_ctx;
     Cluster& m_cluster;
     std::deque<Row> m_rows;
--- a/packages/daemon/src/requests-api.cpp
+++ b/packages/daemon/src/requests-api.cpp
@@ -78,7 +78,7 @@
     offer(std::move(*parsed.value), call.callerGone, std::move(answer));
 }
 
-void Requests::show(const ApiRequest& call, Answer answer)
+void Requests::show(const ApiRequest& call, const Answer& answer)
 {
     const RequestId id(call.path.back());
     const auto workspace = valueOr(call.query, "workspace");
--- a/packages/daemon/src/requests.h
+++ b/packages/daemon/src/requests.h
@@ -40,7 +40,7 @@
     /// POST /v1/requests.
     void submit(const ApiRequest& call, Answer answer);
     /// GET /v1/requests/{id}: an answer that is kept here or at the host that the id names.
-    void show(const ApiRequest& call, Answer answer);
+    void show(const ApiRequest& call, const Answer& answer);
     /// A peer's call for a request of this host.
     void onPeerCall(const wire::ApiCallT& call, const Answer& answer);
 
