--- /dev/null
+++ b/scenarios/src/report.h
@@ -0,0 +1,31 @@
+// The outcome of a scenario, and the lines that tell it.
+#pragma once
+
+#include "observer.h"
+#include "scenario.h"
+
+#include <ostream>
+#include <string>
+
+namespace jujubereach::scenarios {
+
+std::string textOf(const Error& error);
+
+struct Verdict {
+    Scenario scenario;
+    std::string failedStep; ///< Empty when every step was taken.
+    Violations violations;
+    std::string logFolder;
+    Duration took { 0 };
+
+    /// Whether one of the invariants under proof was violated.
+    bool isBroken() const;
+    /// A scenario passes when nothing failed; a counter-check when an invariant under proof broke.
+    bool isGood() const;
+};
+
+/// Prints "SCENARIO name=... invariant=... failure=... result=... seed=..." for each invariant under proof,
+/// and what was violated. After a failure also the last lines of the logs.
+void report(const Verdict& verdict, std::ostream& out);
+
+} // namespace jujubereach::scenarios
