--- a/packages/daemon/src/cluster.cpp
+++ b/packages/daemon/src/cluster.cpp
@@ -81,9 +81,11 @@
 {
     for (const auto& change : m_members.takeChanges())
         LOG(INFO) << "membership: host " << change.id << " is " << membership::nameOf(change.after);
-    if (m_members.viewVersion() == m_seenView)
+    const bool hasJoined = joined();
+    if (m_members.viewVersion() == m_seenView && hasJoined == m_seenJoined)
         return;
     m_seenView = m_members.viewVersion();
+    m_seenJoined = hasJoined;
     m_hooks.onView();
 }
 
--- a/packages/daemon/src/cluster.h
+++ b/packages/daemon/src/cluster.h
@@ -81,6 +81,7 @@
     std::map<HostId, platform::Machine> m_listed; ///< Entry hosts of all zones.
     std::uint64_t m_manifestCounter = 0;
     std::uint64_t m_seenView = 0;
+    bool m_seenJoined = false;
     bool m_leaving = false;
 };
 
--- a/packages/daemon/src/manifests.cpp
+++ b/packages/daemon/src/manifests.cpp
@@ -10,7 +10,8 @@
 namespace {
 
     const std::string rootKey = "manifest/root";
-    constexpr Duration watchTime { 10'000 };
+    // Short, since a planned stop waits for the watch to return.
+    constexpr Duration watchTime { 2'000 };
     constexpr Duration retryInterval { 500 };
     constexpr Duration peerTimeout { 1000 };
 
