--- a/scenarios/src/fleet.cpp
+++ b/scenarios/src/fleet.cpp
@@ -192,6 +192,11 @@
 Result<int> Fleet::terminate(const std::string& name, Duration limit)
 {
     BOOST_LEAF_CHECK(signal(name, SIGTERM));
+    return awaitEnd(name, limit);
+}
+
+Result<int> Fleet::awaitEnd(const std::string& name, Duration limit)
+{
     const auto status = find(name)->process->wait(limit);
     if (!status)
         return fail({ ErrorCode::Unavailable, "a process does not end after SIGTERM", name, {} });
--- a/scenarios/src/fleet.h
+++ b/scenarios/src/fleet.h
@@ -46,6 +46,8 @@
     Result<void> signal(const std::string& name, int number);
     /// Sends SIGTERM and waits for the end; the exit status.
     Result<int> terminate(const std::string& name, Duration limit);
+    /// Waits for the end of a process that was signalled; its exit status.
+    Result<int> awaitEnd(const std::string& name, Duration limit);
     bool isLive(const std::string& name);
 
     Member* find(const std::string& name);
--- a/scenarios/src/run.cpp
+++ b/scenarios/src/run.cpp
@@ -98,13 +98,17 @@
 
 Result<void> Run::endHosts()
 {
+    // All at once: a stop may wait for a call to the platform to come back.
+    std::vector<PlannedStop> stops;
     for (const auto& host : m_fleet.hosts()) {
-        if (!m_fleet.isLive(host.str())) {
-            undisturb(host);
-            continue;
+        if (m_fleet.isLive(host.str())) {
+            stops.push_back({ host, systemWallClock()(), {}, 0 });
+            BOOST_LEAF_CHECK(m_fleet.signal(host.str(), SIGTERM));
         }
-        PlannedStop stop { host, systemWallClock()(), {}, 0 };
-        BOOST_LEAF_ASSIGN(stop.exitStatus, m_fleet.terminate(host.str(), endLimit));
+        undisturb(host);
+    }
+    for (auto& stop : stops) {
+        BOOST_LEAF_ASSIGN(stop.exitStatus, m_fleet.awaitEnd(stop.host.str(), endLimit));
         stop.endedAt = systemWallClock()();
         add(stop);
     }
--- a/scenarios/src/steps-requests.cpp
+++ b/scenarios/src/steps-requests.cpp
@@ -196,8 +196,8 @@
                 const auto list = result.json()->getArray("refusals");
                 if (!result.isOk() || !list || list->size() == 0)
                     return false;
-                run.narrate(
-                    "  " + target.host.str() + " knows the refusal: " + list->getElement<std::string>(0));
+                run.narrate("  " + target.host.str()
+                    + " knows the refusal: " + platform::toText(*list->getObject(0)));
                 return true;
             });
     }
