--- a/bench/requests/policy.cpp
+++ b/bench/requests/policy.cpp
@@ -32,6 +32,10 @@
         {
             m_queue.completed(id, took, now);
         }
+        void unanswered(const RequestId& id, Duration took, TimePoint now) override
+        {
+            m_queue.unanswered(id, took, now);
+        }
         std::uint32_t waiting() const override { return m_queue.waiting(); }
 
     private:
@@ -59,6 +63,7 @@
         }
         std::vector<RequestId> givenUp(TimePoint) override { return {}; }
         void completed(const RequestId&, Duration, TimePoint) override { }
+        void unanswered(const RequestId&, Duration, TimePoint) override { }
         std::uint32_t waiting() const override { return static_cast<std::uint32_t>(m_queue.size()); }
 
     private:
--- a/bench/requests/policy.h
+++ b/bench/requests/policy.h
@@ -17,6 +17,7 @@
     virtual std::optional<admission::Request> next(TimePoint now) = 0;
     virtual std::vector<RequestId> givenUp(TimePoint now) = 0;
     virtual void completed(const RequestId& id, Duration took, TimePoint now) = 0;
+    virtual void unanswered(const RequestId& id, Duration took, TimePoint now) = 0;
     virtual std::uint32_t waiting() const = 0;
 };
 
--- a/bench/requests/workload.h
+++ b/bench/requests/workload.h
@@ -31,7 +31,7 @@
     std::uint64_t late = 0;
     std::uint64_t refused = 0;
     std::uint64_t unknown = 0;
-    double usefulMs = 0; ///< Slot time of the useful ones.
+    double usefulMs = 0; ///< Slot time of the useful answers given in the measured time.
     std::vector<double> tookMs; ///< From the offer to the whole answer, useful or late.
 
     double p(double quantile) const;
--- a/bench/requests/zone.h
+++ b/bench/requests/zone.h
@@ -9,6 +9,7 @@
 #include "jujubereach/dispatch/request.h"
 #include "jujubereach/dispatch/retry.h"
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -65,6 +66,7 @@
         std::unique_ptr<Queue> queue;
         std::unique_ptr<dispatch::UpstreamSet> upstreams;
         std::unique_ptr<dispatch::RetryPolicy> retries;
+        std::deque<std::uint64_t> again; // calls whose backoff is over; they go before the queue
     };
 
     void scheduleArrival(std::size_t stream);
@@ -75,7 +77,9 @@
     void send(Host& host, Call& call, const dispatch::Lease& lease);
     void answered(int host, std::uint64_t number, const dispatch::Lease& lease, Micros since,
         const platform::UpstreamAnswer& answer);
-    void retryNow(int host, std::uint64_t number);
+    void backoffOver(int host, std::uint64_t number);
+    bool sendAgain(Host& host);
+    void timeOver(Host& host, Call& call);
     void finish(std::uint64_t number);
     void die(int host);
     void tick();
--- a/packages/admission/include/jujubereach/admission/queue.h
+++ b/packages/admission/include/jujubereach/admission/queue.h
@@ -45,6 +45,9 @@
     /// A request from next() has freed its slot after `took`. Feeds the estimates and corrects shares.
     void completed(const RequestId& id, Duration took, TimePoint now);
 
+    /// A request from next() got no answer in `took`: what it took on its slot is not known, but no less.
+    void unanswered(const RequestId& id, Duration took, TimePoint now);
+
     /// A request from next() did not run: takes back what its workspace and caller were charged.
     void notRun(const RequestId& id);
 
--- a/packages/admission/src/class-queue.cpp
+++ b/packages/admission/src/class-queue.cpp
@@ -70,12 +70,13 @@
     m_workspaces.at(request.workspace).charge(request.caller, work);
 }
 
-void ClassQueue::correct(const Request& request, double difference)
+void ClassQueue::correct(const Request& request, double difference, bool owed)
 {
     m_order.correct(request.workspace, difference);
     if (WorkspaceQueue* queue = find(request.workspace))
         queue->correct(request.caller, difference);
-    m_owed -= difference;
+    if (owed)
+        m_owed -= difference;
 }
 
 void ClassQueue::served(double work, double burst)
--- a/packages/admission/src/class-queue.h
+++ b/packages/admission/src/class-queue.h
@@ -9,6 +9,8 @@
 
 namespace jujubereach::admission {
 
+constexpr double workspaceBurstMs = 1000;
+
 class ClassQueue {
 public:
     explicit ClassQueue(const manifest::WorkClass& workClass)
@@ -39,13 +41,14 @@
     const WorkspaceId& largestWorkspace() const;
 
     void charge(const Request& request, double work);
-    void correct(const Request& request, double difference);
+    /// `owed`: it was served out of the minimum share.
+    void correct(const Request& request, double difference, bool owed);
 
     /// True when the class has not had its minimum share of what was served.
     bool isOwed() const { return m_owed > 0; }
     /// `work` was served by any class; the class keeps at most `burst` of its part for later.
     void served(double work, double burst);
-    /// Takes `work` from what the class is owed.
+    /// `work` was served because the class is owed it. What it gets beyond that costs it nothing.
     void used(double work) { m_owed -= work; }
 
     /// Share of `slots` that the class used in the last second or so.
@@ -55,10 +58,12 @@
 private:
     manifest::WorkClass m_class;
     std::map<WorkspaceId, WorkspaceQueue> m_workspaces;
-    FairOrder<WorkspaceId> m_order; // ready flows are the workspaces with a request that waits
+    FairOrder<WorkspaceId> m_order {
+        workspaceBurstMs
+    }; // ready flows are the workspaces with a request that waits
     std::uint32_t m_waiting = 0; // sum over m_workspaces
     double m_work = 0; // sum over m_workspaces, in milliseconds of slot time
-    double m_owed = 0; // slot time in milliseconds; negative when the class had more
+    double m_owed = 0; // slot time in milliseconds; at most one request below 0
     double m_load = 0; // slots in use, a moving average as of m_loadTime
     TimePoint m_loadTime;
 };
--- a/packages/admission/src/core.cpp
+++ b/packages/admission/src/core.cpp
@@ -5,6 +5,12 @@
 
 namespace jujubereach::admission {
 
+namespace {
+
+    constexpr double burstMs = 1000;
+
+} // namespace
+
 void AdmissionQueue::Core::configure(const manifest::Manifest& manifest, TimePoint now)
 {
     m_weights.clear();
@@ -79,6 +85,30 @@
         m_noSlotsSince = now;
 }
 
+// What a class may save up: its minimum share of the slots for a while.
+double AdmissionQueue::Core::burstOf(const ClassQueue& queue, double work) const
+{
+    return std::max(2 * work, queue.workClass().minimumShare * m_slots * burstMs);
+}
+
+// True when the request may well miss its deadline and its caller has another that waits behind it: the
+// slot is better spent on that one.
+bool AdmissionQueue::Core::isOutrun(const ClassQueue& queue, const Waiting& waiting, TimePoint now) const
+{
+    const WorkspaceQueue* workspace = queue.find(waiting.request.workspace);
+    auto left = static_cast<double>((waiting.request.deadline - now).count());
+    return workspace->waitingOf(waiting.request.caller) > 1 && left < highTookOf(waiting.request, true, now);
+}
+
+// How long requests really wait corrects the predictions for their workspace and class.
+void AdmissionQueue::Core::noteWait(const Waiting& waiting, TimePoint now)
+{
+    ClassQueue* queue = findClass(waiting.request.workClass);
+    WorkspaceQueue* workspace = queue ? queue->find(waiting.request.workspace) : nullptr;
+    if (workspace)
+        workspace->noteWait(waiting.predictedMs, static_cast<double>((now - waiting.since).count()));
+}
+
 ClassQueue* AdmissionQueue::Core::nextClass()
 {
     ClassQueue* first = nullptr;
@@ -97,50 +127,75 @@
 {
     while (ClassQueue* queue = nextClass()) {
         auto waiting = queue->first();
-        if (waiting->latestStart < now) {
+        noteWait(*waiting, now);
+        if (waiting->latestStart < now || isOutrun(*queue, *waiting, now)) {
             giveUp(*queue, waiting, RefusalReason::DeadlineTooNear, now);
             continue;
         }
         Request request = waiting->request;
         double work = waiting->work;
+        bool owed = queue->isOwed();
         queue->charge(request, work);
         forget(waiting);
         queue->remove(waiting);
         for (ClassQueue& each : m_classes)
-            each.served(work, std::max(2 * work, each.workClass().minimumShare * m_slots * work));
-        queue->used(work);
+            each.served(work, burstOf(each, work));
+        if (owed)
+            queue->used(work);
         queue->addLoad(work, now);
-        m_running[request.id] = { request, work };
+        m_running[request.id] = { request, work, owed };
         return request;
     }
     return std::nullopt;
 }
 
-void AdmissionQueue::Core::completed(const RequestId& id, Duration took, TimePoint now)
+std::optional<AdmissionQueue::Core::Running> AdmissionQueue::Core::takeRunning(const RequestId& id)
 {
     auto found = m_running.find(id);
     if (found == m_running.end())
-        return;
+        return std::nullopt;
     Running running = std::move(found->second);
     m_running.erase(found);
-    auto milliseconds = static_cast<double>(took.count());
-    m_took.add(milliseconds / running.request.cost, now);
+    return running;
+}
+
+void AdmissionQueue::Core::completed(const RequestId& id, Duration took, TimePoint now)
+{
+    if (auto running = takeRunning(id))
+        learn(*running, static_cast<double>(took.count()), static_cast<double>(took.count()), now);
+}
+
+// Were a request cut off at its deadline counted as what it took until then, the estimate would fall and
+// the next be started later still. One cut off beyond any usual time tells of a fault, not of the work.
+void AdmissionQueue::Core::unanswered(const RequestId& id, Duration took, TimePoint now)
+{
+    if (auto running = takeRunning(id)) {
+        auto milliseconds = static_cast<double>(took.count());
+        double usual = tookOf(running->request, now);
+        double high = highTookOf(running->request, false, now);
+        learn(*running, milliseconds,
+            milliseconds < high ? std::max(usual, (milliseconds + high) / 2) : usual, now);
+    }
+}
+
+void AdmissionQueue::Core::learn(const Running& running, double usedMs, double sampleMs, TimePoint now)
+{
+    m_took.add(sampleMs / running.request.cost, now);
     ClassQueue* queue = findClass(running.request.workClass);
     if (!queue)
         return;
-    queue->correct(running.request, milliseconds - running.charged);
+    queue->correct(running.request, usedMs - running.charged, running.owed);
     if (WorkspaceQueue* workspace = queue->find(running.request.workspace))
-        workspace->took().add(milliseconds / running.request.cost, now);
+        workspace->took().add(sampleMs / running.request.cost, now);
 }
 
 void AdmissionQueue::Core::notRun(const RequestId& id)
 {
-    auto found = m_running.find(id);
-    if (found == m_running.end())
+    auto running = takeRunning(id);
+    if (!running)
         return;
-    if (ClassQueue* queue = findClass(found->second.request.workClass))
-        queue->correct(found->second.request, -found->second.charged);
-    m_running.erase(found);
+    if (ClassQueue* queue = findClass(running->request.workClass))
+        queue->correct(running->request, -running->charged, running->owed);
 }
 
 bool AdmissionQueue::Core::abandon(const RequestId& id)
--- a/packages/admission/src/core.h
+++ b/packages/admission/src/core.h
@@ -27,6 +27,7 @@
     std::vector<GivenUp> expire(TimePoint now);
     bool abandon(const RequestId& id);
     void completed(const RequestId& id, Duration took, TimePoint now);
+    void unanswered(const RequestId& id, Duration took, TimePoint now);
     void notRun(const RequestId& id);
     Duration predictedWait(const Request& request, TimePoint now) const;
     std::uint32_t waiting() const { return static_cast<std::uint32_t>(m_index.size()); }
@@ -36,6 +37,7 @@
     struct Running {
         Request request;
         double charged = 0; // work, in milliseconds
+        bool owed = false; // served out of the class's minimum share
     };
     enum class Scope { Host, Workspace, Caller };
 
@@ -46,7 +48,7 @@
 
     // offer
     std::optional<RefusalReason> findFault(const Request& request) const;
-    std::optional<Refusal> refuseIfLate(const Request& request, TimePoint now);
+    std::optional<Refusal> refuseIfLate(const Request& request, double wait, TimePoint now);
     std::optional<Refusal> makeRoom(const Request& request, TimePoint now);
     bool displaceOne(const Request& request, Scope scope, TimePoint now);
     ClassQueue* classToDisplace(const Request& request, Scope scope);
@@ -55,7 +57,7 @@
     std::uint32_t boundOf(Scope scope) const;
     bool holdsMost(const ClassQueue& queue, const WorkspaceId& largest, const Request& request) const;
     Refusal counted(Refusal refusal);
-    void admit(const Request& request, TimePoint now);
+    void admit(const Request& request, double predictedMs, TimePoint now);
 
     // give up
     void giveUp(ClassQueue& queue, WaitingList::iterator waiting, RefusalReason reason, TimePoint now);
@@ -65,13 +67,21 @@
     void expireHopelessOf(ClassQueue& queue, const WorkspaceId& id, TimePoint now);
     bool isOut(TimePoint now) const;
     void forget(WaitingList::iterator waiting);
+    /// `usedMs` of a slot; `sampleMs` is what the estimates learn.
+    void learn(const Running& running, double usedMs, double sampleMs, TimePoint now);
+    std::optional<Running> takeRunning(const RequestId& id);
+
+    bool isOutrun(const ClassQueue& queue, const Waiting& waiting, TimePoint now) const;
+    void noteWait(const Waiting& waiting, TimePoint now);
 
     // prediction: milliseconds of slot time and slots
     double tookOf(const ClassQueue& queue, const WorkspaceId& id, TimePoint now) const;
     double tookOf(const Request& request, TimePoint now) const;
+    double highTookOf(const Request& request, bool hasOthers, TimePoint now) const;
     double classSlots(const ClassQueue& queue, TimePoint now) const;
     double workspaceSlots(const ClassQueue& queue, const WorkspaceId& id, TimePoint now) const;
     double waitOf(const ClassQueue& queue, const Request& request, double ahead, TimePoint now) const;
+    double waitAtEnd(const Request& request, TimePoint now) const;
 
     Refusal refusal(RefusalReason reason, const Request& request, double excessMs, TimePoint now);
     Duration retryAfter(const Request& request, double excessMs, TimePoint now);
@@ -79,6 +89,7 @@
     ClassQueue* findClass(const ClassId& id);
     const ClassQueue* findClass(const ClassId& id) const;
     ClassQueue* nextClass();
+    double burstOf(const ClassQueue& queue, double work) const;
     double weightOf(const WorkspaceId& id) const;
 
     Bounds m_bounds;
--- a/packages/admission/src/fair-order.h
+++ b/packages/admission/src/fair-order.h
@@ -10,10 +10,16 @@
 namespace jujubereach::admission {
 
 /// Each flow has a tag, the virtual time at which its next request starts. The least tag is served; it
-/// then moves by work / weight. An idle flow loses what it did not use: it starts again at the virtual
-/// time of the last service.
+/// then moves by work / weight. A flow that asks for less than its share falls behind the virtual time by
+/// no more than `burst`, which lets its next few requests go first; a new flow starts at the virtual time.
 template <typename Key> class FairOrder {
 public:
+    /// `burst` is in milliseconds of slot time for a weight of 1.
+    explicit FairOrder(double burst)
+        : m_burst(burst)
+    {
+    }
+
     bool empty() const { return m_ready.empty(); }
     std::size_t ready() const { return m_ready.size(); }
     double readyWeight() const { return m_readyWeight; }
@@ -30,11 +36,11 @@
     /// The flow has a request that waits.
     void activate(const Key& key, double weight)
     {
-        Flow& flow = m_flows[key];
+        Flow& flow = m_flows.try_emplace(key, Flow { m_virtualTime, weight, false }).first->second;
         if (flow.ready)
             return;
         flow.weight = weight;
-        flow.tag = std::max(flow.tag, m_virtualTime);
+        flow.tag = std::max(flow.tag, m_virtualTime - m_burst);
         flow.ready = true;
         m_ready.emplace(flow.tag, key);
         m_readyWeight += weight;
@@ -81,18 +87,19 @@
     {
         if (flow.ready)
             m_ready.erase({ flow.tag, key });
-        flow.tag = std::max(m_virtualTime, flow.tag + by);
+        flow.tag = std::max(m_virtualTime - m_burst, flow.tag + by);
         if (flow.ready)
             m_ready.emplace(flow.tag, key);
     }
 
-    // An idle flow whose tag has been passed is the same as an unknown one.
+    // An idle flow that has saved its whole burst has not been served for long.
     void forgetIdle()
     {
         if (m_flows.size() < m_sweepAt)
             return;
-        std::erase_if(m_flows,
-            [this](const auto& item) { return !item.second.ready && item.second.tag <= m_virtualTime; });
+        std::erase_if(m_flows, [this](const auto& item) {
+            return !item.second.ready && item.second.tag <= m_virtualTime - m_burst;
+        });
         m_sweepAt = std::max(minimumSweep, 2 * m_flows.size());
     }
 
@@ -100,6 +107,7 @@
     std::set<std::pair<double, Key>> m_ready; // by tag; the key makes ties the same on every run
     std::size_t m_sweepAt = minimumSweep; // size of m_flows at which idle flows are looked for
     double m_readyWeight = 0; // sum over m_ready
+    double m_burst;
     double m_virtualTime = 0; // tag of the last flow served; never goes back
 };
 
--- a/packages/admission/src/offer.cpp
+++ b/packages/admission/src/offer.cpp
@@ -12,11 +12,12 @@
         return counted(refusal(*fault, request, 0, now));
     if (isOut(now))
         return counted(refusal(RefusalReason::NoUpstream, request, 0, now));
-    if (auto late = refuseIfLate(request, now))
+    double wait = waitAtEnd(request, now);
+    if (auto late = refuseIfLate(request, wait, now))
         return counted(*late);
     if (auto full = makeRoom(request, now))
         return counted(*full);
-    admit(request, now);
+    admit(request, wait, now);
     return std::nullopt;
 }
 
@@ -37,12 +38,12 @@
     return std::nullopt;
 }
 
-std::optional<Refusal> AdmissionQueue::Core::refuseIfLate(const Request& request, TimePoint now)
+std::optional<Refusal> AdmissionQueue::Core::refuseIfLate(const Request& request, double wait, TimePoint now)
 {
-    const ClassQueue& queue = *findClass(request.workClass);
-    const WorkspaceQueue* workspace = queue.find(request.workspace);
-    double ahead = workspace ? workspace->workOf(request.caller) : 0;
-    double needed = waitOf(queue, request, ahead, now) + tookOf(request, now);
+    // Where requests wait, a slot is better spent on one that will be in time.
+    const WorkspaceQueue* workspace = findClass(request.workClass)->find(request.workspace);
+    bool hasOthers = workspace && workspace->waitingOf(request.caller) > 0;
+    double needed = wait + (wait > 0 ? highTookOf(request, hasOthers, now) : tookOf(request, now));
     double excess = needed - static_cast<double>((request.deadline - now).count());
     if (excess <= 0)
         return std::nullopt;
@@ -138,11 +139,11 @@
     return mine >= queue.find(largest)->waiting() / weightOf(largest);
 }
 
-void AdmissionQueue::Core::admit(const Request& request, TimePoint now)
+void AdmissionQueue::Core::admit(const Request& request, double predictedMs, TimePoint now)
 {
     double work = tookOf(request, now);
     auto latestStart = request.deadline - Duration(static_cast<Duration::rep>(work));
-    insert({ request, work, now, latestStart });
+    insert({ request, work, predictedMs, now, latestStart });
     ++m_counts.admitted;
 }
 
--- a/packages/admission/src/predict.cpp
+++ b/packages/admission/src/predict.cpp
@@ -10,6 +10,8 @@
     constexpr double initialTookMs = 50; // until the first request has finished
     constexpr double leastTookMs = 0.1;
     constexpr double leastSlots = 0.01;
+    constexpr double mostlyDeviations = 3;
+    constexpr double surelyDeviations = 5;
     constexpr double maxWaitMs = 3'600'000;
     constexpr double leastRetryMs = 100;
     constexpr double mostRetryMs = 60'000;
@@ -31,6 +33,18 @@
     return queue ? request.cost * tookOf(*queue, request.workspace, now) : initialTookMs;
 }
 
+// What nearly all requests of this kind stay within. A caller who has others that wait can spare one that
+// may be late, so that its slots go to those that are surely in time.
+double AdmissionQueue::Core::highTookOf(const Request& request, bool hasOthers, TimePoint now) const
+{
+    double deviations = hasOthers ? surelyDeviations : mostlyDeviations;
+    const ClassQueue* queue = findClass(request.workClass);
+    const WorkspaceQueue* workspace = queue ? queue->find(request.workspace) : nullptr;
+    if (workspace && workspace->took().known())
+        return request.cost * workspace->took().high(deviations, now);
+    return m_took.known() ? request.cost * m_took.high(deviations, now) : tookOf(request, now);
+}
+
 // The slots that a class gets while it has requests that wait: what more urgent classes leave, less the
 // minimum shares of waiting classes below it, but never less than its own minimum share.
 double AdmissionQueue::Core::classSlots(const ClassQueue& queue, TimePoint now) const
@@ -73,17 +87,24 @@
     double byClass = queue.work() / slots;
     double byWorkspace = (workspaceWork + took / 2) / own;
     double byCaller = (ahead + took / 2) * flows / own;
-    return std::min(maxWaitMs, turnOfClass + std::min({ byClass, byWorkspace, byCaller }));
+    double correction = workspace ? workspace->waitCorrection() : 1;
+    double wait = turnOfClass + std::min({ byClass, byWorkspace, byCaller });
+    return std::min(maxWaitMs, correction * wait);
+}
+
+// Wait of a request that comes now.
+double AdmissionQueue::Core::waitAtEnd(const Request& request, TimePoint now) const
+{
+    const ClassQueue& queue = *findClass(request.workClass);
+    const WorkspaceQueue* workspace = queue.find(request.workspace);
+    return waitOf(queue, request, workspace ? workspace->workOf(request.caller) : 0, now);
 }
 
 Duration AdmissionQueue::Core::predictedWait(const Request& request, TimePoint now) const
 {
-    const ClassQueue* queue = findClass(request.workClass);
-    if (!queue)
+    if (!findClass(request.workClass))
         return Duration(0);
-    const WorkspaceQueue* workspace = queue->find(request.workspace);
-    double ahead = workspace ? workspace->workOf(request.caller) : 0;
-    return Duration(static_cast<Duration::rep>(waitOf(*queue, request, ahead, now)));
+    return Duration(static_cast<Duration::rep>(waitAtEnd(request, now)));
 }
 
 Refusal AdmissionQueue::Core::refusal(
--- a/packages/admission/src/queue.cpp
+++ b/packages/admission/src/queue.cpp
@@ -49,6 +49,11 @@
     m_core->completed(id, took, now);
 }
 
+void AdmissionQueue::unanswered(const RequestId& id, Duration took, TimePoint now)
+{
+    m_core->unanswered(id, took, now);
+}
+
 void AdmissionQueue::notRun(const RequestId& id)
 {
     m_core->notRun(id);
--- a/packages/admission/src/workspace-queue.cpp
+++ b/packages/admission/src/workspace-queue.cpp
@@ -1,10 +1,16 @@
 #include "workspace-queue.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace jujubereach::admission {
 
 namespace {
 
     constexpr double longestReturnsMs = 120'000;
+    constexpr double leastPredictedMs = 50;
+    constexpr double strongestCorrection = 3;
+    constexpr double correctionGain = 0.005;
 
 } // namespace
 
@@ -68,6 +74,15 @@
         m_work = 0; // no sum of rounding errors
 }
 
+void WorkspaceQueue::noteWait(double predictedMs, double actualMs)
+{
+    if (predictedMs < leastPredictedMs)
+        return; // too short to tell
+    double ratio = std::clamp(actualMs / predictedMs, 1 / strongestCorrection, strongestCorrection);
+    m_waitCorrection *= std::pow(ratio, correctionGain);
+    m_waitCorrection = std::clamp(m_waitCorrection, 1 / strongestCorrection, strongestCorrection);
+}
+
 double WorkspaceQueue::returnsIn(TimePoint now) const
 {
     return std::max(0.0, m_returnsMs - static_cast<double>((now - m_returnsSince).count()));
--- a/packages/admission/src/workspace-queue.h
+++ b/packages/admission/src/workspace-queue.h
@@ -16,6 +16,7 @@
 struct Waiting {
     Request request;
     double work = 0; ///< Expected slot time in milliseconds.
+    double predictedMs = 0; ///< Wait, when admitted.
     TimePoint since;
     TimePoint latestStart; ///< A later start misses the deadline.
 };
@@ -26,6 +27,8 @@
     double work = 0; ///< Sum over `list`.
 };
 
+constexpr double callerBurstMs = 4000;
+
 class WorkspaceQueue {
 public:
     explicit WorkspaceQueue(double weight)
@@ -58,6 +61,10 @@
     TookEstimate& took() { return m_took; }
     const TookEstimate& took() const { return m_took; }
 
+    /// A request waited `actualMs`; what had been predicted for it is corrected by the ratio seen so far.
+    void noteWait(double predictedMs, double actualMs);
+    double waitCorrection() const { return m_waitCorrection; }
+
     /// A refused caller of the workspace comes back, `turnMs` after the one refused before it.
     void addReturn(double turnMs, TimePoint now);
     /// When the caller refused last is due, in milliseconds from now.
@@ -66,11 +73,12 @@
 private:
     double m_weight;
     std::unordered_map<CallerId, CallerQueue> m_callers; // none is empty
-    FairOrder<CallerId> m_order; // ready flows are the keys of m_callers
+    FairOrder<CallerId> m_order { callerBurstMs }; // ready flows are the keys of m_callers
     std::set<std::pair<std::uint32_t, CallerId>> m_bySize; // (size, caller) of each of m_callers
     std::uint32_t m_waiting = 0; // sum of the sizes of m_callers
     double m_work = 0; // sum of the works of m_callers
     TookEstimate m_took;
+    double m_waitCorrection = 1; // of predicted waits
     double m_returnsMs = 0; // when the caller refused last is due, from m_returnsSince
     TimePoint m_returnsSince;
 };
--- a/packages/dispatch/include/jujubereach/dispatch/credits.h
+++ b/packages/dispatch/include/jujubereach/dispatch/credits.h
@@ -40,6 +40,8 @@
 constexpr Duration creditTerm { 500 };
 /// The lender counts a loan for so much longer than its term: transit and one lost report.
 constexpr Duration creditMargin { 300 };
+/// The part of a peer that has not reported for so long is shared by the others until it reports again.
+constexpr Duration creditSilence { 500 };
 
 /// The part of `slots` that `self` has when `hosts` are live; the parts of all hosts sum to `slots`.
 std::uint32_t creditShare(
@@ -100,9 +102,13 @@
     void noteHeld(const CreditReport& report, TimePoint now);
     bool isPeer(const HostId& host) const;
     void share(const UpstreamId& upstream, Book& book) const;
+    void shareAll();
+    void noteSilence(TimePoint now);
 
     std::map<UpstreamId, Book> m_books;
     std::vector<HostId> m_hosts; // sorted; holds m_self
+    std::vector<HostId> m_sharing; // those of m_hosts that are not silent; the slots are split among them
+    std::map<HostId, TimePoint> m_heard; // last report of each peer, or when it was first missed
     HostId m_self;
     Incarnation m_incarnation;
     std::uint32_t m_wanted = 0; // as of the last report
--- a/packages/dispatch/include/jujubereach/dispatch/upstreams.h
+++ b/packages/dispatch/include/jujubereach/dispatch/upstreams.h
@@ -91,6 +91,13 @@
         bool probe = false;
     };
 
+    struct Doubtful {
+        UpstreamId upstream;
+        CreditSource source;
+        TimePoint until;
+    };
+
+    void giveBackDoubtful(TimePoint now);
     bool canTake(const Upstream& upstream, TimePoint now) const;
     Upstream* best(const PickFor& request, TimePoint now);
     Upstream* dueProbe(const PickFor& request, TimePoint now);
@@ -103,6 +110,7 @@
     std::map<UpstreamId, std::unique_ptr<Upstream>> m_upstreams;
     std::unordered_map<std::uint64_t, Taken> m_taken; // leases by number
     std::unordered_map<ClassId, double> m_expected; // zone's mean answer time of a class, in milliseconds
+    std::vector<Doubtful> m_doubtful; // credits of requests without answer: their slots may be in use still
     std::uint64_t m_lastLease = 0;
 };
 
--- a/packages/dispatch/src/credits.cpp
+++ b/packages/dispatch/src/credits.cpp
@@ -49,8 +49,10 @@
     if (!isPeer(m_self))
         m_hosts.push_back(m_self);
     std::sort(m_hosts.begin(), m_hosts.end());
+    std::erase_if(m_heard, [this](const auto& item) { return !isPeer(item.first); });
+    m_sharing = m_hosts;
+    shareAll();
     for (auto& [id, book] : m_books) {
-        share(id, book);
         std::erase_if(book.lentTo, [this](const auto& item) { return !isPeer(item.first); });
         std::erase_if(book.borrowedFrom,
             [this](const auto& item) { return !isPeer(item.first) && item.second.used == 0; });
@@ -70,7 +72,31 @@
 
 void CreditBook::share(const UpstreamId& upstream, Book& book) const
 {
-    book.share = m_hosts.empty() ? book.slots : creditShare(upstream, book.slots, m_hosts, m_self);
+    book.share = m_sharing.empty() ? book.slots : creditShare(upstream, book.slots, m_sharing, m_self);
+}
+
+void CreditBook::shareAll()
+{
+    for (auto& [id, book] : m_books)
+        share(id, book);
+}
+
+// Splits the slots anew when a peer falls silent or is heard again. A host that hears nobody of several
+// peers is more likely cut off than alone, and keeps its part.
+void CreditBook::noteSilence(TimePoint now)
+{
+    std::vector<HostId> sharing;
+    for (const HostId& host : m_hosts) {
+        TimePoint heard = host == m_self ? now : m_heard.try_emplace(host, now).first->second;
+        if (now - heard < creditSilence)
+            sharing.push_back(host);
+    }
+    if (sharing.size() == 1 && m_hosts.size() > 2)
+        sharing = m_hosts;
+    if (sharing == m_sharing)
+        return;
+    m_sharing = std::move(sharing);
+    shareAll();
 }
 
 void CreditBook::remove(const UpstreamId& upstream)
@@ -152,6 +178,7 @@
 CreditReport CreditBook::report(std::uint32_t wanted, TimePoint now)
 {
     m_wanted = wanted;
+    noteSilence(now);
     CreditReport report { m_self, m_incarnation, wanted, {} };
     for (auto& [id, book] : m_books) {
         for (auto& [lender, loan] : book.borrowedFrom) {
@@ -166,6 +193,7 @@
 void CreditBook::noteHeld(const CreditReport& report, TimePoint now)
 {
     m_incarnations[report.host] = report.incarnation;
+    m_heard[report.host] = now;
     for (auto& [id, book] : m_books) {
         auto loan = book.lentTo.find(report.host);
         if (loan == book.lentTo.end())
--- a/packages/dispatch/src/upstreams.cpp
+++ b/packages/dispatch/src/upstreams.cpp
@@ -10,6 +10,7 @@
 
     constexpr double initialExpectedMs = 50;
     constexpr double expectedGain = 0.02;
+    constexpr int doubtFactor = 1; // of the usual time, for which a request without answer keeps its credit
     constexpr double longestRatio
         = 10; // of one answer, so that a slow upstream does not move the zone's mean
 
@@ -78,8 +79,19 @@
         [&](const auto& item) { return canTake(*item.second, now) || item.second->probeDue(true, now); });
 }
 
+void UpstreamSet::giveBackDoubtful(TimePoint now)
+{
+    std::erase_if(m_doubtful, [&](const Doubtful& doubtful) {
+        if (now < doubtful.until)
+            return false;
+        m_credits.giveBack(doubtful.upstream, doubtful.source);
+        return true;
+    });
+}
+
 std::optional<Lease> UpstreamSet::pick(const PickFor& request, TimePoint now)
 {
+    giveBackDoubtful(now);
     if (Upstream* upstream = dueProbe(request, now))
         return take(*upstream, request, true, now);
     if (Upstream* upstream = best(request, now))
@@ -136,7 +148,11 @@
         return;
     Taken taken = std::move(found->second);
     m_taken.erase(found);
-    m_credits.giveBack(taken.upstream, taken.source);
+    if (answer.status == platform::UpstreamStatus::Unknown)
+        m_doubtful.push_back(
+            { taken.upstream, taken.source, now + doubtFactor * expectedOf(taken.workClass) });
+    else
+        m_credits.giveBack(taken.upstream, taken.source);
     auto upstream = m_upstreams.find(taken.upstream);
     if (upstream == m_upstreams.end())
         return;
@@ -163,6 +179,7 @@
 
 CreditReport UpstreamSet::report(std::uint32_t wanted, TimePoint now)
 {
+    giveBackDoubtful(now);
     return m_credits.report(wanted, now);
 }
 
