--- a/packages/jobs/include/jujubereach/jobs/owner.h
+++ b/packages/jobs/include/jujubereach/jobs/owner.h
@@ -132,7 +132,7 @@
     /// When tick() is due although nothing happens.
     TimePoint nextDue(TimePoint now) const;
     std::vector<JobEvent> takeEvents();
-    std::vector<std::string> takeLog(); ///< Short sentences.
+    std::vector<std::string> takeLog(); ///< Short sentences, without the domain's id.
 
     /// True while a fresh majority of the worker leases is held: only then may a job be accepted or an
     /// event be journaled.
--- a/packages/jobs/src/owner.cpp
+++ b/packages/jobs/src/owner.cpp
@@ -29,7 +29,7 @@
 
 void DomainOwner::Impl::say(const std::string& sentence)
 {
-    m_log.push_back("jobs: " + m_config.domain.str() + ": " + sentence);
+    m_log.push_back(sentence);
 }
 
 void DomainOwner::Impl::setOwning(bool should, TimePoint now)
