--- /dev/null
+++ b/packages/scheduling/src/order.cpp
@@ -0,0 +1,67 @@
+#include "order.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jujubereach::scheduling {
+
+Order::Order(const State& state, TimePoint now)
+    : m_state(state)
+    , m_now(now)
+{
+    for (const auto& [id, workspace] : state.workspaces) {
+        if (workspace.queued > 0 || workspace.used > 0)
+            m_weights += workspace.config.weight;
+    }
+}
+
+double Order::fairShare(const WorkspaceState& workspace) const
+{
+    return m_weights > 0 ? m_state.line.usableCount() * workspace.config.weight / m_weights : 0;
+}
+
+bool Order::aboveMinimum(const ClassState& workClass) const
+{
+    return workClass.used >= workClass.config.minimumShare * m_state.line.usableCount();
+}
+
+int Order::rankOf(const Job& job) const
+{
+    auto aged = static_cast<int>(job.waited(m_now) / m_state.policy.rankAgingTime);
+    return std::max(0, static_cast<int>(m_state.classes.at(job.spec.workClass).config.rank) - aged);
+}
+
+double Order::areaOf(const Job& job, Duration left) const
+{
+    auto area = static_cast<double>(std::max<Duration::rep>(left.count(), 1)) * job.spec.accelerators;
+    return std::log2(area)
+        - static_cast<double>(job.waited(m_now).count())
+        / static_cast<double>(m_state.policy.agingTime.count());
+}
+
+Priority Order::of(const Job& job) const
+{
+    Priority priority;
+    priority.sequence = job.sequence;
+    if (!m_state.policy.shortestFirst)
+        return priority;
+    const auto& workspace = m_state.workspaces.at(job.spec.workspace);
+    priority.aboveMinimum = aboveMinimum(m_state.classes.at(job.spec.workClass));
+    priority.rank = rankOf(job);
+    priority.aboveShare = workspace.used >= fairShare(workspace);
+    priority.area = areaOf(job, job.predicted);
+    return priority;
+}
+
+bool Order::outranks(const Job& job, const Gang& gang) const
+{
+    constexpr double factor = 2; ///< Of the logarithm: a quarter of the area.
+    auto own = rankOf(job);
+    auto other = rankOf(*gang.job);
+    if (own != other)
+        return own < other;
+    auto left = m_state.predictedEnd(gang, m_now) - m_now;
+    return areaOf(job, job.predicted) + factor <= areaOf(*gang.job, left);
+}
+
+} // namespace jujubereach::scheduling
