Carry sections of the manifest, the refusal ledger and copies on the processes

Cause: the manifest was one value, refusals lived in one host's memory, and copies were kept by ad hoc code. Manifests now drives ManifestHolder and ApplySession (sections, operation ids, conflicts), Refusals drives the ledger with segments in the service, Copies drives the outage buffer.

--- a/packages/daemon/src/api.h
+++ b/packages/daemon/src/api.h
@@ -24,6 +24,8 @@
     std::vector<std::string> path; ///< Segments without the slashes, decoded.
     std::map<std::string, std::string> query;
     std::string operationId; ///< Header X-Operation-Id.
+    std::string operatorName; ///< Header X-Operator.
+    bool rebase = false; ///< Header X-Rebase.
     std::optional<std::uint64_t> baseRevision; ///< Header X-Base-Revision.
     std::string body;
     std::shared_ptr<std::atomic<bool>> callerGone; ///< Set when the caller closed its connection.
--- a/packages/daemon/src/cluster.cpp
+++ b/packages/daemon/src/cluster.cpp
@@ -62,10 +62,7 @@
     m_manifestCounters[message.from] = message.manifestCounter;
     send(m_members.onMessage(message, m_ctx.clock()));
     reportChanges();
-    if (message.manifestCounter <= m_manifestCounter)
-        return;
-    if (const auto address = addressOf(message.from))
-        m_hooks.onNewerManifest(message.manifestCounter, *address);
+    m_hooks.onPeerManifest(message.from, message.manifestCounter);
 }
 
 void Cluster::send(const std::vector<membership::Outgoing>& messages)
@@ -89,6 +86,11 @@
     m_hooks.onView();
 }
 
+bool Cluster::isDelegate() const
+{
+    return membership::isDelegate(live(), m_ctx.settings.zone, m_ctx.self.host);
+}
+
 membership::ZoneDigest Cluster::ownDigest() const
 {
     membership::ZoneDigest digest;
@@ -106,8 +108,7 @@
 
 void Cluster::sendDigests()
 {
-    const bool delegate = membership::isDelegate(live(), m_ctx.settings.zone, m_ctx.self.host);
-    for (const auto& outgoing : m_links.tick(ownDigest(), delegate, m_ctx.clock()))
+    for (const auto& outgoing : m_links.tick(ownDigest(), isDelegate(), m_ctx.clock()))
         m_ctx.peers->notify(outgoing.address, wire::bodyOf(toWire(outgoing.digest)));
 }
 
@@ -117,8 +118,8 @@
     const bool answer = m_links.onDigest(digest, m_ctx.clock());
     if (answer && !digest.delegates.empty())
         m_ctx.peers->notify(digest.delegates.front().address, wire::bodyOf(toWire(ownDigest())));
-    if (digest.manifestCounter > m_manifestCounter && !digest.delegates.empty())
-        m_hooks.onNewerManifest(digest.manifestCounter, digest.delegates.front().address);
+    if (!digest.delegates.empty())
+        m_hooks.onPeerManifest(digest.delegates.front().id, digest.manifestCounter);
 }
 
 void Cluster::setManifestCounter(std::uint64_t counter)
@@ -224,6 +225,12 @@
 {
     if (auto address = addressOf(host))
         return address;
+    for (const auto& [zone, record] : m_links.zones()) {
+        for (const auto& delegate : record.digest.delegates) {
+            if (delegate.id == host)
+                return delegate.address;
+        }
+    }
     auto it = m_listed.find(host);
     return it == m_listed.end() ? std::nullopt : std::optional(it->second.address);
 }
@@ -240,14 +247,14 @@
     return addresses;
 }
 
-std::vector<std::string> Cluster::otherZoneAddresses() const
+std::vector<membership::DelegateContact> Cluster::otherZoneContacts() const
 {
-    std::vector<std::string> addresses;
+    std::vector<membership::DelegateContact> contacts;
     for (const auto& [zone, record] : m_links.zones()) {
         if (!m_links.cutOff(zone, m_ctx.clock()) && !record.digest.delegates.empty())
-            addresses.push_back(record.digest.delegates.front().address);
+            contacts.push_back(record.digest.delegates.front());
     }
-    return addresses;
+    return contacts;
 }
 
 std::vector<std::string> Cluster::allAddresses() const
--- a/packages/daemon/src/cluster.h
+++ b/packages/daemon/src/cluster.h
@@ -16,8 +16,8 @@
 struct ClusterHooks {
     std::function<void()> onView; ///< The live hosts of the zone changed.
     std::function<void(const std::vector<platform::Machine>&)> onMachines; ///< A fresh list of the zone.
-    /// A peer holds a newer manifest; its inner address.
-    std::function<void(std::uint64_t counter, const std::string& address)> onNewerManifest;
+    /// A peer, of this zone or a delegate of another, has this manifest in force.
+    std::function<void(const HostId& peer, std::uint64_t counter)> onPeerManifest;
     std::function<void()> onSuperseded; ///< A later start of this host is known.
 };
 
@@ -48,8 +48,9 @@
     std::optional<std::string> addressOf(const HostId& host) const;
     /// Inner addresses of the other live hosts of the zone.
     std::vector<std::string> peerAddresses() const;
-    /// One inner address of each other zone that was heard lately.
-    std::vector<std::string> otherZoneAddresses() const;
+    bool isDelegate() const;
+    /// One delegate of each other zone that was heard lately.
+    std::vector<membership::DelegateContact> otherZoneContacts() const;
     /// Inner addresses of every other known entry host, of all zones.
     std::vector<std::string> allAddresses() const;
     std::optional<std::string> addressInZone(const ZoneId& zone) const;
--- a/packages/daemon/src/committer-driver.h
+++ b/packages/daemon/src/committer-driver.h
@@ -1,25 +1,18 @@
 // Runs a group committer: carries its calls to the service and its completions back.
 #pragma once
 
-#include "context.h"
-#include "jujubereach/journal/group-log.h"
+#include "call-driver.h"
 
 #include <functional>
 #include <memory>
 #include <string>
-#include <vector>
 
 namespace jujubereach::daemon {
 
-struct DriverHooks {
-    std::function<void(const journal::Completion&)> onCompletion;
-    std::function<void()> onReply; ///< After each call to the service, also a failed one. May be empty.
-};
-
-class CommitterDriver : public std::enable_shared_from_this<CommitterDriver> {
+class CommitterDriver {
 public:
-    static std::shared_ptr<CommitterDriver> create(
-        Context& ctx, journal::CommitterConfig config, journal::Apply apply, DriverHooks hooks);
+    CommitterDriver(Context& ctx, journal::CommitterConfig config, journal::Apply apply,
+        std::function<void(const journal::Completion&)> onCompletion);
 
     bool add(journal::Record record);
     journal::CommitStatus withdraw(const std::string& id) { return m_committer.withdraw(id); }
@@ -27,17 +20,12 @@
     const journal::GroupCommitter& committer() const { return m_committer; }
 
 private:
-    CommitterDriver(Context& ctx, journal::CommitterConfig config, journal::Apply apply, DriverHooks hooks);
-    void advance();
     void complete();
-    void wakeLater();
-    void onReply(const platform::KvReply& reply);
 
     Context& m_ctx;
-    const DriverHooks m_hooks;
+    const std::function<void(const journal::Completion&)> m_onCompletion;
     journal::GroupCommitter m_committer;
-    bool m_calling = false;
-    bool m_timerSet = false;
+    std::shared_ptr<CallDriver> m_driver; ///< Last: its callbacks use the rest, and end with it.
 };
 
 } // namespace jujubereach::daemon
--- a/packages/daemon/src/context.h
+++ b/packages/daemon/src/context.h
@@ -50,8 +50,14 @@
     WallClock wallClock;
     journal::CallBudget& budget; ///< Of calls to the service, for all parts of this host.
     Random random;
+    bool serviceAnswers = false; ///< As of the last call to the service that ended.
     std::shared_ptr<wire::Peers> peers; ///< Set once the inner address listens.
 
+    void noteService(platform::KvStatus status)
+    {
+        serviceAnswers = status != platform::KvStatus::Unreachable && status != platform::KvStatus::Unknown;
+    }
+
     /// Names this start of this host, also as holder of worker leases.
     std::string holder() const { return self.host.str() + "#" + std::to_string(self.incarnation.value); }
 };
--- a/packages/daemon/src/copies.cpp
+++ b/packages/daemon/src/copies.cpp
@@ -1,31 +1,56 @@
 #include "copies.h"
 
 #include "jujubereach/journal/job-journal.h"
+#include "jujubereach/ledger/refusal.h"
 
 #include <glog/logging.h>
 
+#include <charconv>
+
 namespace jujubereach::daemon {
 
 namespace {
 
-    constexpr std::size_t maxCopies = 20'000;
     constexpr Duration copyTimeout { 500 };
-    constexpr Duration flushInterval { 500 };
-    // Below the time for which the journal keeps ends, so that a flush never revives an ended job.
-    constexpr Duration copyRetention { 45 * 60'000 };
+    constexpr Duration tickInterval { 200 };
     constexpr std::size_t flushedAtOnce = 200;
 
-    std::string packed(const journal::Record& record)
+    wire::PeerCopyT toWire(const journal::PeerCopy& copy)
+    {
+        wire::PeerCopyT message;
+        message.holder = copy.holder;
+        message.key = copy.key;
+        message.journaled = copy.journaled;
+        for (const auto& record : copy.records) {
+            auto entry = std::make_unique<wire::CopiedRecordT>();
+            entry->id = record.id;
+            entry->body = record.body;
+            message.records.push_back(std::move(entry));
+        }
+        return message;
+    }
+
+    journal::PeerCopy fromWire(const wire::PeerCopyT& message)
     {
-        return record.id + "\n" + record.body;
+        journal::PeerCopy copy { message.holder, message.key, {}, message.journaled };
+        for (const auto& entry : message.records)
+            copy.records.push_back({ entry->id, entry->body });
+        return copy;
     }
 
-    journal::Record unpacked(const std::string& text)
+    bool isRefusals(const std::string& key)
     {
-        const auto end = text.find('\n');
-        if (end == std::string::npos)
-            return { text, {} };
-        return { text.substr(0, end), text.substr(end + 1) };
+        return key.starts_with(ledger::segmentPrefix());
+    }
+
+    // Splits "<host>#<incarnation>".
+    std::pair<HostId, Incarnation> splitHolder(const std::string& holder)
+    {
+        const auto mark = holder.find('#');
+        Incarnation incarnation;
+        if (mark != std::string::npos)
+            std::from_chars(holder.data() + mark + 1, holder.data() + holder.size(), incarnation.value);
+        return { HostId(holder.substr(0, mark)), incarnation };
     }
 
 } // namespace
@@ -33,137 +58,108 @@
 Copies::Copies(Context& ctx, Cluster& cluster)
     : m_ctx(ctx)
     , m_cluster(cluster)
+    , m_own(ctx.holder(), {})
+    , m_kept({}, ctx.random.next())
 {
 }
 
 void Copies::start()
 {
-    m_ctx.loop.every(flushInterval, [this] { flushOrphans(); });
+    m_ctx.loop.every(tickInterval, [this] {
+        sendDue();
+        noteGoneHolders();
+        flush();
+        m_kept.expire(m_ctx.clock());
+    });
+}
+
+bool Copies::spread(
+    const std::string& key, const journal::Record& record, std::function<void(bool copied)> then)
+{
+    if (!m_own.add(key, record))
+        return false;
+    send({ m_ctx.holder(), key, { record }, {} }, then);
+    return true;
+}
+
+void Copies::release(const std::string& key, const std::string& recordId)
+{
+    m_own.onJournaled(key, recordId);
+}
+
+void Copies::sendDue()
+{
+    for (const auto& copy : m_own.dueCopies(m_ctx.clock())) {
+        send(copy, [this, copy](bool copied) {
+            if (copied)
+                m_own.onCopied(copy);
+        });
+    }
 }
 
-void Copies::spread(
-    const std::string& scope, const journal::Record& record, const std::function<void(std::size_t)>& then)
+void Copies::send(const journal::PeerCopy& copy, const std::function<void(bool copied)>& then)
 {
     struct Count {
         std::size_t waiting = 0;
-        std::size_t taken = 0;
+        bool taken = false;
     };
     const auto peers = m_cluster.peerAddresses();
     if (peers.empty())
-        return then(0);
+        return then(false);
     auto count = std::make_shared<Count>();
     count->waiting = peers.size();
     for (const auto& address : peers) {
-        wire::CopyRecordsT copy;
-        copy.kind = wire::CopyKind::Jobs;
-        copy.scope = scope;
-        copy.records.push_back(packed(record));
         m_ctx.peers->call(
-            address, wire::bodyOf(std::move(copy)), copyTimeout, [count, then](wire::CallResult result) {
-                if (result.reply && result.reply->body.AsAccepted())
-                    ++count->taken;
+            address, wire::bodyOf(toWire(copy)), copyTimeout, [count, then](const wire::CallResult& result) {
+                count->taken = count->taken || (result.reply && result.reply->body.AsAccepted());
                 if (--count->waiting == 0)
                     then(count->taken);
             });
     }
 }
 
-void Copies::release(const std::string& scope, const std::string& recordId)
+bool Copies::keep(const wire::PeerCopyT& message)
 {
-    for (const auto& address : m_cluster.peerAddresses()) {
-        wire::DropCopiesT drop;
-        drop.kind = wire::CopyKind::Jobs;
-        drop.scope = scope;
-        drop.ids.push_back(recordId);
-        m_ctx.peers->notify(address, wire::bodyOf(std::move(drop)));
-    }
-}
-
-bool Copies::keep(const wire::EnvelopeT& envelope, const wire::CopyRecordsT& copy)
-{
-    if (count() + copy.records.size() > maxCopies)
-        return false;
-    for (const auto& text : copy.records) {
-        auto record = unpacked(text);
-        const auto id = record.id;
-        m_scopes[copy.scope][id]
-            = { std::move(record), HostId(envelope.host), { envelope.incarnation }, m_ctx.clock(), false };
-    }
-    return true;
-}
-
-void Copies::drop(const wire::DropCopiesT& copy)
-{
-    auto it = m_scopes.find(copy.scope);
-    if (it == m_scopes.end())
-        return;
-    for (const auto& id : copy.ids)
-        it->second.erase(id);
-    if (it->second.empty())
-        m_scopes.erase(it);
+    m_holders.insert(message.holder);
+    return m_kept.store(fromWire(message), m_ctx.clock());
 }
 
-std::vector<journal::Record> Copies::orphansOf(const std::string& scope) const
+void Copies::noteGoneHolders()
 {
-    std::vector<journal::Record> records;
-    auto it = m_scopes.find(scope);
-    if (it == m_scopes.end())
-        return records;
-    for (const auto& [id, copy] : it->second) {
-        if (isOrphan(copy))
-            records.push_back(copy.record);
-    }
-    return records;
-}
-
-std::size_t Copies::count() const
-{
-    std::size_t total = 0;
-    for (const auto& [name, scope] : m_scopes)
-        total += scope.size();
-    return total;
-}
-
-void Copies::flushOrphans()
-{
-    std::size_t flushed = 0;
-    for (auto& [name, scope] : m_scopes) {
-        std::erase_if(
-            scope, [&](const auto& entry) { return m_ctx.clock() - entry.second.keptAt > copyRetention; });
-        for (auto& [id, copy] : scope) {
-            if (flushed >= flushedAtOnce)
-                return;
-            if (copy.flushing || !isOrphan(copy))
-                continue;
-            flush(name, copy);
-            ++flushed;
+    for (auto it = m_holders.begin(); it != m_holders.end();) {
+        const auto [host, incarnation] = splitHolder(*it);
+        if (!m_cluster.isGone(host, incarnation)) {
+            ++it;
+            continue;
         }
+        LOG(INFO) << "copies: " << *it << " is gone, its copies are flushed when the service answers";
+        m_kept.onHolderGone(*it, m_ctx.clock());
+        it = m_holders.erase(it);
     }
 }
 
-void Copies::flush(const std::string& scope, Copy& copy)
+void Copies::flush()
 {
-    copy.flushing = writerOf(scope)->add(journal::asCopied(copy.record));
+    for (const auto& copy : m_kept.takeFlush(m_ctx.serviceAnswers, flushedAtOnce, m_ctx.clock())) {
+        for (const auto& record : copy.records)
+            writerOf(copy.key).add(isRefusals(copy.key) ? record : journal::asCopied(record));
+    }
 }
 
-std::shared_ptr<CommitterDriver> Copies::writerOf(const std::string& scope)
+CommitterDriver& Copies::writerOf(const std::string& key)
 {
-    auto& writer = m_writers[scope];
+    auto& writer = m_writers[key];
     if (writer)
-        return writer;
+        return *writer;
     journal::CommitterConfig config;
-    config.key = scope;
+    config.key = key;
     config.writer = m_ctx.holder() + "/copies";
-    config.rank = journal::CallRank::Jobs;
+    config.rank = isRefusals(key) ? journal::CallRank::Refusals : journal::CallRank::Jobs;
     config.seed = m_ctx.random.next();
-    DriverHooks hooks;
-    hooks.onCompletion = [this, scope](const journal::Completion& completion) {
-        LOG(INFO) << "copies: record " << completion.id << " of a host that is gone is flushed";
-        if (auto it = m_scopes.find(scope); it != m_scopes.end())
-            it->second.erase(completion.id);
-    };
-    writer = CommitterDriver::create(m_ctx, std::move(config), journal::jobJournalApply(), std::move(hooks));
-    return writer;
+    auto apply = isRefusals(key) ? journal::Apply(ledger::applyEntries) : journal::jobJournalApply();
+    writer = std::make_unique<CommitterDriver>(m_ctx, std::move(config), std::move(apply),
+        [this, key](const journal::Completion& completion) { m_kept.onJournaled(key, completion.id); });
+    return *writer;
 }
 
 } // namespace jujubereach::daemon
--- a/packages/daemon/src/copies.h
+++ b/packages/daemon/src/copies.h
@@ -1,15 +1,16 @@
-// Copies of peers' records that are not durable yet. Bounded; flushed when their owner is gone and the
-// service answers; never read as the truth while it does.
+// Copies of records that are not durable yet: this host's own, spread to its peers, and the peers', kept
+// here until they are durable. Flushed when their owner is gone and the service answers.
 #pragma once
 
 #include "cluster.h"
 #include "committer-driver.h"
 #include "context.h"
-#include "jujubereach/journal/group-log.h"
+#include "jujubereach/journal/outage-buffer.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,38 +22,30 @@
 
     void start();
 
-    /// Gives the record to the other hosts of the zone; `then` gets the number that took it.
-    void spread(const std::string& scope, const journal::Record& record,
-        const std::function<void(std::size_t)>& then);
+    /// Gives the record to the other hosts of the zone; `then` hears whether one took it. False when the
+    /// bound is reached.
+    bool spread(const std::string& key, const journal::Record& record, std::function<void(bool copied)> then);
     /// The record is durable: the copies may go.
-    void release(const std::string& scope, const std::string& recordId);
+    void release(const std::string& key, const std::string& recordId);
+    /// Sends a copy to every peer; `then` hears whether one took it.
+    void send(const journal::PeerCopy& copy, const std::function<void(bool copied)>& then);
 
-    /// A peer's record. False when the bound is reached.
-    bool keep(const wire::EnvelopeT& envelope, const wire::CopyRecordsT& copy);
-    void drop(const wire::DropCopiesT& copy);
-    /// Records that hosts which are gone left for a scope, for a new owner in an outage.
-    std::vector<journal::Record> orphansOf(const std::string& scope) const;
-    std::size_t count() const;
+    /// A peer's records. False when the bound is reached.
+    bool keep(const wire::PeerCopyT& message);
+    std::size_t count() const { return m_kept.size(); }
 
 private:
-    struct Copy {
-        journal::Record record;
-        HostId owner;
-        Incarnation incarnation;
-        TimePoint keptAt;
-        bool flushing = false;
-    };
-    using Scope = std::map<std::string, Copy>; ///< By record id.
-
-    bool isOrphan(const Copy& copy) const { return m_cluster.isGone(copy.owner, copy.incarnation); }
-    void flushOrphans();
-    void flush(const std::string& scope, Copy& copy);
-    std::shared_ptr<CommitterDriver> writerOf(const std::string& scope);
+    void sendDue();
+    void noteGoneHolders();
+    void flush();
+    CommitterDriver& writerOf(const std::string& key);
 
     Context& m_ctx;
     Cluster& m_cluster;
-    std::map<std::string, Scope> m_scopes;
-    std::map<std::string, std::shared_ptr<CommitterDriver>> m_writers;
+    journal::OutageBuffer m_own;
+    journal::PeerCopies m_kept;
+    std::set<std::string> m_holders; ///< Of m_kept, by "<host>#<incarnation>".
+    std::map<std::string, std::unique_ptr<CommitterDriver>> m_writers; ///< By key in the service.
 };
 
 } // namespace jujubereach::daemon
--- a/packages/daemon/src/domain.cpp
+++ b/packages/daemon/src/domain.cpp
@@ -12,6 +12,7 @@
     constexpr Duration journalPatience { 1500 };
     constexpr Duration driveDelay { 5 };
     constexpr Duration noOwnerRetryAfter { 1000 };
+    constexpr Duration outageRetryAfter { 10'000 };
     constexpr std::size_t maxRememberedEnds = 20'000;
 
     const char* nameOf(scheduling::EndKind kind)
@@ -100,10 +101,8 @@
     config.key = m_journalKey;
     config.writer = ctx.holder();
     config.seed = ctx.random.next();
-    DriverHooks driverHooks;
-    driverHooks.onCompletion = [this](const journal::Completion& completion) { onCompletion(completion); };
-    m_journal
-        = CommitterDriver::create(ctx, std::move(config), journal::jobJournalApply(), std::move(driverHooks));
+    m_journal = std::make_unique<CommitterDriver>(ctx, std::move(config), journal::jobJournalApply(),
+        [this](const journal::Completion& completion) { onCompletion(completion); });
 }
 
 void Domain::reconfigure(const manifest::Manifest& manifest)
@@ -181,8 +180,6 @@
     journal::JobRecord fence;
     fence.kind = journal::JobRecordKind::Fence;
     addRecord("fence/" + m_ctx.holder() + "/" + std::to_string(m_term), std::move(fence));
-    if (!m_journal->committer().isAvailable())
-        learnJournal();
 }
 
 void Domain::addRecord(const std::string& id, journal::JobRecord record)
@@ -323,7 +320,7 @@
     return m_view;
 }
 
-// Hands the accepted jobs to the owner; in an outage those of which this host keeps copies.
+// Hands the accepted jobs to the owner.
 void Domain::learnJournal()
 {
     std::vector<jobs::JournaledJob> known;
@@ -333,16 +330,6 @@
         if (auto spec = specOf(entry))
             known.push_back({ std::move(*spec), !entry.claim.empty(), false });
     }
-    if (!m_journal->committer().isAvailable()) {
-        for (const auto& record : m_copies.orphansOf(m_journalKey)) {
-            auto accepted = outcomeOf([&] { return journal::decodeRecord(record.body); });
-            if (!accepted || accepted.value->kind != journal::JobRecordKind::Accept)
-                continue;
-            auto spec = outcomeOf([&] { return jobs::decodeJob(accepted.value->spec); });
-            if (spec)
-                known.push_back({ std::move(*spec.value), false, false });
-        }
-    }
     m_owner.journaledJobs(known, m_ctx.clock());
 }
 
@@ -397,8 +384,10 @@
     record.spec = jobs::encodeJob(it->second.call.spec);
     record.term = m_term;
     record.at = m_ctx.wallClock();
-    m_copies.spread(m_journalKey, journal::encodeRecord("accept/" + job.str(), record),
-        guarded([this, job](std::size_t copies) { onAccepted(job, copies > 0 ? "peer" : "memory"); }));
+    const bool kept = m_copies.spread(m_journalKey, journal::encodeRecord("accept/" + job.str(), record),
+        guarded([this, job](bool copied) { onAccepted(job, copied ? "peer" : "memory"); }));
+    if (!kept)
+        refuseUnjournaled(job);
 }
 
 void Domain::onAccepted(const JobId& job, const std::string& durability)
@@ -430,6 +419,24 @@
     driveSoon();
 }
 
+// Nothing more fits into memory: the job is given up before it is queued anywhere.
+void Domain::refuseUnjournaled(const JobId& job)
+{
+    auto it = m_accepting.find(job);
+    if (it == m_accepting.end())
+        return;
+    const auto accepting = std::move(it->second);
+    m_acceptingKeys.erase(accepting.call.key);
+    m_accepting.erase(it);
+    m_journal->withdraw("accept/" + job.str());
+    const auto& spec = accepting.call.spec;
+    ApiError error { 503, "outage_bound", "the platform's service is down and no more jobs fit into memory",
+        {}, Ran::No, {}, outageRetryAfter };
+    error.reference = m_hooks.refuse({ spec.workspace, spec.caller, spec.workClass, error.error });
+    for (const auto& answer : accepting.answers)
+        answer(errorAnswer(error));
+}
+
 // The key was accepted before, by another owner or in an outage: the earlier job stands.
 void Domain::onDuplicate(const JobId& job, const std::string& reason)
 {
--- a/packages/daemon/src/domain.h
+++ b/packages/daemon/src/domain.h
@@ -85,6 +85,7 @@
     void onAccepted(const JobId& job, const std::string& durability);
     void onDuplicate(const JobId& job, const std::string& reason);
     void acceptInOutage(const JobId& job);
+    void refuseUnjournaled(const JobId& job);
     void learnJournal();
     const journal::JobJournal& journalView();
     std::optional<JobId> findKey(const std::string& key);
@@ -104,7 +105,7 @@
     std::vector<platform::WorkerReply> m_lastReplies; ///< Of m_workers, for operators.
     std::string m_journalKey;
     jobs::DomainOwner m_owner;
-    std::shared_ptr<CommitterDriver> m_journal;
+    std::unique_ptr<CommitterDriver> m_journal;
     std::map<JobId, Accepting> m_accepting; ///< Submits whose record is not committed yet.
     std::map<std::string, JobId> m_acceptingKeys; ///< Keys of m_accepting.
     std::map<std::string, std::uint64_t> m_eventRecords; ///< Record id to event number.
--- a/packages/daemon/src/domains.cpp
+++ b/packages/daemon/src/domains.cpp
@@ -59,17 +59,16 @@
 
 } // namespace
 
-Domains::Domains(Context& ctx, Cluster& cluster, DomainHooks hooks)
+Domains::Domains(Context& ctx, Cluster& cluster, Copies& copies, DomainHooks hooks)
     : m_ctx(ctx)
     , m_cluster(cluster)
     , m_hooks(std::move(hooks))
-    , m_copies(ctx, cluster)
+    , m_copies(copies)
 {
 }
 
 void Domains::start()
 {
-    m_copies.start();
     m_ctx.loop.every(driveInterval, [this] {
         for (auto& [id, domain] : m_domains)
             domain->drive();
--- a/packages/daemon/src/domains.h
+++ b/packages/daemon/src/domains.h
@@ -14,7 +14,7 @@
 
 class Domains {
 public:
-    Domains(Context& ctx, Cluster& cluster, DomainHooks hooks);
+    Domains(Context& ctx, Cluster& cluster, Copies& copies, DomainHooks hooks);
 
     void start();
     void configure(const manifest::Manifest& manifest);
@@ -34,7 +34,6 @@
     void gather(wire::ApiOperation operation, const Answer& answer);
     /// A call that a peer has forwarded.
     void onPeerCall(const wire::ApiCallT& call, Answer answer);
-    Copies& copies() { return m_copies; }
 
 private:
     struct Submitted {
@@ -60,7 +59,7 @@
     Context& m_ctx;
     Cluster& m_cluster;
     const DomainHooks m_hooks;
-    Copies m_copies;
+    Copies& m_copies;
     manifest::Manifest m_manifest;
     std::map<DomainId, std::unique_ptr<Domain>> m_domains;
     std::vector<platform::Machine> m_machines;
--- a/packages/daemon/src/host-routes.cpp
+++ b/packages/daemon/src/host-routes.cpp
@@ -181,7 +181,7 @@
     json->set("upSeconds", static_cast<Poco::Int64>((m_ctx.clock() - m_startedAt).count() / 1000));
     json->set("liveHosts", static_cast<unsigned>(m_cluster.live().size()));
     json->set("requestsInProgress", static_cast<unsigned>(m_requests.inProgress()));
-    json->set("copiesForPeers", static_cast<unsigned>(m_domains.copies().count()));
+    json->set("copiesForPeers", static_cast<unsigned>(m_copies.count()));
     const auto counters = m_ctx.peers->counters();
     json->set("innerBytesIn", static_cast<Poco::UInt64>(counters.bytesIn));
     json->set("innerBytesOut", static_cast<Poco::UInt64>(counters.bytesOut));
--- a/packages/daemon/src/host.cpp
+++ b/packages/daemon/src/host.cpp
@@ -23,7 +23,7 @@
         const auto seed = stableHash(settings.host.str(), incarnation.value);
         return Context { settings, loop, workerIo, upstreamIo, platformIo, watchIo, platform, metrics,
             testHooks, { settings.host, incarnation, settings.zone }, steadyClock(), systemWallClock(),
-            budget, Random(seed), nullptr };
+            budget, Random(seed), false, nullptr };
     }
 
 } // namespace
@@ -47,19 +47,17 @@
                   m_domains.onMachines(machines);
                   m_requests.onMachines(machines);
               },
-              [this](std::uint64_t counter, const std::string& address) {
-                  m_manifests.onNewer(counter, address);
-              },
+              [this](const HostId& peer, std::uint64_t counter) { m_manifests.onPeerCounter(peer, counter); },
               [this] {
                   LOG(ERROR) << "host: a later start of this host is known, this one stops";
                   m_loop.stop();
               } })
-    , m_refusals(m_ctx, m_cluster)
-    , m_domains(m_ctx, m_cluster, { [this](const RefusedWork& work) { return m_refusals.add(work); } })
+    , m_copies(m_ctx, m_cluster)
+    , m_refusals(m_ctx, m_cluster, m_copies)
+    , m_domains(
+          m_ctx, m_cluster, m_copies, { [this](const RefusedWork& work) { return m_refusals.add(work); } })
     , m_requests(m_ctx, m_cluster, { [this](const RefusedWork& work) { return m_refusals.add(work); } })
-    , m_manifests(m_ctx, m_cluster, { [this](const manifest::Manifest& manifest, std::uint64_t counter) {
-        onManifest(manifest, counter);
-    } })
+    , m_manifests(m_ctx, m_cluster, { [this](const manifest::Manifest& manifest) { onManifest(manifest); } })
     , m_startedAt(m_ctx.clock())
 {
 }
@@ -103,6 +101,8 @@
     LOG(INFO) << "host: " << m_ctx.holder() << " in zone " << m_settings.zone << " serves callers at "
               << m_settings.httpAddress;
     m_cluster.start();
+    m_copies.start();
+    m_refusals.start();
     m_domains.start();
     m_requests.start();
     m_manifests.start();
@@ -111,7 +111,7 @@
     return {};
 }
 
-void Host::onManifest(const manifest::Manifest& manifest, std::uint64_t)
+void Host::onManifest(const manifest::Manifest& manifest)
 {
     m_requests.configure(manifest);
     m_domains.configure(manifest);
@@ -131,16 +131,16 @@
         return m_cluster.onGossip(*body.AsGossip());
     case wire::Body::ZoneDigest:
         return m_cluster.onDigest(*body.AsZoneDigest());
-    case wire::Body::RootFetch:
-        return m_manifests.onRootFetch(respond);
+    case wire::Body::ManifestFetch:
+        return m_manifests.onFetch(*body.AsManifestFetch(), respond);
+    case wire::Body::ManifestNews:
+        return m_manifests.onNews(HostId(envelope.host), *body.AsManifestNews());
     case wire::Body::ApiCall:
         return onApiCall(*body.AsApiCall(), respond);
-    case wire::Body::CopyRecords:
-        if (m_domains.copies().keep(envelope, *body.AsCopyRecords()))
+    case wire::Body::PeerCopy:
+        if (m_copies.keep(*body.AsPeerCopy()))
             respond(wire::bodyOf(wire::AcceptedT()));
         return;
-    case wire::Body::DropCopies:
-        return m_domains.copies().drop(*body.AsDropCopies());
     case wire::Body::CreditReport:
         return m_requests.onCreditReport(envelope, *body.AsCreditReport());
     case wire::Body::CreditGrant:
--- a/packages/daemon/src/host.h
+++ b/packages/daemon/src/host.h
@@ -3,6 +3,7 @@
 
 #include "cluster.h"
 #include "context.h"
+#include "copies.h"
 #include "domains.h"
 #include "http-server.h"
 #include "manifests.h"
@@ -34,7 +35,7 @@
     void hosts(const Answer& answer) const;
     void onCall(wire::EnvelopeT& envelope, const wire::Responder& respond);
     void onApiCall(const wire::ApiCallT& call, const wire::Responder& respond);
-    void onManifest(const manifest::Manifest& manifest, std::uint64_t counter);
+    void onManifest(const manifest::Manifest& manifest);
     void beginDrain();
     void continueDrain(TimePoint until);
     Result<void> open();
@@ -54,6 +55,7 @@
     std::unique_ptr<IoPool> m_watchIo;
     Context m_ctx;
     Cluster m_cluster;
+    Copies m_copies;
     Refusals m_refusals;
     Domains m_domains;
     Requests m_requests;
--- a/packages/daemon/src/http-server.cpp
+++ b/packages/daemon/src/http-server.cpp
@@ -84,6 +84,8 @@
             return fail({ ErrorCode::InvalidInput, "the address of the call is malformed", "path", {} });
         }
         api.operationId = request.get("X-Operation-Id", "");
+        api.operatorName = request.get("X-Operator", "");
+        api.rebase = request.get("X-Rebase", "") == "true";
         if (const auto base = request.get("X-Base-Revision", ""); !base.empty()) {
             std::uint64_t number = 0;
             if (std::from_chars(base.data(), base.data() + base.size(), number).ptr
--- a/packages/daemon/src/once-store.cpp
+++ b/packages/daemon/src/once-store.cpp
@@ -34,7 +34,7 @@
 
     Context& m_ctx;
     std::map<std::string, Change> m_changes; ///< By record id, until completed.
-    std::shared_ptr<CommitterDriver> m_driver;
+    std::unique_ptr<CommitterDriver> m_driver;
 };
 
 OnceStore::Shard::Shard(Context& ctx, const std::string& key, const dispatch::OnceLimits&)
@@ -49,9 +49,8 @@
     auto apply = [this](const std::string& payload, const std::vector<journal::Record>& records) {
         return applyAll(payload, records);
     };
-    DriverHooks hooks;
-    hooks.onCompletion = [this](const journal::Completion& completion) { onCompletion(completion); };
-    m_driver = CommitterDriver::create(ctx, std::move(config), std::move(apply), std::move(hooks));
+    m_driver = std::make_unique<CommitterDriver>(ctx, std::move(config), std::move(apply),
+        [this](const journal::Completion& completion) { onCompletion(completion); });
 }
 
 void OnceStore::Shard::change(const std::string& id, Apply apply, bool bounded, OnChange then)
--- a/packages/daemon/src/refusals.h
+++ b/packages/daemon/src/refusals.h
@@ -2,14 +2,15 @@
 #pragma once
 
 #include "api.h"
+#include "call-driver.h"
 #include "cluster.h"
 #include "context.h"
+#include "copies.h"
 #include "gather.h"
+#include "jujubereach/ledger/ledger.h"
 
-#include <deque>
-#include <functional>
+#include <memory>
 #include <string>
-#include <vector>
 
 namespace jujubereach::daemon {
 
@@ -23,27 +24,28 @@
 
 class Refusals {
 public:
-    Refusals(Context& ctx, Cluster& cluster);
+    Refusals(Context& ctx, Cluster& cluster, Copies& copies);
 
+    void start();
     /// Returns the reference.
     std::string add(const RefusedWork& work);
-    /// GET /v1/refusals, over all hosts.
+    /// GET /v1/refusals: the segments in the service, and what no host has committed yet.
     void list(const ApiRequest& call, const Answer& answer);
     void onPeerCall(const wire::ApiCallT& call, const Answer& answer) const;
+    /// Entries that the service does not hold yet.
+    std::size_t pending() const { return m_ledger.stats().entries; }
 
 private:
-    struct Row {
-        std::string reference;
-        WallTime time;
-        RefusedWork work;
-    };
-
-    Rows ownRows(const std::string& reference) const;
+    void listFromService(
+        const ledger::RefusalQuery& query, const std::string& pendingDocument, const Answer& answer);
+    void spreadCopies();
+    void removeExpired();
 
     Context& m_ctx;
     Cluster& m_cluster;
-    std::deque<Row> m_rows;
-    std::uint64_t m_lastNumber = 0;
+    Copies& m_copies;
+    ledger::RefusalLedger m_ledger;
+    std::shared_ptr<CallDriver> m_driver;
 };
 
 } // namespace jujubereach::daemon
