--- a/scenarios/programs/scenario-runner.cpp
+++ b/scenarios/programs/scenario-runner.cpp
@@ -1,4 +1,5 @@
 // Runs scenarios, one after the other, and prints one line for each invariant under proof.
+#include "check.h"
 #include "child-process.h"
 #include "report.h"
 #include "run.h"
@@ -33,7 +34,7 @@
 // Prepares an empty log folder of the scenario's own.
 std::string logFolderFor(const Options& options, const Scenario& scenario)
 {
-    const auto folder = options.logs + "/" + scenario.name;
+    auto folder = options.logs + "/" + scenario.name;
     Poco::File file(folder);
     if (file.exists())
         file.remove(true);
@@ -48,7 +49,7 @@
     Fleet fleet(options.bin, logs);
     Run run(scenario, fleet, options.narrates);
     const auto outcome = outcomeOf([&]() -> Result<bool> {
-        BOOST_LEAF_CHECK(run.execute());
+        JUJUBEREACH_CHECK(run.execute());
         return true;
     });
     Verdict verdict { scenario, outcome ? std::string() : textOf(outcome.error), observe(run.evidence()),
--- a/scenarios/src/fleet.cpp
+++ b/scenarios/src/fleet.cpp
@@ -1,5 +1,6 @@
 // The processes of a scenario.
 #include "fleet.h"
+#include "check.h"
 
 #include "http-call.h"
 
@@ -40,12 +41,13 @@
 
 Result<void> Fleet::build(const Topology& topology)
 {
-    BOOST_LEAF_CHECK(addPlatform(topology));
+    JUJUBEREACH_CHECK(addPlatform(topology));
     for (const auto& zone : topology.zones) {
-        if (!zone.racks.empty())
-            BOOST_LEAF_CHECK(addWorkers(topology, zone));
+        if (!zone.racks.empty()) {
+            JUJUBEREACH_CHECK(addWorkers(topology, zone));
+        }
         for (const auto& upstream : zone.upstreams)
-            BOOST_LEAF_CHECK(addUpstream(topology, zone, upstream));
+            JUJUBEREACH_CHECK(addUpstream(topology, zone, upstream));
     }
     return addHosts(topology);
 }
@@ -131,13 +133,13 @@
     for (const auto& name : m_order) {
         if (std::find(names.begin(), names.end(), name) == names.end())
             continue;
-        BOOST_LEAF_CHECK(launch(*find(name)));
+        JUJUBEREACH_CHECK(launch(*find(name)));
     }
     for (const auto& name : names) {
         auto* member = find(name);
         if (!member)
             return fail(noSuch(name));
-        BOOST_LEAF_CHECK(awaitAnswer(*member));
+        JUJUBEREACH_CHECK(awaitAnswer(*member));
     }
     return {};
 }
@@ -191,7 +193,7 @@
 
 Result<int> Fleet::terminate(const std::string& name, Duration limit)
 {
-    BOOST_LEAF_CHECK(signal(name, SIGTERM));
+    JUJUBEREACH_CHECK(signal(name, SIGTERM));
     return awaitEnd(name, limit);
 }
 
@@ -266,7 +268,7 @@
         auto add = member.kind == MemberKind::Platform ? addPlatformRecord
             : member.kind == MemberKind::Workers       ? addWorkerRecord
                                                        : addUpstreamRecord;
-        BOOST_LEAF_CHECK(add(evidence, result.body));
+        JUJUBEREACH_CHECK(add(evidence, result.body));
     }
     return {};
 }
--- a/scenarios/src/run-hosts.cpp
+++ b/scenarios/src/run-hosts.cpp
@@ -1,4 +1,5 @@
 // How a run finds its hosts, cuts them off and switches their mechanisms off.
+#include "check.h"
 #include "run.h"
 
 #include <Poco/JSON/Array.h>
@@ -103,14 +104,9 @@
     }
     std::map<std::string, std::size_t> counts;
     for (const auto& [worker, holder] : holders) {
-        const auto rack = worker.str().substr(0, worker.str().rfind('/'));
-        for (const auto& spec : m_scenario.topology.zones) {
-            const bool isOfZone = spec.id == zone
-                && std::any_of(spec.racks.begin(), spec.racks.end(),
-                    [&](const RackSpec& other) { return other.id.str() == rack; });
-            if (isOfZone)
-                ++counts[holder.substr(0, holder.find('#'))];
-        }
+        const auto* spec = m_scenario.topology.zoneOf(worker);
+        if (spec && spec->id == zone)
+            ++counts[holder.substr(0, holder.find('#'))];
     }
     if (counts.empty())
         return fail(
@@ -129,7 +125,7 @@
     auto listed = names;
     listed.insert(otherCallers.begin(), otherCallers.end());
     const std::set<std::string> none;
-    BOOST_LEAF_CHECK(
+    JUJUBEREACH_CHECK(
         m_fleet.control("platform", fromPlatform ? platformCut(names, listed) : platformCut(none, none)));
     for (const auto& host : m_fleet.liveHosts({})) {
         const bool isInside = hosts.contains(host);
@@ -140,7 +136,7 @@
         }
         JsonObject body;
         body.set("peers", arrayOf(peers));
-        BOOST_LEAF_CHECK(testHook(m_fleet.find(host.str())->address, "cut", platform::toText(body)));
+        JUJUBEREACH_CHECK(testHook(m_fleet.find(host.str())->address, "cut", platform::toText(body)));
     }
     for (const auto& host : m_fleet.hosts()) {
         if (hosts.contains(host))
@@ -158,7 +154,7 @@
     JsonObject body;
     body.set("mechanism", m_scenario.brokenMechanism);
     for (const auto& host : hosts)
-        BOOST_LEAF_CHECK(testHook(m_fleet.find(host.str())->address, "break", platform::toText(body)));
+        JUJUBEREACH_CHECK(testHook(m_fleet.find(host.str())->address, "break", platform::toText(body)));
     return {};
 }
 
--- a/scenarios/src/run.cpp
+++ b/scenarios/src/run.cpp
@@ -1,5 +1,6 @@
 // One run of one scenario.
 #include "run.h"
+#include "check.h"
 
 #include "fields.h"
 #include "steps.h"
@@ -9,6 +10,7 @@
 #include <algorithm>
 #include <csignal>
 #include <iostream>
+#include <ranges>
 
 namespace jujubereach::scenarios {
 
@@ -40,21 +42,21 @@
 
 Result<void> Run::execute()
 {
-    BOOST_LEAF_CHECK(m_fleet.build(m_scenario.topology));
+    JUJUBEREACH_CHECK(m_fleet.build(m_scenario.topology));
     if (m_scenario.watchesManifest)
         m_manifestWatcher = std::thread([this] { watchManifests(); });
     auto steps = outcomeOf([&]() -> Result<bool> {
-        BOOST_LEAF_CHECK(takeSteps());
+        JUJUBEREACH_CHECK(takeSteps());
         return true;
     });
     join();
     m_ended = true;
     // Records are read also after a failed step: they tell why, and a counter-check rests on them.
     auto ended = outcomeOf([&]() -> Result<bool> {
-        BOOST_LEAF_CHECK(endHosts());
+        JUJUBEREACH_CHECK(endHosts());
         return true;
     });
-    BOOST_LEAF_CHECK(m_fleet.addRecords(m_evidence));
+    JUJUBEREACH_CHECK(m_fleet.addRecords(m_evidence));
     if (!steps)
         return fail(steps.error);
     if (!ended)
@@ -66,7 +68,7 @@
 {
     std::size_t index = 0;
     for (const auto& step : m_scenario.steps)
-        BOOST_LEAF_CHECK(takeStep(step, index++));
+        JUJUBEREACH_CHECK(takeStep(step, index++));
     return {};
 }
 
@@ -85,8 +87,8 @@
         narrate("- " + step["say"].Scalar());
     Fields fields(step[name], where);
     auto outcome = outcomeOf([&]() -> Result<bool> {
-        BOOST_LEAF_CHECK(found->second(*this, fields));
-        BOOST_LEAF_CHECK(fields.finish());
+        JUJUBEREACH_CHECK(found->second(*this, fields));
+        JUJUBEREACH_CHECK(fields.finish());
         return true;
     });
     if (outcome)
@@ -103,7 +105,7 @@
     for (const auto& host : m_fleet.hosts()) {
         if (m_fleet.isLive(host.str())) {
             stops.push_back({ host, systemWallClock()(), {}, 0 });
-            BOOST_LEAF_CHECK(m_fleet.signal(host.str(), SIGTERM));
+            JUJUBEREACH_CHECK(m_fleet.signal(host.str(), SIGTERM));
         }
         undisturb(host);
     }
@@ -181,9 +183,9 @@
 Result<JobId> Run::job(const std::string& name)
 {
     const std::scoped_lock lock(m_mutex);
-    for (auto call = m_evidence.jobs.rbegin(); call != m_evidence.jobs.rend(); ++call) {
-        if (call->name == name && !call->job.empty())
-            return call->job;
+    for (const auto& call : std::views::reverse(m_evidence.jobs)) {
+        if (call.name == name && !call.job.empty())
+            return call.job;
     }
     return fail({ ErrorCode::NotFound, "no job was accepted under this name", "job", name });
 }
@@ -191,9 +193,9 @@
 Result<RequestCall> Run::request(const std::string& name)
 {
     const std::scoped_lock lock(m_mutex);
-    for (auto call = m_evidence.requests.rbegin(); call != m_evidence.requests.rend(); ++call) {
-        if (call->name == name)
-            return *call;
+    for (const auto& call : std::views::reverse(m_evidence.requests)) {
+        if (call.name == name)
+            return call;
     }
     return fail({ ErrorCode::NotFound, "no request was sent under this name", "request", name });
 }
@@ -259,7 +261,7 @@
 Result<Evidence> Run::records()
 {
     Evidence evidence;
-    BOOST_LEAF_CHECK(m_fleet.addRecords(evidence));
+    JUJUBEREACH_CHECK(m_fleet.addRecords(evidence));
     return evidence;
 }
 
--- a/scenarios/src/scenario.cpp
+++ b/scenarios/src/scenario.cpp
@@ -1,5 +1,6 @@
 // Reads scenario files.
 #include "scenario.h"
+#include "check.h"
 
 #include "fields.h"
 
@@ -62,7 +63,7 @@
             = static_cast<std::uint64_t>(fields.number("seed", static_cast<std::int64_t>(scenario.seed)));
         scenario.watchesManifest = fields.flag("watchManifest", scenario.watchesManifest);
         scenario.brokenMechanism = fields.text("counter");
-        BOOST_LEAF_CHECK(readBounds(fields.node("bounds"), fields.where() + ".bounds", scenario.bounds));
+        JUJUBEREACH_CHECK(readBounds(fields.node("bounds"), fields.where() + ".bounds", scenario.bounds));
         if (fields.has("invariants")) {
             BOOST_LEAF_ASSIGN(scenario.invariants, readInvariants(fields.node("invariants"), fields.where()));
         }
@@ -86,7 +87,7 @@
                 return fail({ ErrorCode::NotFound, "no earlier scenario has this name", path, original });
             scenario = *found;
         }
-        BOOST_LEAF_CHECK(readBody(fields, path, scenario));
+        JUJUBEREACH_CHECK(readBody(fields, path, scenario));
         if (scenario.steps.empty() || scenario.topology.zones.empty())
             return fail(
                 { ErrorCode::InvalidInput, "a scenario needs a topology and steps", path, scenario.name });
--- a/scenarios/src/steps-faults.cpp
+++ b/scenarios/src/steps-faults.cpp
@@ -1,4 +1,5 @@
 // Steps that break and mend what lies around the entry hosts.
+#include "gang-history.h"
 #include "steps.h"
 
 #include <thread>
@@ -16,6 +17,23 @@
         return run.fleet().control(name, switches.toString());
     }
 
+    // A worker that runs a task of the job is lost with its tasks.
+    Result<void> loseWorker(Run& run, Fields& fields)
+    {
+        BOOST_LEAF_AUTO(job, run.job(fields.text("of")));
+        BOOST_LEAF_AUTO(evidence, run.records());
+        for (const auto& gang : gangRuns(evidence)) {
+            if (jobOf(gang.gang) != job || gang.lastEnd())
+                continue;
+            const auto& worker = gang.tasks.front().worker;
+            const auto* zone = run.scenario().topology.zoneOf(worker);
+            run.narrate("  Worker " + worker.str() + " is lost.");
+            return run.fleet().control(
+                "workers-" + zone->id.str(), R"({"die":true,"worker":")" + worker.str() + "\"}");
+        }
+        return fail({ ErrorCode::NotFound, "no worker runs the job", job.str(), {} });
+    }
+
     Step platformStep(const std::string& switches, const std::string& sentence)
     {
         return [=](Run& run, Fields& fields) -> Result<void> {
@@ -90,6 +108,7 @@
 void addFaultSteps(Steps& steps)
 {
     steps["fault"] = fault;
+    steps["lose-worker"] = loseWorker;
     steps["outage"] = platformStep(R"({"kv":{"outage":true}})", "The key-value service is down.");
     steps["restore"] = platformStep(
         R"({"kv":{"outage":false,"slowMs":0,"loseReplies":0,"losePercent":0},"hosts":{"outage":false}})",
--- a/scenarios/src/steps-jobs.cpp
+++ b/scenarios/src/steps-jobs.cpp
@@ -46,6 +46,12 @@
             + ": " + call.what + " (reference " + call.reference + ")";
     }
 
+    std::string narrationOf(const std::string& name, const JobSpec& spec, const JobCall& call)
+    {
+        return "  Job '" + name + "' of " + std::to_string(spec.accelerators) + " accelerators was "
+            + describe(call) + ".";
+    }
+
     // With "withinMs" the caller retries under the same key until the answer is as expected.
     Result<void> submit(Run& run, Fields& fields)
     {
--- a/scenarios/src/steps-processes.cpp
+++ b/scenarios/src/steps-processes.cpp
@@ -1,4 +1,5 @@
 // Steps that start, signal and end processes.
+#include "check.h"
 #include "steps.h"
 
 #include <csignal>
@@ -20,7 +21,7 @@
             BOOST_LEAF_AUTO(target, run.host(name));
             name = target.host.str();
         }
-        BOOST_LEAF_CHECK(run.fleet().start(names));
+        JUJUBEREACH_CHECK(run.fleet().start(names));
         std::vector<HostId> hosts;
         for (const auto& name : names) {
             if (run.fleet().find(name)->kind == MemberKind::Host)
@@ -42,6 +43,11 @@
         return target.host.str();
     }
 
+    std::string narrationOf(const std::string& name, const std::string& verb)
+    {
+        return "  " + name + " was " + verb + ".";
+    }
+
     Step signalStep(int number, const std::string& verb)
     {
         return [=](Run& run, Fields& fields) -> Result<void> {
@@ -51,12 +57,12 @@
                 BOOST_LEAF_AUTO(name, memberName(run, spec));
                 if (number != SIGCONT)
                     run.disturb(HostId(name));
-                BOOST_LEAF_CHECK(run.fleet().signal(name, number));
+                JUJUBEREACH_CHECK(run.fleet().signal(name, number));
                 if (number == SIGCONT)
                     run.undisturb(HostId(name));
                 if (!alias.empty())
                     run.nameHost(alias, HostId(name));
-                run.narrate("  " + name + " was " + verb + ".");
+                run.narrate(narrationOf(name, verb));
             }
             return {};
         };
--- a/scenarios/src/steps-requests.cpp
+++ b/scenarios/src/steps-requests.cpp
@@ -1,4 +1,5 @@
 // Steps that send requests, alone and as a flood, and look refusals up.
+#include "check.h"
 #include "steps.h"
 
 #include <thread>
@@ -164,7 +165,7 @@
         flood->callers = std::max<std::int64_t>(1, fields.number("callers", 1));
         flood->isDoubled = fields.flag("doubled");
         const auto threads = std::min(fields.number("parallel", 16), maxFloodThreads);
-        BOOST_LEAF_CHECK(readTargets(run, fields, *flood));
+        JUJUBEREACH_CHECK(readTargets(run, fields, *flood));
         run.narrate("  " + std::to_string(flood->count) + " requests are sent, " + std::to_string(threads)
             + " at once.");
         if (fields.flag("background"))
--- a/scenarios/src/steps-wait.cpp
+++ b/scenarios/src/steps-wait.cpp
@@ -1,4 +1,5 @@
 // Steps that wait for a state, with a generous limit.
+#include "check.h"
 #include "gang-history.h"
 #include "steps.h"
 
@@ -73,7 +74,7 @@
         BOOST_LEAF_AUTO(job, run.job(name));
         std::string seen;
         auto waited = outcomeOf([&]() -> Result<bool> {
-            BOOST_LEAF_CHECK(run.waitUntil("job '" + name + "' is " + wanted, limit, [&]() -> Result<bool> {
+            JUJUBEREACH_CHECK(run.waitUntil("job '" + name + "' is " + wanted, limit, [&]() -> Result<bool> {
                 BOOST_LEAF_AUTO(target, run.host(via));
                 seen = jobState(target, job);
                 return seen == wanted;
--- a/scenarios/src/topology.cpp
+++ b/scenarios/src/topology.cpp
@@ -1,5 +1,6 @@
 // Which machines a scenario starts, and the manifest that describes them.
 #include "topology.h"
+#include "check.h"
 
 #include "fields.h"
 
@@ -34,9 +35,9 @@
             Fields rack(rackNode, where + ".racks");
             zone.racks.push_back(
                 { RackId(rack.text("id")), static_cast<std::uint32_t>(rack.number("workers", 1)) });
-            BOOST_LEAF_CHECK(rack.finish());
+            JUJUBEREACH_CHECK(rack.finish());
         }
-        BOOST_LEAF_CHECK(fields.finish());
+        JUJUBEREACH_CHECK(fields.finish());
         return zone;
     }
 
@@ -92,6 +93,17 @@
     return nullptr;
 }
 
+const ZoneSpec* Topology::zoneOf(const WorkerId& worker) const
+{
+    const RackId rack(worker.str().substr(0, worker.str().rfind('/')));
+    for (const auto& zone : zones) {
+        if (std::any_of(
+                zone.racks.begin(), zone.racks.end(), [&](const RackSpec& spec) { return spec.id == rack; }))
+            return &zone;
+    }
+    return nullptr;
+}
+
 std::map<WorkerId, std::uint32_t> Topology::firstAccelerators() const
 {
     std::map<WorkerId, std::uint32_t> first;
@@ -139,7 +151,7 @@
         = static_cast<std::uint32_t>(fields.number("readsPerSecond", topology.readsPerSecond));
     topology.hostFlags = fields.texts("hostFlags");
     topology.manifest = fields.node("manifest");
-    BOOST_LEAF_CHECK(fields.finish());
+    JUJUBEREACH_CHECK(fields.finish());
     return topology;
 }
 
--- a/scenarios/src/topology.h
+++ b/scenarios/src/topology.h
@@ -39,6 +39,7 @@
     YAML::Node manifest; ///< Classes, workspaces and limits; the zones are added from above.
 
     const ZoneSpec* zoneOf(const HostId& host) const;
+    const ZoneSpec* zoneOf(const WorkerId& worker) const;
     /// Index of each worker's first accelerator in the line of its domain.
     std::map<WorkerId, std::uint32_t> firstAccelerators() const;
     /// The manifest as JSON under a document name. `change` replaces its top-level fields.
--- a/scenarios/test/observer-test.cpp
+++ b/scenarios/test/observer-test.cpp
@@ -1,4 +1,5 @@
 // Each check of the observer on records written by hand: it passes where it should and fails where it should.
+#include "check.h"
 #include "observer.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -350,11 +351,11 @@
     {
         Evidence evidence;
         const auto added = outcomeOf([&]() -> Result<bool> {
-            BOOST_LEAF_CHECK(addWorkerRecord(evidence,
+            JUJUBEREACH_CHECK(addWorkerRecord(evidence,
                 R"({"events":[{"event":"start","worker":"k/0","gang":"z-1/1","accelerators":[0,1],"at":5,"seq":1}]})"));
-            BOOST_LEAF_CHECK(addUpstreamRecord(evidence,
+            JUJUBEREACH_CHECK(addUpstreamRecord(evidence,
                 R"({"events":[{"event":"start","upstream":"u","request":"r","body":"b","at":6,"seq":1}]})"));
-            BOOST_LEAF_CHECK(addPlatformRecord(evidence,
+            JUJUBEREACH_CHECK(addPlatformRecord(evidence,
                 R"({"events":[],"calls":{"seconds":[{"second":1,"caller":"h","reads":2,"writes":3,"refused":4}]}})"));
             return true;
         });
@@ -363,7 +364,7 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(6), evidence.upstreams.at(0).at.milliseconds);
         CPPUNIT_ASSERT_EQUAL(4U, evidence.platformCalls.at(0).refused);
         CPPUNIT_ASSERT(!outcomeOf([&]() -> Result<bool> {
-            BOOST_LEAF_CHECK(addWorkerRecord(evidence, R"({"events":[1]})"));
+            JUJUBEREACH_CHECK(addWorkerRecord(evidence, R"({"events":[1]})"));
             return true;
         }));
     }
