--- a/scenarios/src/steps-jobs.cpp
+++ b/scenarios/src/steps-jobs.cpp
@@ -71,8 +71,7 @@
                 call.runsWithin = runsWithin;
             run.add(call);
             if (isExpected(call, expected, reason)) {
-                run.narrate("  Job '" + name + "' of " + std::to_string(spec.accelerators)
-                    + " accelerators was " + describe(call) + ".");
+                run.narrate(narrationOf(name, spec, call));
                 return {};
             }
             if (steadyClock()() >= end)
