--- a/packages/manifest/src/apply-plan.cpp
+++ b/packages/manifest/src/apply-plan.cpp
@@ -128,7 +128,8 @@
     std::map<SectionName, Manifest> parts;
     std::map<SectionName, const Manifest*> pointers;
     for (const auto& [name, content] : m_sections) {
-        auto part = outcomeOf([&] { return readSection(m_texts.at(content)); });
+        const auto& text = m_texts.at(content);
+        auto part = outcomeOf([&] { return readSection(text); });
         if (part)
             pointers[name] = &(parts[name] = std::move(*part.value));
     }
--- a/packages/manifest/src/diff.cpp
+++ b/packages/manifest/src/diff.cpp
@@ -120,6 +120,7 @@
             changes[part] = { kind, part, std::move(fieldsChanged) };
     }
     std::vector<PartChange> ordered;
+    ordered.reserve(changes.size());
     for (auto& [part, change] : changes)
         ordered.push_back(std::move(change));
     return ordered;
--- a/packages/manifest/test/manifest-apply-test.cpp
+++ b/packages/manifest/test/manifest-apply-test.cpp
@@ -44,7 +44,8 @@
         std::map<SectionName, Manifest> read;
         std::map<SectionName, const Manifest*> pointers;
         for (const auto& [name, content] : parts.sections) {
-            read[name] = *outcomeOf([&] { return readSection(parts.texts.at(content)); }).value;
+            const auto& text = parts.texts.at(content);
+            read[name] = *outcomeOf([&] { return readSection(text); }).value;
             pointers[name] = &read[name];
         }
         CPPUNIT_ASSERT_EQUAL(toJson(manifest), toJson(assemble(pointers)));
--- a/packages/membership/include/jujubereach/membership/members.h
+++ b/packages/membership/include/jujubereach/membership/members.h
@@ -16,7 +16,7 @@
 
 struct MembersSettings {
     Duration period { 500 }; ///< In which `probesPerPeriod` members are probed.
-    std::size_t probesPerPeriod = 4; ///< A zone with no more other members is probed as a full mesh.
+    std::size_t probesPerPeriod = 2; ///< A zone with no more other members is probed as a full mesh.
     Duration probeTimeout { 200 }; ///< Without an Ack, before other hosts are asked to ping as well.
     std::size_t relays = 3; ///< Hosts asked to ping a member that does not answer.
     Duration suspicion { 1500 }; ///< From suspicion to removal.
--- a/packages/membership/src/member-table.cpp
+++ b/packages/membership/src/member-table.cpp
@@ -54,8 +54,13 @@
         return;
     m_hash += hashOf(after) - (before ? hashOf(*before) : 0);
     bool wasDead = !before || before->state == MemberState::Dead;
-    if (wasDead && after.state == MemberState::Dead)
+    bool isDead = after.state == MemberState::Dead;
+    if (wasDead && isDead)
         return;
+    if (wasDead)
+        ++m_reachable;
+    if (isDead)
+        --m_reachable;
     ++m_version;
     m_changes.push_back({ after.id, after.incarnation,
         before ? std::optional<MemberState>(before->state) : std::nullopt, after.state });
--- a/packages/membership/src/member-table.h
+++ b/packages/membership/src/member-table.h
@@ -30,6 +30,7 @@
     const std::map<HostId, MemberEntry>& entries() const { return m_entries; }
     /// Hosts that are not dead, in order of id.
     std::vector<HostId> reachable() const;
+    std::size_t reachableCount() const { return m_reachable; }
 
     std::uint64_t version() const { return m_version; }
     /// Sum of the hashes of the hosts that are not dead; the order of changes does not matter.
@@ -45,6 +46,7 @@
     std::vector<MemberChange> m_changes;
     std::uint64_t m_version = 0;
     std::uint64_t m_hash = 0;
+    std::size_t m_reachable = 0; ///< Entries that are not dead.
 };
 
 /// Part of a member in the hash of a view; 0 for a dead one.
--- a/packages/membership/src/members-impl.h
+++ b/packages/membership/src/members-impl.h
@@ -41,6 +41,7 @@
     void observe(TimePoint now);
     void contactOthers(TimePoint now);
     void join(TimePoint now);
+    void joinAgain(TimePoint now);
     void contactLost(TimePoint now);
     std::vector<ListedHost> lostContacts() const;
     void startProbes(TimePoint now);
@@ -51,10 +52,12 @@
     void remove(const HostId& target, TimePoint now);
     Duration suspicionOf(const HostId& target) const;
     void flushAnnouncements(TimePoint now);
+    void sendAnnouncement(const HostId& receiver, const std::vector<MemberUpdate>& updates);
 
     // On messages (members-receive.cpp).
     bool isForUs(const Message& message) const;
     void noteSender(const Message& message, TimePoint now);
+    bool takeIn(const MemberUpdate& claim, TimePoint now);
     void correctSender(const MemberEntry& entry, const MemberUpdate& claim);
     void applyUpdate(const MemberUpdate& update, TimePoint now);
     void onClaimAboutSelf(const MemberUpdate& claim, TimePoint now);
@@ -76,6 +79,7 @@
 
     UpdateQueue m_queue;
     std::vector<MemberUpdate> m_announcements; ///< To be told to every member at the next tick.
+    std::vector<MemberUpdate> m_repeated; ///< Announced at the last tick, and once more at the next.
     std::vector<Outgoing> m_outgoing; ///< Of the call that is running.
     std::deque<HostId> m_probeOrder; ///< Members that are still to be probed in this round.
     TimePoint m_startedAt;
@@ -85,7 +89,7 @@
     std::optional<TimePoint> m_divergedSince; ///< Since when no peer has shown an equal view.
     TimePoint m_nextSync;
     bool m_answered = false; ///< A peer has answered this start.
-    bool m_introduced = false; ///< This start was announced to the members that a peer named.
+    int m_tablesWanted = 2; ///< Tables that are still to be asked for after the start.
 };
 
 } // namespace jujubereach::membership
--- a/packages/membership/src/members-receive.cpp
+++ b/packages/membership/src/members-receive.cpp
@@ -63,12 +63,25 @@
         correctSender(*entry, claim);
         return;
     }
-    if (m_table.apply(claim, now))
+    if (takeIn(claim, now))
         m_queue.add(claim, now);
     m_table.noteHeard(message.from, now);
     m_probes.clear(message.from);
 }
 
+// A member that comes is probed in the running round already, at a random place in it.
+bool Members::Impl::takeIn(const MemberUpdate& claim, TimePoint now)
+{
+    auto before = m_table.reachableCount();
+    if (!m_table.apply(claim, now))
+        return false;
+    if (m_table.reachableCount() > before) {
+        auto place = static_cast<std::ptrdiff_t>(m_random.below(m_probeOrder.size() + 1));
+        m_probeOrder.insert(m_probeOrder.begin() + place, claim.id);
+    }
+    return true;
+}
+
 // The sender does not know that it was removed or replaced: it refutes or stops.
 void Members::Impl::correctSender(const MemberEntry& entry, const MemberUpdate& claim)
 {
@@ -93,7 +106,7 @@
         sendTo(update.id, std::move(message));
         return;
     }
-    if (!m_table.apply(update, now))
+    if (!takeIn(update, now))
         return;
     if (update.state == MemberState::Dead)
         m_probes.clear(update.id);
@@ -165,8 +178,10 @@
     }
     case MessageKind::SyncReply:
         // After a start, the members that it named have yet to hear of this host.
-        if (!std::exchange(m_introduced, true))
+        if (m_tablesWanted > 0) {
+            --m_tablesWanted;
             announce(m_self);
+        }
         return;
     case MessageKind::Announce:
         return;
--- a/packages/membership/src/members-tick.cpp
+++ b/packages/membership/src/members-tick.cpp
@@ -23,8 +23,6 @@
     startProbes(now);
     advanceProbes(now);
     flushAnnouncements(now);
-    m_table.forgetDead(now - m_settings.forgetDead);
-    m_probes.dropRelays(now - m_settings.probeTimeout * suspectAfterTimeouts);
     return takeOutgoing();
 }
 
@@ -47,15 +45,29 @@
 {
     if (now < m_nextContact)
         return;
-    if (m_answered) {
-        // Hosts that started together must not all contact a lost one at the same moment.
-        auto jitter = m_random.below(static_cast<std::uint64_t>(m_settings.retry.count() / 2) + 1);
-        m_nextContact = now + m_settings.retry * 3 / 4 + Duration(jitter);
-        contactLost(now);
+    m_table.forgetDead(now - m_settings.forgetDead);
+    m_probes.dropRelays(now - m_settings.probeTimeout * suspectAfterTimeouts);
+    if (!m_answered) {
+        m_nextContact = now + m_settings.retry / joinsPerRetry;
+        join(now);
         return;
     }
-    m_nextContact = now + m_settings.retry / joinsPerRetry;
-    join(now);
+    // Hosts that started together must not all contact a lost one at the same moment.
+    auto jitter = m_random.below(static_cast<std::uint64_t>(m_settings.retry.count() / 2) + 1);
+    m_nextContact = now + m_settings.retry * 3 / 4 + Duration(jitter);
+    if (m_tablesWanted > 0)
+        joinAgain(now);
+    contactLost(now);
+}
+
+// Where many hosts start together the first table is not whole yet.
+void Members::Impl::joinAgain(TimePoint now)
+{
+    auto members = m_table.reachable();
+    if (members.empty())
+        return;
+    const auto& member = members[m_random.below(members.size())];
+    sendTo(member, withUpdates(MessageKind::Join, member, now));
 }
 
 void Members::Impl::join(TimePoint now)
@@ -110,7 +122,7 @@
 
 void Members::Impl::startProbes(TimePoint now)
 {
-    auto members = m_table.reachable().size();
+    auto members = m_table.reachableCount();
     if (members == 0) {
         m_nextProbe = now;
         return;
@@ -218,26 +230,36 @@
         probe->startedAt = now - m_settings.probeTimeout;
 }
 
-// To everybody, also to the host that is said to be dead: if it is not, it answers.
+// To everybody, also to a host that is said to be dead: if it is not, it answers. Each announcement is sent
+// a second time at the next tick, so that one lost message delays nobody.
 void Members::Impl::flushAnnouncements(TimePoint now)
 {
-    auto updates = std::exchange(m_announcements, {});
+    auto fresh = std::exchange(m_announcements, {});
+    auto updates = std::exchange(m_repeated, fresh);
+    for (const auto& update : fresh) {
+        m_queue.add(update, now);
+        std::erase_if(updates, [&](const MemberUpdate& older) { return older.id == update.id; });
+    }
+    updates.insert(updates.end(), fresh.begin(), fresh.end());
     if (updates.empty())
         return;
     auto receivers = m_table.reachable();
     for (const auto& update : updates) {
-        m_queue.add(update, now);
         if (update.state == MemberState::Dead && update.id != m_self.id)
             receivers.push_back(update.id);
     }
-    for (const auto& receiver : receivers) {
-        for (std::size_t first = 0; first < updates.size(); first += updatesPerAnnouncement) {
-            auto end = std::min(first + updatesPerAnnouncement, updates.size());
-            auto message = header(MessageKind::Announce, receiver);
-            message.updates.assign(updates.begin() + static_cast<std::ptrdiff_t>(first),
-                updates.begin() + static_cast<std::ptrdiff_t>(end));
-            sendTo(receiver, std::move(message));
-        }
+    for (const auto& receiver : receivers)
+        sendAnnouncement(receiver, updates);
+}
+
+void Members::Impl::sendAnnouncement(const HostId& receiver, const std::vector<MemberUpdate>& updates)
+{
+    for (std::size_t first = 0; first < updates.size(); first += updatesPerAnnouncement) {
+        auto end = std::min(first + updatesPerAnnouncement, updates.size());
+        auto message = header(MessageKind::Announce, receiver);
+        message.updates.assign(updates.begin() + static_cast<std::ptrdiff_t>(first),
+            updates.begin() + static_cast<std::ptrdiff_t>(end));
+        sendTo(receiver, std::move(message));
     }
 }
 
--- a/packages/membership/test/membership-test.cpp
+++ b/packages/membership/test/membership-test.cpp
@@ -3,6 +3,7 @@
 
 #include "jujubereach/membership/delegates.h"
 #include "jujubereach/membership/ownership.h"
+#include "jujubereach/membership/relay.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -203,6 +204,8 @@
     CPPUNIT_TEST(domainsAreSpread);
     CPPUNIT_TEST(atMostOneMajority);
     CPPUNIT_TEST(delegatesAreTwoAndStable);
+    CPPUNIT_TEST(relaysReachEveryHostOnce);
+    CPPUNIT_TEST(digestsGoToOtherZonesInTurn);
     CPPUNIT_TEST_SUITE_END();
 
     void onlyDomainsOfTheLostHostMove()
@@ -251,6 +254,43 @@
         CPPUNIT_ASSERT_EQUAL(delegates[1], chooseDelegates(rest, ZoneId("z"))[0]);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), chooseDelegates(ids(1), ZoneId("z")).size());
     }
+
+    void relaysReachEveryHostOnce()
+    {
+        for (std::size_t count : { 1, 2, 3, 8, 27, 300 }) {
+            std::multiset<HostId> reached;
+            for (const auto& host : chooseDelegates(ids(count), ZoneId("z")))
+                reached.insert(host);
+            for (const auto& host : ids(count)) {
+                for (const auto& target : relayTargets(ids(count), ZoneId("z"), host, 7))
+                    reached.insert(target);
+            }
+            auto all = ids(count);
+            CPPUNIT_ASSERT(std::multiset<HostId>(all.begin(), all.end()) == reached);
+        }
+    }
+
+    void digestsGoToOtherZonesInTurn()
+    {
+        ZoneLinks links(ZoneId("a"), {}, 1);
+        links.setContacts(ZoneId("b"), { "b1", "b2" });
+        ZoneDigest own { ZoneId("a"), 7, 2, 0, {}, false };
+        TimePoint now {};
+        std::set<std::string> addresses;
+        for (int i = 0; i < 10; ++i, now += 2s) {
+            CPPUNIT_ASSERT(links.tick(own, false, now).empty());
+            for (const auto& outgoing : links.tick(own, true, now))
+                addresses.insert(outgoing.address);
+            CPPUNIT_ASSERT(links.tick(own, true, now + 1s).empty());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), addresses.size());
+        CPPUNIT_ASSERT(links.cutOff(ZoneId("b"), now));
+        ZoneDigest theirs { ZoneId("b"), 9, 2, 0, { { HostId("b2"), "b2" } }, false };
+        CPPUNIT_ASSERT(links.onDigest(theirs, now));
+        theirs.answer = true;
+        CPPUNIT_ASSERT(!links.onDigest(theirs, now));
+        CPPUNIT_ASSERT(!links.cutOff(ZoneId("b"), now));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MembersTest);
--- a/packages/membership/test/virtual-network.h
+++ b/packages/membership/test/virtual-network.h
@@ -53,7 +53,7 @@
 
     /// Starts a process; the address stands for the id when none is given.
     Members& start(const std::string& address, std::uint64_t incarnation, std::vector<std::string> seeds,
-        const std::string& id = {})
+        const std::string& id = {}, const std::string& zone = "z")
     {
         auto& host = m_hosts[address];
         MemberUpdate self { HostId(id.empty() ? address : id), Incarnation { incarnation }, 0,
@@ -62,7 +62,7 @@
         host.frozen = false;
         host.waiting.clear();
         host.members
-            = std::make_unique<Members>(ZoneId("z"), self, m_settings.members, m_random.next(), m_now);
+            = std::make_unique<Members>(ZoneId(zone), self, m_settings.members, m_random.next(), m_now);
         host.members->setSeeds(std::move(seeds));
         at(m_now + Duration(m_random.below(static_cast<std::uint64_t>(m_settings.tick.count()))),
             [this, address, process = host.members.get()] { tick(address, process); });
