Let counter-checks break correlation, leaving, draining and the order of manifests

Cause: four twins of scenarios passed although their mechanism was switched off: the hooks did not exist in the daemon.

--- a/packages/daemon/src/host.cpp
+++ b/packages/daemon/src/host.cpp
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <cstdlib>
 #include <thread>
 
 namespace jujubereach::daemon {
@@ -107,6 +108,9 @@
     m_requests.start();
     m_manifests.start();
     m_loop.run();
+    // Counter-check: ends without waiting for the callers' threads.
+    if (m_testHooks.breaks("drain-wait"))
+        std::_Exit(0);
     LOG(INFO) << "host: stopped";
     return {};
 }
--- a/packages/daemon/src/manifests.cpp
+++ b/packages/daemon/src/manifests.cpp
@@ -179,6 +179,9 @@
 
 void Manifests::onPeerCounter(const HostId& peer, std::uint64_t counter)
 {
+    // Counter-check: forgets what was in force, so that a stale peer can bring an older one.
+    if (m_ctx.testHooks.breaks("manifest-order") && counter > 0 && counter < m_holder.counter())
+        m_holder = manifest::ManifestHolder({}, m_ctx.clock());
     m_holder.onPeerCounter(peer, counter, m_ctx.clock());
     tick();
 }
--- a/packages/daemon/src/requests.cpp
+++ b/packages/daemon/src/requests.cpp
@@ -181,9 +181,9 @@
         [this, id, lease](const platform::UpstreamAnswer& answer) { onAttempt(id, lease, answer); });
 }
 
-void Requests::onAttempt(
-    const RequestId& id, const dispatch::Lease& lease, const platform::UpstreamAnswer& answer)
+void Requests::onAttempt(const RequestId& id, const dispatch::Lease& lease, platform::UpstreamAnswer answer)
 {
+    breakForTests(answer);
     const auto now = m_ctx.clock();
     m_upstreams.finished(lease, answer, now);
     auto* life = m_table.find(id);
@@ -203,6 +203,15 @@
     pump();
 }
 
+// Counter-checks: takes an upstream's "leaving" for "busy", or gives a caller the answer of another.
+void Requests::breakForTests(platform::UpstreamAnswer& answer)
+{
+    if (m_ctx.testHooks.breaks("leaving-stop") && answer.status == platform::UpstreamStatus::Leaving)
+        answer.status = platform::UpstreamStatus::Busy;
+    if (m_ctx.testHooks.breaks("correlation") && answer.status == platform::UpstreamStatus::Answered)
+        std::swap(answer.body, m_bodyOfAnother);
+}
+
 void Requests::giveUp(const RequestId& id, const std::string& reason, Duration retryAfter)
 {
     if (auto* life = m_table.find(id); life && life->giveUp(reason, retryAfter))
--- a/packages/daemon/src/requests.h
+++ b/packages/daemon/src/requests.h
@@ -81,7 +81,8 @@
     dispatch::HolderState holderState(const dispatch::OnceRecord& record) const;
     bool dispatchReady(const RequestId& id);
     void call(const RequestId& id, const dispatch::Lease& lease);
-    void onAttempt(const RequestId& id, const dispatch::Lease& lease, const platform::UpstreamAnswer& answer);
+    void onAttempt(const RequestId& id, const dispatch::Lease& lease, platform::UpstreamAnswer answer);
+    void breakForTests(platform::UpstreamAnswer& answer);
     void giveUp(const RequestId& id, const std::string& reason, Duration retryAfter);
     void finish(const RequestId& id);
     void completeRecord(const dispatch::RequestLife& life, const Work& work);
@@ -113,6 +114,7 @@
     std::uint64_t m_lastNumber = 0;
     bool m_draining = false;
     bool m_pumping = false;
+    std::string m_bodyOfAnother; ///< For a counter-check only.
 };
 
 } // namespace jujubereach::daemon
