--- a/packages/scheduling/src/clear.cpp
+++ b/packages/scheduling/src/clear.cpp
@@ -55,8 +55,10 @@
 bool Scheduler::Impl::clearByMigration(Job* job, TimePoint now)
 {
     const auto& free = job->lendable ? m_state.line.any() : m_state.line.open();
-    if (job->spec.accelerators < m_state.line.perWorker() || free.total() < job->spec.accelerators)
+    if (job->spec.accelerators < m_state.line.perWorker() || free.total() < job->spec.accelerators
+        || m_migrationSearches >= m_state.policy.maxMigrationSearches)
         return false;
+    ++m_migrationSearches;
     WindowSearch search;
     search.count = job->spec.accelerators;
     search.within = { 0, m_state.total };
--- a/packages/scheduling/src/decide.cpp
+++ b/packages/scheduling/src/decide.cpp
@@ -144,7 +144,7 @@
 {
     for (auto worker : m_state.health.dueProbes(now)) {
         auto run = m_state.line.runOf(worker);
-        if (!m_state.workerUp[worker] || m_state.line.gangAt(run.first))
+        if (!m_state.workerUp[worker] || !m_state.line.vacant(run))
             continue;
         Job* probe = nullptr;
         for (const auto& [key, lane] : m_state.lanes.all()) {
@@ -165,6 +165,7 @@
 
 void Scheduler::Impl::scanQueue(TimePoint now)
 {
+    m_migrationSearches = 0;
     Order order(m_state, now);
     Candidates candidates(m_state, order);
     while (auto* job = candidates.next()) {
--- a/packages/scheduling/src/ends.cpp
+++ b/packages/scheduling/src/ends.cpp
@@ -125,7 +125,10 @@
     auto refusal = refusalOf(job->spec);
     if (refusal)
         return endJob(job, EndKind::Stopped, refusal->refusal, refusal->text);
-    m_state.enqueue(job, now);
+    if (m_state.policy.requeue)
+        m_state.enqueue(job, now);
+    else
+        m_state.jobs.erase(job->spec.id);
 }
 
 } // namespace jujubereach::scheduling
--- a/packages/scheduling/src/gangs.cpp
+++ b/packages/scheduling/src/gangs.cpp
@@ -18,7 +18,8 @@
     job->started = true;
     if (cell)
         cell->holder = gang.get();
-    state.line.occupy(run, gang.get());
+    if (state.policy.occupyRuns)
+        state.line.occupy(run, gang.get());
     state.addUse(*gang);
     state.out.emplace_back(StartGang { gang->id, job->spec, run });
     auto* started = gang.get();
--- a/packages/scheduling/src/impl.h
+++ b/packages/scheduling/src/impl.h
@@ -71,6 +71,7 @@
     std::vector<EndJob> m_ends; ///< Not given out yet.
     std::map<JobId, std::string> m_ended; ///< Texts of the last ended jobs; at most maxEnded.
     std::deque<JobId> m_endedOrder;
+    std::uint32_t m_migrationSearches = 0; ///< Of the present scan of the queue.
     bool m_changed = true; ///< Something happened since the last decide().
     std::optional<TimePoint> m_recheck; ///< When waiting alone may change a decision.
 };
--- a/packages/scheduling/src/line.cpp
+++ b/packages/scheduling/src/line.cpp
@@ -17,6 +17,15 @@
         m_slots.resize(accelerators);
 }
 
+bool Line::vacant(const Run& run) const
+{
+    for (auto at = run.first; at < run.end(); ++at) {
+        if (m_slots[at].gang || m_slots[at].holds > 0)
+            return false;
+    }
+    return true;
+}
+
 void Line::index(const Run& run, bool add)
 {
     auto apply
--- a/packages/scheduling/src/line.h
+++ b/packages/scheduling/src/line.h
@@ -32,6 +32,8 @@
     void release(const Run& run);
 
     Gang* gangAt(std::uint32_t accelerator) const { return m_slots[accelerator].gang; }
+    /// No gang holds and no claim keeps any of the run.
+    bool vacant(const Run& run) const;
     bool usable(std::uint32_t accelerator) const { return m_slots[accelerator].usable; }
     bool isProtected(std::uint32_t accelerator) const { return m_slots[accelerator].protections > 0; }
     bool held(std::uint32_t accelerator) const { return m_slots[accelerator].holds > 0; }
