Keep most of an upstream's limit after a Busy, and spread a lost host's callers in the model

Found by looking at who waits: all of them in one host. The model's balancer sent everything of the lost host to its neighbour, which no balancer does; it now picks among the live hosts.

--- a/bench/requests/outages.cpp
+++ b/bench/requests/outages.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-    constexpr Micros start = 5 * microsPerSecond;
     constexpr Micros outageStart = 10 * microsPerSecond;
     constexpr Micros outageEnd = 20 * microsPerSecond;
     constexpr Micros end = 30 * microsPerSecond;
--- a/bench/requests/sharing.cpp
+++ b/bench/requests/sharing.cpp
@@ -78,6 +78,7 @@
         , m_hosts(hostCount)
     {
         std::vector<HostId> ids;
+        ids.reserve(hostCount);
         for (int i = 0; i < hostCount; ++i)
             ids.emplace_back("h" + std::to_string(i));
         for (std::size_t i = 0; i < hostCount; ++i) {
@@ -101,7 +102,7 @@
         Request request { m_events.now(), slotTime(m_random) };
         std::size_t index = m_random.unit() < m_unevenness ? 0 : m_random.below(hostCount);
         while (!m_hosts[index].alive)
-            index = (index + 1) % hostCount;
+            index = m_random.below(hostCount);
         m_hosts[index].waiting.push_back(request);
         pump(m_hosts[index]);
         m_events.after(
--- a/bench/requests/workload.cpp
+++ b/bench/requests/workload.cpp
@@ -76,6 +76,7 @@
 std::vector<Stream> flood(const std::string& workClass, int callers, double perSecond)
 {
     std::vector<Stream> streams;
+    streams.reserve(static_cast<std::size_t>(callers));
     for (int i = 0; i < callers; ++i) {
         streams.push_back({ "flood", WorkspaceId("agency"), ClassId(workClass),
             CallerId("agency-large" + std::to_string(i)), perSecond / callers });
--- a/bench/requests/zone.cpp
+++ b/bench/requests/zone.cpp
@@ -74,7 +74,7 @@
 {
     auto index = static_cast<std::size_t>(m_balancer.below(m_hosts.size()));
     while (!m_hosts[index].alive)
-        index = (index + 1) % m_hosts.size();
+        index = static_cast<std::size_t>(m_balancer.below(m_hosts.size()));
     return static_cast<int>(index);
 }
 
@@ -318,7 +318,7 @@
     }
 }
 
-void Zone::at(Micros when, std::function<void(ModelUpstreams&)> event)
+void Zone::at(Micros when, const std::function<void(ModelUpstreams&)>& event)
 {
     m_events.at(when, [this, event] { event(m_upstreams); });
 }
--- a/bench/requests/zone.h
+++ b/bench/requests/zone.h
@@ -44,7 +44,7 @@
     /// At `when` the process of a host is killed, which breaks its connections, or the whole host falls
     /// silent. The membership of its peers tells a second later.
     void loseHost(int host, HostLoss loss, Micros when);
-    void at(Micros when, std::function<void(ModelUpstreams&)> event);
+    void at(Micros when, const std::function<void(ModelUpstreams&)>& event);
     /// Counts what is offered in [from, until).
     void measure(Micros from, Micros until);
     void run(Micros until);
--- a/packages/admission/src/offer.cpp
+++ b/packages/admission/src/offer.cpp
@@ -2,7 +2,6 @@
 #include "core.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace jujubereach::admission {
 
@@ -99,7 +98,8 @@
 // The least urgent class that holds more places than its minimum share, the newcomer counted in.
 ClassQueue* AdmissionQueue::Core::classToDisplace(const Request& request, Scope scope)
 {
-    for (ClassQueue& queue : std::views::reverse(m_classes)) {
+    for (std::size_t i = m_classes.size(); i-- > 0;) {
+        ClassQueue& queue = m_classes[i];
         bool own = queue.workClass().id == request.workClass;
         std::uint32_t places = waitingIn(queue, request, scope) + (own ? 1 : 0);
         if (places > 0 && places > queue.workClass().minimumShare * boundOf(scope))
--- a/packages/dispatch/src/upstream.cpp
+++ b/packages/dispatch/src/upstream.cpp
@@ -15,7 +15,7 @@
     constexpr double failureWeight = 4; // in the pick
     constexpr std::chrono::duration<double> halfTrust { 3 }; // what was seen counts half after this time
     constexpr Duration decreasePeriod { 200 };
-    constexpr Duration busyPause { 50 };
+    constexpr Duration busyPause { 20 };
     constexpr Duration leavingHold { 30'000 };
     constexpr Duration suspectMinimum { 500 };
     constexpr int suspectFactor = 5; // of the usual time
@@ -131,7 +131,7 @@
         return;
     case platform::UpstreamStatus::Busy:
         m_lastAnswer = now;
-        m_limit = std::max(1.0, std::min(m_limit, static_cast<double>(inUse())));
+        m_limit = std::max({ 1.0, m_limit - 1, std::min(m_limit, static_cast<double>(inUse())) });
         m_pausedUntil = now + busyPause;
         if (m_setAside)
             setAside(now, random);
