--- a/packages/dispatch/test/upstreams-test.cpp
+++ b/packages/dispatch/test/upstreams-test.cpp
@@ -16,6 +16,7 @@
 std::vector<HostId> hostsOf(int count)
 {
     std::vector<HostId> hosts;
+    hosts.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         hosts.emplace_back("h" + std::to_string(i));
     return hosts;
@@ -24,6 +25,7 @@
 std::vector<UpstreamInfo> upstreamsOf(int count, std::uint32_t slots = 8)
 {
     std::vector<UpstreamInfo> list;
+    list.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         list.push_back({ UpstreamId("u" + std::to_string(i)), "10.0.0.1:80", slots, false });
     return list;
