Test admission by random events, and show where checks of credits and records fail

Each offered request has exactly one end over 30 seeds of 3000 events. Hosts with different views take slots twice, and a record without compare-and-swap is created twice: the checks can fail.

--- a/packages/admission/test/admission-test.cpp
+++ b/packages/admission/test/admission-test.cpp
@@ -78,6 +78,11 @@
     CPPUNIT_TEST(floodAtABoundGivesWay);
     CPPUNIT_TEST(outageGivesUpEverythingAtOnce);
     CPPUNIT_TEST(returningCallersAreSpread);
+    CPPUNIT_TEST(boundWithinOneCallerKeepsTheMoreUrgent);
+    CPPUNIT_TEST(cutOffRequestsDoNotShortenTheEstimate);
+    CPPUNIT_TEST(debtIsNotMadeByUnwantedSlots);
+    CPPUNIT_TEST(removedWorkspaceIsGivenUp);
+    CPPUNIT_TEST(everyRequestHasOneEnd);
     CPPUNIT_TEST_SUITE_END();
 
     void callersTakeTurns()
@@ -159,6 +164,131 @@
             last = offers.offer("foil", "proof", "a", Duration(60));
         CPPUNIT_ASSERT(last->retryAfter > first->retryAfter * 2);
     }
+
+    void boundWithinOneCallerKeepsTheMoreUrgent()
+    {
+        Offers offers;
+        for (int i = 0; i < 40; ++i)
+            offers.offer("foil", "bulk", "a");
+        CPPUNIT_ASSERT(offers.offer("foil", "bulk", "a")->reason == RefusalReason::CallerBound);
+        CPPUNIT_ASSERT(!offers.offer("foil", "check", "a"));
+        CPPUNIT_ASSERT(offers.queue.expire(offers.now).at(0).request.workClass == ClassId("bulk"));
+    }
+
+    // Requests that take 400 ms and are cut off after 100 ms.
+    void cutOffRequestsDoNotShortenTheEstimate()
+    {
+        Offers offers;
+        for (int i = 0; i < 100; ++i) {
+            offers.offer("foil", "proof", "a");
+            auto request = offers.queue.next(offers.now);
+            offers.now += Duration(10);
+            if (i < 50)
+                offers.queue.completed(request->id, Duration(400), offers.now);
+            else
+                offers.queue.unanswered(request->id, Duration(100), offers.now);
+        }
+        CPPUNIT_ASSERT(offers.queue.snapshot(offers.now).queues.at(0).meanTook >= Duration(390));
+    }
+
+    // A class that used idle slots is owed its minimum share at once when a flood comes.
+    void debtIsNotMadeByUnwantedSlots()
+    {
+        Offers offers;
+        for (int i = 0; i < 200; ++i) {
+            offers.offer("foil", "proof", "a");
+            offers.serve(1, classOf);
+        }
+        for (int i = 0; i < 30; ++i) {
+            offers.offer("tissue", "check", "b");
+            offers.offer("foil", "proof", "a");
+        }
+        CPPUNIT_ASSERT(offers.serve(20, classOf)["proof"] >= 3);
+    }
+
+    void removedWorkspaceIsGivenUp()
+    {
+        Offers offers;
+        offers.offer("foil", "proof", "a");
+        offers.offer("tissue", "proof", "b");
+        auto manifest = shop();
+        manifest.workspaces.pop_back();
+        offers.queue.configure(manifest, offers.now);
+        auto givenUp = offers.queue.expire(offers.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), givenUp.size());
+        CPPUNIT_ASSERT(givenUp[0].refusal.reason == RefusalReason::UnknownWorkspace);
+        CPPUNIT_ASSERT(offers.queue.next(offers.now)->workspace == WorkspaceId("foil"));
+    }
+
+    // Random events; each request is refused, given up, abandoned or served, exactly once.
+    void everyRequestHasOneEnd()
+    {
+        for (std::uint64_t seed = 1; seed <= 30; ++seed)
+            playRandomly(seed);
+    }
+
+    static void playRandomly(std::uint64_t seed)
+    {
+        Random random(seed);
+        Offers offers;
+        std::map<RequestId, int> ends;
+        std::vector<RequestId> running;
+        const char* const workspaces[] = { "foil", "tissue", "nobody" };
+        const char* const workClasses[] = { "check", "proof", "bulk" };
+        for (int step = 0; step < 3000; ++step) {
+            offers.now += Duration(random.below(8));
+            RequestId id("r" + std::to_string(offers.number + 1));
+            switch (random.below(8)) {
+            default:
+                ends[id] = offers.offer(workspaces[random.below(20) == 0 ? 2 : random.below(2)],
+                               workClasses[random.below(3)], "c" + std::to_string(random.below(5)),
+                               Duration(20 + random.below(2000)))
+                    ? 1
+                    : 0;
+                break;
+            case 5:
+                if (auto request = offers.queue.next(offers.now)) {
+                    ++ends.at(request->id);
+                    running.push_back(request->id);
+                }
+                break;
+            case 6:
+                finishOne(offers, running, random);
+                break;
+            case 7:
+                id = RequestId(
+                    "r" + std::to_string(random.below(static_cast<std::uint64_t>(offers.number) + 1)));
+                if (random.below(3) == 0)
+                    ends[id] += offers.queue.abandon(id) ? 1 : 0;
+                else
+                    offers.queue.setSlots(static_cast<std::uint32_t>(random.below(12)), offers.now);
+            }
+            for (const auto& givenUp : offers.queue.expire(offers.now))
+                ++ends.at(givenUp.request.id);
+            CPPUNIT_ASSERT(offers.queue.waiting() <= 100);
+        }
+        offers.now += Duration(3000);
+        for (const auto& givenUp : offers.queue.expire(offers.now))
+            ++ends.at(givenUp.request.id);
+        CPPUNIT_ASSERT(offers.queue.empty());
+        ends.erase(RequestId("r0")); // never offered
+        for (const auto& [id, count] : ends)
+            CPPUNIT_ASSERT_EQUAL(1, count);
+    }
+
+    static void finishOne(Offers& offers, std::vector<RequestId>& running, Random& random)
+    {
+        if (running.empty())
+            return;
+        auto took = Duration(static_cast<Duration::rep>(random.below(200)));
+        if (random.below(4) == 0)
+            offers.queue.notRun(running.back());
+        else if (random.below(4) == 0)
+            offers.queue.unanswered(running.back(), took, offers.now);
+        else
+            offers.queue.completed(running.back(), took, offers.now);
+        running.pop_back();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AdmissionTest);
--- a/packages/dispatch/test/once-test.cpp
+++ b/packages/dispatch/test/once-test.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(recordsAreDroppedAfterRetention);
     CPPUNIT_TEST(damagedRecordIsNeverRunAgain);
     CPPUNIT_TEST(anyOrderDispatchesAtMostOnce);
+    CPPUNIT_TEST(withoutCompareAndSwapBothDispatch);
     CPPUNIT_TEST_SUITE_END();
 
     void firstCreatesAndOthersFindTheRecord()
@@ -128,6 +129,16 @@
             createOnce("noise", recordOf("r3", "b"), { 6 }, limits).verdict == OnceVerdict::Corrupt);
     }
 
+    // Why the value must go through a compare-and-swap.
+    void withoutCompareAndSwapBothDispatch()
+    {
+        const std::string readByBoth;
+        for (const char* host : { "a", "b" }) {
+            auto change = createOnce(readByBoth, recordOf(std::string("r-") + host, host), { 5 }, limits);
+            CPPUNIT_ASSERT(decideOnce(change, HolderState::Self) == OnceAction::Dispatch);
+        }
+    }
+
     // Hosts create, complete, abandon and lose replies in a random order; a model counts what ran.
     void anyOrderDispatchesAtMostOnce()
     {
--- a/packages/dispatch/test/upstreams-test.cpp
+++ b/packages/dispatch/test/upstreams-test.cpp
@@ -74,6 +74,9 @@
     CPPUNIT_TEST(silentGetsNothingMore);
     CPPUNIT_TEST(idleCreditsAreLent);
     CPPUNIT_TEST(loansNeverOverbook);
+    CPPUNIT_TEST(differentViewsOverbook);
+    CPPUNIT_TEST(silentPeersPartIsShared);
+    CPPUNIT_TEST(creditOfAnUnansweredRequestIsKeptAWhile);
     CPPUNIT_TEST_SUITE_END();
 
     void sharesOfAllHostsSumToTheSlots()
@@ -223,6 +226,55 @@
         }
     }
 
+    // The check above can fail: hosts that do not know of each other take every slot twice.
+    void differentViewsOverbook()
+    {
+        int taken = 0;
+        for (const char* self : { "h0", "h1" }) {
+            UpstreamSet set(1);
+            set.setPeers({ HostId(self) }, HostId(self), Incarnation { 1 });
+            set.setUpstreams(upstreamsOf(1), TimePoint());
+            while (set.pick(anyRequest, TimePoint()))
+                ++taken;
+        }
+        CPPUNIT_ASSERT_EQUAL(16, taken);
+    }
+
+    void silentPeersPartIsShared()
+    {
+        UpstreamSet set(1);
+        TimePoint now { Duration(1000) };
+        set.setPeers(hostsOf(3), HostId("h0"), Incarnation { 1 });
+        set.setUpstreams(upstreamsOf(3), now);
+        CreditReport other { HostId("h1"), Incarnation { 1 }, 0, {} };
+        set.report(0, now);
+        CPPUNIT_ASSERT_EQUAL(8U, set.usableSlots(now));
+        now += creditSilence;
+        set.onReport(other, now);
+        set.report(0, now);
+        CPPUNIT_ASSERT_EQUAL(12U, set.usableSlots(now)); // two of three
+        set.onReport({ HostId("h2"), Incarnation { 2 }, 0, {} }, now);
+        set.report(0, now);
+        CPPUNIT_ASSERT_EQUAL(8U, set.usableSlots(now));
+        set.peerLost(HostId("h2"), now);
+        CPPUNIT_ASSERT_EQUAL(12U, set.usableSlots(now));
+        now += creditSilence;
+        set.report(0, now); // nobody is heard: cut off
+        CPPUNIT_ASSERT_EQUAL(8U, set.usableSlots(now));
+    }
+
+    void creditOfAnUnansweredRequestIsKeptAWhile()
+    {
+        Single single(1);
+        std::optional<Lease> last;
+        while (auto lease = single.set.pick(anyRequest, single.now))
+            last = lease;
+        single.set.finished(*last, { UpstreamStatus::Unknown, 0, {}, Duration(50) }, single.now);
+        CPPUNIT_ASSERT(!single.set.pick(anyRequest, single.now));
+        single.now += Duration(100);
+        CPPUNIT_ASSERT(single.set.pick(anyRequest, single.now).has_value());
+    }
+
     using Losses = std::map<std::pair<std::size_t, std::size_t>, int>; // reports lost in a row, by pair
 
     static void tell(std::vector<UpstreamSet>& sets, std::size_t from, std::uint32_t wanted, Losses& losses,
