--- a/packages/jobs/src/worker-leases.h
+++ b/packages/jobs/src/worker-leases.h
@@ -3,6 +3,7 @@
 
 #include "jujubereach/jobs/owner.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -18,6 +19,7 @@
 
     /// Starts a new try for the majority: no grant of an earlier one counts.
     void beginContending(TimePoint now);
+    void raiseEpochAbove(std::uint64_t epoch) { m_epoch = std::max(m_epoch, epoch); }
     /// The majority was won: the epoch becomes the term.
     void beginTerm(TimePoint now);
     std::uint64_t epoch() const { return m_epoch; }
@@ -61,11 +63,14 @@
     void raiseEpoch(Epoch seen, TimePoint now);
     Epoch epochFor(const Lease& lease) const;
     std::uint32_t weightOf(std::uint32_t worker) const;
+    TimePoint findMajorityEnd() const;
 
     OwnerTimes m_times;
     std::vector<Lease> m_leases;
     std::uint64_t m_epoch = 1; ///< Before the majority all workers must grant this one; then it is the term.
     bool m_hasTerm = false;
+    /// Until when the known grants make a majority, at least. Grants only move it on.
+    mutable TimePoint m_majorityUntil;
 };
 
 } // namespace jujubereach::jobs
