--- /dev/null
+++ b/bench/state/report.h
@@ -0,0 +1,44 @@
+// Figures of the state benchmark and their bounds.
+#pragma once
+
+#include <algorithm>
+#include <cstdio>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jujubereach::bench {
+
+/// Prints figures and remembers whether one broke its bound.
+class Report {
+public:
+    /// `bound` is the largest value allowed.
+    void add(const std::string& name, double value, const char* unit, std::optional<double> bound = {})
+    {
+        std::printf("BENCH name=%s value=%.1f unit=%s", name.c_str(), value, unit);
+        if (bound)
+            std::printf(" bound=%.1f", *bound);
+        std::printf("\n");
+        std::fflush(stdout);
+        m_broken = m_broken || (bound && value > *bound);
+    }
+
+    bool broken() const { return m_broken; }
+
+private:
+    bool m_broken = false;
+};
+
+inline double percentile(std::vector<double> values, double share)
+{
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    auto index = static_cast<std::size_t>(share * static_cast<double>(values.size()));
+    return values[std::min(index, values.size() - 1)];
+}
+
+void measureMembership(Report& report);
+void measureManifest(Report& report);
+
+} // namespace jujubereach::bench
--- a/packages/manifest/include/jujubereach/manifest/apply.h
+++ b/packages/manifest/include/jujubereach/manifest/apply.h
@@ -115,6 +115,7 @@
     Manifest mergedManifest() const;
     void prepare();
     void prepareRoot();
+    void listChanges();
     void prepareRetired();
     void prepareWrites();
     void nextRemoval();
--- a/packages/manifest/include/jujubereach/manifest/holder.h
+++ b/packages/manifest/include/jujubereach/manifest/holder.h
@@ -25,13 +25,17 @@
     std::size_t peersBeforeService = 2;
     std::size_t maxPushedBytes = 8192; ///< Of section texts sent along with a root unasked.
     std::size_t contentsPerFetch = 64;
-    std::size_t rememberedRoots = 16; ///< Whose replaced sections are kept for peers that are behind.
+    std::size_t rememberedSteps = 16; ///< Of the past, from which peers that are behind are told the changes.
+    Duration watchInterval {
+        300
+    }; ///< Least time between two reads of the root: changes in a burst are joined.
 };
 
 /// What one host asks another.
 struct ManifestRequest {
     bool root = false;
     bool sections = false; ///< The whole section map.
+    std::uint64_t have = 0; ///< Counter in force at the asker; the root's changes are told from there.
     std::vector<ContentName> contents;
 };
 
@@ -72,6 +76,8 @@
 
     /// The value of the root key as read or watched; empty when the service has none.
     void onServiceRoot(const std::optional<Root>& root, TimePoint now);
+    /// Whether a delegate may watch or read the root again.
+    bool watchDue(TimePoint now) const;
     void onServiceIndex(const Index& index, TimePoint now);
     /// The contents of one fetch, all that were found.
     void onServiceContents(const std::vector<Content>& contents, TimePoint now);
@@ -98,6 +104,12 @@
         std::string text;
         Manifest manifest;
     };
+    /// From one manifest in force to the next.
+    struct HistoryStep {
+        std::uint64_t before = 0; ///< Counter.
+        std::vector<SectionName> changed;
+        std::vector<ContentName> replaced;
+    };
     struct Target {
         Root root;
         std::optional<SectionMap> sections;
@@ -115,13 +127,16 @@
     void offerContent(const Content& content);
     void advance();
     void enforce();
-    void dropOldParts(const SectionMap& before);
+    void remember(std::uint64_t counter, const SectionMap& before);
+    void dropUnusedParts();
+    bool isUsed(const ContentName& content) const;
+    std::optional<std::vector<SectionChange>> changesSince(std::uint64_t counter) const;
     std::vector<ContentName> missing() const;
     std::vector<HostId> sources(std::uint64_t counter) const;
     bool isBehindPeers(TimePoint now) const;
     ManifestRequest nextRequest() const;
     std::optional<HostId> nextSource();
-    ManifestReply pushOf(const Root& root) const;
+    ManifestReply pushFor(std::uint64_t have) const;
 
     HolderSettings m_settings;
     TimePoint m_startedAt;
@@ -132,12 +147,14 @@
     std::optional<RootRank>
         m_rejected; ///< A root whose sections cannot be read; only a higher one replaces it.
     std::map<ContentName, Part> m_parts; ///< Sections in force, of the target, and some replaced ones.
-    std::deque<std::vector<ContentName>> m_replaced; ///< By root, the latest last.
+    std::vector<ContentName> m_offered; ///< Parts that came since the last change of m_sections.
+    std::deque<HistoryStep> m_history; ///< Latest last; each begins where the one before ended.
     std::map<HostId, std::uint64_t> m_peers; ///< Highest counter that each peer has shown.
     std::optional<HostId> m_latestTeller; ///< Peer that last showed the highest counter.
     std::optional<TimePoint> m_higherSince; ///< Since when a peer is known to be ahead.
     std::optional<OpenFetch> m_open;
     std::size_t m_attempt = 0; ///< Fetches since the last progress.
+    std::optional<TimePoint> m_rootReadAt;
     bool m_serviceConfirmed = false; ///< The service's root was in force at one time.
     std::optional<RootRank> m_serviceRank; ///< Of the root that the service named last.
     std::optional<ManifestUpdate> m_update;
--- a/packages/manifest/include/jujubereach/manifest/root.h
+++ b/packages/manifest/include/jujubereach/manifest/root.h
@@ -22,8 +22,10 @@
 constexpr std::size_t maxAcceptedOperations = 64;
 /// Retired contents that are kept for hosts that are still fetching them; older ones are removed.
 constexpr std::size_t keptRetiredContents = 128;
-/// A root with more changed sections lists none; the index tells them.
-constexpr std::size_t maxListedChanges = 32;
+/// A root lists the latest changes up to this number, so that hosts a few behind need not read the index.
+constexpr std::size_t maxRootChanges = 6;
+/// Changes that hosts list for each other.
+constexpr std::size_t maxPeerChanges = 32;
 
 /// Rank of a root. Counters rise with each accepted apply; two roots with one counter exist only after the
 /// service has lost writes, and then every host prefers the same one.
@@ -42,8 +44,8 @@
     ContentName index; ///< Names the value that lists all sections.
     Revision indexRevision; ///< Of that value when it was written.
     ContentName sections; ///< nameOfSections of them.
-    std::uint64_t base = 0; ///< Counter to which `changes` apply; 0 when they are not listed.
-    std::vector<SectionChange> changes;
+    std::uint64_t base = 0; ///< `changes` are all since this counter; 0 when they are not listed.
+    std::vector<SectionChange> changes; ///< Latest first. They make any root from `base` on into this one.
 
     RootRank rank() const { return { counter, operation }; }
 };
--- a/packages/manifest/include/jujubereach/manifest/sections.h
+++ b/packages/manifest/include/jujubereach/manifest/sections.h
@@ -36,6 +36,7 @@
 struct SectionChange {
     SectionName name;
     ContentName content; ///< Empty when the section was removed.
+    std::uint64_t counter = 0; ///< In a root: of the root that made the change.
 };
 
 std::vector<SectionChange> changesBetween(const SectionMap& before, const SectionMap& after);
--- a/packages/manifest/src/apply-plan.cpp
+++ b/packages/manifest/src/apply-plan.cpp
@@ -161,9 +161,36 @@
     m_newRoot.operation = m_request.operation;
     m_newRoot.operatorName = m_request.operatorName;
     m_newRoot.sections = nameOfSections(m_sections);
-    if (m_result.changes.size() <= maxListedChanges) {
-        m_newRoot.base = m_heldRoot.counter;
-        m_newRoot.changes = m_result.changes;
+    listChanges();
+}
+
+// The own changes and those that the held root lists, as far back as there is room.
+void ApplySession::listChanges()
+{
+    if (m_heldRoot.counter == 0 || m_result.changes.size() > maxRootChanges)
+        return;
+    auto& listed = m_newRoot.changes;
+    listed = m_result.changes;
+    std::set<SectionName> names;
+    for (auto& change : listed) {
+        change.counter = m_newRoot.counter;
+        names.insert(change.name);
+    }
+    m_newRoot.base = m_heldRoot.counter;
+    if (m_heldRoot.base == 0)
+        return;
+    m_newRoot.base = m_heldRoot.base;
+    for (const auto& change : m_heldRoot.changes) {
+        if (names.contains(change.name))
+            continue;
+        if (listed.size() == maxRootChanges) {
+            // Of the root that made this change not all are listed.
+            m_newRoot.base = change.counter;
+            std::erase_if(
+                listed, [&](const SectionChange& other) { return other.counter <= change.counter; });
+            return;
+        }
+        listed.push_back(change);
     }
 }
 
--- a/packages/manifest/src/holder.cpp
+++ b/packages/manifest/src/holder.cpp
@@ -43,8 +43,9 @@
     return known != m_peers.end() && known->second >= counter;
 }
 
-void ManifestHolder::onServiceRoot(const std::optional<Root>& root, TimePoint)
+void ManifestHolder::onServiceRoot(const std::optional<Root>& root, TimePoint now)
 {
+    m_rootReadAt = now;
     m_serviceRank = root ? root->rank() : RootRank {};
     if (root)
         offerRoot(*root, std::nullopt);
@@ -52,6 +53,11 @@
     m_serviceConfirmed = m_serviceConfirmed || (m_manifest && m_root.rank() >= *m_serviceRank);
 }
 
+bool ManifestHolder::watchDue(TimePoint now) const
+{
+    return !m_rootReadAt || now - *m_rootReadAt >= m_settings.watchInterval;
+}
+
 void ManifestHolder::onServiceIndex(const Index& index, TimePoint)
 {
     offerSections(index.sections);
@@ -100,6 +106,7 @@
     auto part = outcomeOf([&] { return readSection(content.text); });
     if (part) {
         m_parts[content.name] = { content.text, std::move(*part.value) };
+        m_offered.push_back(content.name);
         m_attempt = 0;
     } else if (m_target) {
         m_rejected = m_target->root.rank();
@@ -112,7 +119,8 @@
     if (!m_target)
         return;
     auto& target = *m_target;
-    if (!target.sections && target.root.base == m_root.counter && m_root.counter > 0) {
+    bool isListed = target.root.base > 0 && target.root.base <= m_root.counter;
+    if (!target.sections && isListed) {
         auto sections = m_sections;
         applyChanges(sections, target.root.changes);
         offerSections(sections);
@@ -123,34 +131,76 @@
 
 void ManifestHolder::enforce()
 {
-    auto before = std::move(m_sections);
+    auto before = std::exchange(m_sections, std::move(*m_target->sections));
+    auto previous = m_root.counter;
     m_root = m_target->root;
-    m_sections = std::move(*m_target->sections);
     m_target.reset();
     std::map<SectionName, const Manifest*> parts;
     for (const auto& [name, content] : m_sections)
         parts[name] = &m_parts.at(content).manifest;
     m_manifest = std::make_shared<const Manifest>(assemble(parts));
-    dropOldParts(before);
+    remember(previous, before);
+    dropUnusedParts();
     m_higherSince.reset();
     m_attempt = 0;
     m_serviceConfirmed = m_serviceConfirmed || (m_serviceRank && m_root.rank() >= *m_serviceRank);
-    m_update = ManifestUpdate { m_root, m_manifest, pushOf(m_root) };
+    m_update = ManifestUpdate { m_root, m_manifest, pushFor(previous) };
 }
 
-void ManifestHolder::dropOldParts(const SectionMap& before)
+void ManifestHolder::remember(std::uint64_t counter, const SectionMap& before)
 {
-    auto& replaced = m_replaced.emplace_back();
-    for (const auto& [name, content] : before)
-        replaced.push_back(content);
-    if (m_replaced.size() > m_settings.rememberedRoots)
-        m_replaced.pop_front();
-    std::set<ContentName> kept;
-    for (const auto& [name, content] : m_sections)
-        kept.insert(content);
-    for (const auto& contents : m_replaced)
-        kept.insert(contents.begin(), contents.end());
-    std::erase_if(m_parts, [&](const auto& item) { return !kept.contains(item.first); });
+    if (before.empty())
+        return;
+    HistoryStep step;
+    step.before = counter;
+    for (const auto& change : changesBetween(before, m_sections)) {
+        step.changed.push_back(change.name);
+        if (auto old = before.find(change.name); old != before.end())
+            step.replaced.push_back(old->second);
+    }
+    m_history.push_back(std::move(step));
+}
+
+// Forgets the oldest step with the texts that it kept, and texts of roots that never came into force.
+void ManifestHolder::dropUnusedParts()
+{
+    auto candidates = std::exchange(m_offered, {});
+    if (m_history.size() > m_settings.rememberedSteps) {
+        const auto& replaced = m_history.front().replaced;
+        candidates.insert(candidates.end(), replaced.begin(), replaced.end());
+        m_history.pop_front();
+    }
+    for (const auto& content : candidates) {
+        if (!isUsed(content))
+            m_parts.erase(content);
+    }
+}
+
+bool ManifestHolder::isUsed(const ContentName& content) const
+{
+    auto isContent = [&](const auto& item) { return item.second == content; };
+    auto keepsContent = [&](const HistoryStep& step) {
+        return std::find(step.replaced.begin(), step.replaced.end(), content) != step.replaced.end();
+    };
+    return std::any_of(m_sections.begin(), m_sections.end(), isContent)
+        || std::any_of(m_history.begin(), m_history.end(), keepsContent);
+}
+
+std::optional<std::vector<SectionChange>> ManifestHolder::changesSince(std::uint64_t counter) const
+{
+    auto step = std::find_if(m_history.begin(), m_history.end(),
+        [&](const HistoryStep& other) { return other.before == counter; });
+    if (step == m_history.end())
+        return std::nullopt;
+    std::set<SectionName> names;
+    for (; step != m_history.end(); ++step)
+        names.insert(step->changed.begin(), step->changed.end());
+    std::vector<SectionChange> changes;
+    for (const auto& name : names) {
+        auto section = m_sections.find(name);
+        changes.push_back({ name, section == m_sections.end() ? ContentName {} : section->second });
+    }
+    return changes;
 }
 
 std::vector<ContentName> ManifestHolder::missing() const
@@ -218,6 +268,7 @@
 ManifestRequest ManifestHolder::nextRequest() const
 {
     ManifestRequest request;
+    request.have = m_root.counter;
     if (!m_target)
         request.root = true;
     else if (!m_target->sections)
@@ -239,7 +290,7 @@
 {
     ManifestReply reply;
     if (request.root)
-        reply = pushOf(m_root);
+        reply = pushFor(request.have);
     if (request.sections)
         reply.sections = m_sections;
     for (const auto& name : request.contents) {
@@ -249,12 +300,17 @@
     return reply;
 }
 
-ManifestReply ManifestHolder::pushOf(const Root& root) const
+// The root with its changes told from a counter that the receiver has, where that is known.
+ManifestReply ManifestHolder::pushFor(std::uint64_t have) const
 {
     ManifestReply push;
-    push.root = root;
+    push.root = m_root;
+    if (auto changes = changesSince(have); changes && changes->size() <= maxPeerChanges) {
+        push.root->base = have;
+        push.root->changes = std::move(*changes);
+    }
     std::size_t bytes = 0;
-    for (const auto& change : root.changes) {
+    for (const auto& change : push.root->changes) {
         auto part = m_parts.find(change.content);
         if (part == m_parts.end())
             continue;
--- a/packages/manifest/src/root.cpp
+++ b/packages/manifest/src/root.cpp
@@ -67,9 +67,9 @@
         root.base = json.getValue<std::uint64_t>("base");
         auto changes = arrayOf(json, "changes");
         for (std::size_t i = 0; i < changes->size(); ++i) {
-            auto pair = elementOf(*changes, i, 2);
-            root.changes.push_back({ SectionName(pair->getElement<std::string>(0)),
-                ContentName(pair->getElement<std::string>(1)) });
+            auto triple = elementOf(*changes, i, 3);
+            root.changes.push_back({ SectionName(triple->getElement<std::string>(0)),
+                ContentName(triple->getElement<std::string>(1)), triple->getElement<std::uint64_t>(2) });
         }
         return root;
     }
@@ -109,8 +109,11 @@
 std::string encode(const Root& root)
 {
     Array changes;
-    for (const auto& change : root.changes)
-        changes.add(pairOf(change.name.str(), change.content.str()));
+    for (const auto& change : root.changes) {
+        auto triple = pairOf(change.name.str(), change.content.str());
+        triple.add(change.counter);
+        changes.add(triple);
+    }
     auto json = orderedObject();
     json.set("counter", root.counter);
     json.set("operation", root.operation.str());
