--- a/packages/jobs/src/owner-impl.h
+++ b/packages/jobs/src/owner-impl.h
@@ -1,5 +1,6 @@
-// State of a domain's owner. Its parts: owner.cpp roles and inputs, owner-sync.cpp syncs and replies,
-// owner-gangs.cpp gangs and decisions, owner-recovery.cpp gangs and jobs found after a change of owner.
+// State of a domain's owner. Its parts: domain-owner.cpp public face, owner.cpp roles and inputs,
+// owner-sync.cpp syncs and replies, owner-gangs.cpp gangs and decisions, owner-recovery.cpp gangs and jobs
+// found after a change of owner.
 #pragma once
 
 #include "gang.h"
