--- a/packages/jobs/src/gang.cpp
+++ b/packages/jobs/src/gang.cpp
@@ -297,8 +297,10 @@
     bool live = m_phase != GangPhase::Ended;
     if (live && all([](const Member& m) { return m.ended || !m.holdSent; })
         && m_phase != GangPhase::Holding) {
+        // A member that completed while the others were saved has no checkpoint to go on from.
+        bool saved = all([](const Member& m) { return m.endState == TaskState::Checkpointed; });
         if (m_phase != GangPhase::Stopping && !hasCompleted())
-            m_endKind = EndKind::Checkpointed;
+            m_endKind = saved ? EndKind::Checkpointed : EndKind::Stopped;
         m_phase = GangPhase::Ended;
     }
 }
