Tell how many requests could start now

Cause: a daemon that takes a request from the queue before it has a lease, as for the time of creating a record, empties the queue when it asks only whether any slot is free. Change: UpstreamSet::freeSlots(). The daemon's pump does not use it yet.

--- a/packages/dispatch/include/jujubereach/dispatch/upstreams.h
+++ b/packages/dispatch/include/jujubereach/dispatch/upstreams.h
@@ -74,6 +74,9 @@
     std::uint32_t usableSlots(TimePoint now) const;
     /// True when a pick for a repeatable request would succeed.
     bool hasFree(TimePoint now) const;
+    /// Requests that could start now. A caller that takes requests from the queue before it has a lease,
+    /// such as for the time of creating a record, takes no more than these less those without a lease.
+    std::uint32_t freeSlots(TimePoint now) const;
     std::optional<Lease> pick(const PickFor& request, TimePoint now);
     void finished(const Lease& lease, const platform::UpstreamAnswer& answer, TimePoint now);
 
--- a/packages/dispatch/src/upstreams.cpp
+++ b/packages/dispatch/src/upstreams.cpp
@@ -78,6 +78,18 @@
     return sum;
 }
 
+std::uint32_t UpstreamSet::freeSlots(TimePoint now) const
+{
+    std::uint32_t sum = 0;
+    for (const auto& [id, upstream] : m_upstreams) {
+        if (canTake(*upstream, now))
+            sum += std::min(upstream->limit() - upstream->inUse(), m_credits.idle(id, now));
+        else if (upstream->probeDue(true, now))
+            ++sum;
+    }
+    return sum;
+}
+
 bool UpstreamSet::hasFree(TimePoint now) const
 {
     return std::any_of(m_upstreams.begin(), m_upstreams.end(),
--- a/packages/dispatch/test/upstreams-test.cpp
+++ b/packages/dispatch/test/upstreams-test.cpp
@@ -96,10 +96,12 @@
         UpstreamSet set(1);
         set.setPeers(hostsOf(2), HostId("h0"), Incarnation { 1 });
         set.setUpstreams(upstreamsOf(3), TimePoint());
+        CPPUNIT_ASSERT_EQUAL(12U, set.freeSlots(TimePoint()));
         int taken = 0;
         while (set.pick(anyRequest, TimePoint()))
             ++taken;
         CPPUNIT_ASSERT_EQUAL(12, taken);
+        CPPUNIT_ASSERT_EQUAL(0U, set.freeSlots(TimePoint()));
     }
 
     void leavingGetsNothingWhicheverSignIsFirst()
