--- a/packages/daemon/src/cluster.cpp
+++ b/packages/daemon/src/cluster.cpp
@@ -235,6 +235,15 @@
     return it == m_listed.end() ? std::nullopt : std::optional(it->second.address);
 }
 
+std::optional<HostId> Cluster::memberAt(const std::string& address) const
+{
+    for (const auto& member : m_members.others()) {
+        if (member.update.address == address)
+            return member.update.id;
+    }
+    return std::nullopt;
+}
+
 std::vector<std::string> Cluster::peerAddresses() const
 {
     std::vector<std::string> addresses;
--- a/packages/daemon/src/cluster.h
+++ b/packages/daemon/src/cluster.h
@@ -40,6 +40,8 @@
     void onDigest(const wire::ZoneDigestT& digest);
     void setManifestCounter(std::uint64_t counter);
 
+    /// The member with this inner address; none when no one has it.
+    std::optional<HostId> memberAt(const std::string& address) const;
     std::vector<HostId> live() const { return m_members.live(); }
     /// Of a member that is not dead.
     std::optional<Incarnation> incarnationOf(const HostId& host) const;
--- a/packages/daemon/src/domain.cpp
+++ b/packages/daemon/src/domain.cpp
@@ -10,6 +10,8 @@
 
     // A submit waits so long for the journal before it is accepted on copies instead.
     constexpr Duration journalPatience { 1500 };
+    // Between reads of the journal by its owner.
+    constexpr Duration journalReadInterval { 5000 };
     constexpr Duration driveDelay { 5 };
     constexpr Duration noOwnerRetryAfter { 1000 };
     constexpr Duration outageRetryAfter { 10'000 };
@@ -60,6 +62,8 @@
         config.acceleratorsPerWorker = domain.racks.empty() ? 0 : domain.racks.front().acceleratorsPerWorker;
         config.switches.holdBeforeStart = !ctx.testHooks.breaks("hold-before-start");
         config.switches.majority = !ctx.testHooks.breaks("majority");
+        config.switches.claimBeforeStart = !ctx.testHooks.breaks("claim-before-start");
+        config.switches.waitForReports = !ctx.testHooks.breaks("wait-for-reports");
         config.seed = ctx.random.next();
         return config;
     }
@@ -160,6 +164,8 @@
     m_owner.setJournalAvailable(m_fenced && m_journal->committer().isAvailable(), m_ctx.clock());
     m_owner.tick(m_ctx.clock());
     startTerm();
+    followJournal();
+    addBacklog();
     sendSyncs();
     carryOutEvents();
     for (const auto& line : m_owner.takeLog())
@@ -186,9 +192,15 @@
 {
     record.term = m_term;
     record.at = m_ctx.wallClock();
-    if (!m_journal->add(journal::encodeRecord(id, record)))
-        LOG(WARNING) << "domain " << m_id
-                     << ": too many records wait for the journal, one is dropped: " << id;
+    m_backlog.push_back(journal::encodeRecord(id, record));
+    addBacklog();
+}
+
+// Records keep their order; what does not fit into the committer waits here.
+void Domain::addBacklog()
+{
+    while (!m_backlog.empty() && m_journal->add(m_backlog.front()))
+        m_backlog.pop_front();
 }
 
 void Domain::sendSyncs()
@@ -277,6 +289,8 @@
         m_fenced = committed;
         if (committed)
             learnJournal();
+        else
+            m_owner.onFenceRefused(journalView().term, m_ctx.clock());
         return driveSoon();
     }
     if (completion.id.rfind("accept/", 0) == 0) {
@@ -320,17 +334,40 @@
     return m_view;
 }
 
-// Hands the accepted jobs to the owner.
+// Hands the journal to the owner: complete once the fence of this term stands in it.
 void Domain::learnJournal()
 {
+    m_learnedReads = m_journal->committer().reads();
     std::vector<jobs::JournaledJob> known;
     for (const auto& [id, entry] : journalView().jobs) {
-        if (entry.end)
-            continue;
-        if (auto spec = specOf(entry))
-            known.push_back({ std::move(*spec), !entry.claim.empty(), false });
+        jobs::JournaledJob job;
+        job.job.id = id;
+        job.claimed = !entry.claim.empty();
+        job.ended = entry.end.has_value();
+        if (!job.ended) {
+            auto spec = specOf(entry);
+            if (!spec)
+                continue;
+            job.job = std::move(*spec);
+        }
+        known.push_back(std::move(job));
     }
-    m_owner.journaledJobs(known, m_ctx.clock());
+    m_owner.journaledJobs(
+        known, m_ctx.clock(), m_fenced ? jobs::JournalView::Complete : jobs::JournalView::Partial);
+}
+
+// Other hosts flush the copies of an owner that is gone into the journal; its jobs are found by reading
+// again.
+void Domain::followJournal()
+{
+    if (!m_fenced || !isOwner())
+        return;
+    if (m_journal->committer().reads() != m_learnedReads)
+        learnJournal();
+    if (m_ctx.clock() - m_journalReadAt < journalReadInterval)
+        return;
+    m_journalReadAt = m_ctx.clock();
+    m_journal->requestRead();
 }
 
 std::optional<JobId> Domain::findKey(const std::string& key)
--- a/packages/daemon/src/domain.h
+++ b/packages/daemon/src/domain.h
@@ -11,6 +11,7 @@
 #include "jujubereach/manifest/manifest.h"
 #include "refusals.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -87,6 +88,8 @@
     void acceptInOutage(const JobId& job);
     void refuseUnjournaled(const JobId& job);
     void learnJournal();
+    void followJournal();
+    void addBacklog();
     const journal::JobJournal& journalView();
     std::optional<JobId> findKey(const std::string& key);
     void answerAccepted(const Answer& answer, const JobId& job, const std::string& durability, bool existing);
@@ -112,6 +115,9 @@
     std::map<JobId, jobs::JobEvent> m_ends; ///< Ends that the journal may not hold yet.
     journal::JobJournal m_view;
     std::string m_viewPayload; ///< What m_view was decoded from.
+    std::deque<journal::Record> m_backlog; ///< In order; for the journal's committer.
+    std::uint64_t m_learnedReads = 0; ///< Of the committer, as of the last learnJournal().
+    TimePoint m_journalReadAt;
     std::uint64_t m_term = 0;
     bool m_owning = false;
     bool m_fenced = false; ///< The journal knows this term.
--- a/packages/daemon/src/host.cpp
+++ b/packages/daemon/src/host.cpp
@@ -82,6 +82,10 @@
         = [this](Duration delay, std::function<void()> task) { m_loop.postAfter(delay, std::move(task)); };
     hooks.onCall
         = [this](wire::EnvelopeT& envelope, const wire::Responder& respond) { onCall(envelope, respond); };
+    hooks.onLost = [this](const std::string& address) {
+        if (const auto host = m_cluster.memberAt(address))
+            m_requests.onPeerLost(*host);
+    };
     if (m_settings.testHooks)
         hooks.mayReach = [this](const std::string& address) { return mayReach(address); };
     BOOST_LEAF_ASSIGN(
--- a/packages/daemon/src/manifests.cpp
+++ b/packages/daemon/src/manifests.cpp
@@ -56,6 +56,7 @@
         return kv.watch(manifest::rootKey, after, watchTime);
     };
     callThen(m_ctx.watchIo, m_ctx.loop, wait, [this](const platform::KvReply& reply) {
+        m_ctx.noteService(reply.status);
         if (!reply.entries.empty())
             onRootValue(reply);
         const bool answered = reply.status == platform::KvStatus::Ok;
--- a/packages/daemon/src/requests.cpp
+++ b/packages/daemon/src/requests.cpp
@@ -70,6 +70,12 @@
     m_upstreams.setPeers(std::move(hosts), m_ctx.self.host, m_ctx.self.incarnation);
 }
 
+void Requests::onPeerLost(const HostId& host)
+{
+    m_upstreams.peerLost(host, m_ctx.clock());
+    pump();
+}
+
 Requests::Work* Requests::find(const RequestId& id)
 {
     auto it = m_work.find(id);
@@ -116,7 +122,8 @@
         if (!dispatchReady(id))
             m_ready.push_back(id);
     }
-    while (m_upstreams.hasFree(m_ctx.clock())) {
+    // Requests whose record is being created will need a slot each.
+    while (m_ready.empty() && m_upstreams.freeSlots(m_ctx.clock()) > m_recording) {
         const auto request = m_queue->next(m_ctx.clock());
         if (!request)
             break;
@@ -161,6 +168,7 @@
     if (!lease)
         return false;
     life->dispatched(lease->upstream);
+    find(id)->attemptAt = m_ctx.clock();
     call(id, *lease);
     return true;
 }
@@ -228,10 +236,7 @@
     auto work = std::move(it->second);
     m_work.erase(it);
     const auto now = m_ctx.clock();
-    if (work.admitted && life->attempts() > 0)
-        m_queue->completed(id, now - work.startedAt, now);
-    else if (work.admitted && !m_queue->abandon(id))
-        m_queue->notRun(id);
+    settleShare(id, *life, work);
     completeRecord(*life, work);
     observe(*life, work);
     recordRefusal(*life);
@@ -241,6 +246,21 @@
         waiter(answer);
 }
 
+// Tells the queue what the request took, if anything.
+void Requests::settleShare(const RequestId& id, const dispatch::RequestLife& life, const Work& work)
+{
+    if (!work.admitted || m_queue->abandon(id))
+        return;
+    const auto now = m_ctx.clock();
+    const auto took = now - work.attemptAt;
+    if (life.attempts() == 0 || life.answer()->ran == dispatch::Ran::No)
+        m_queue->notRun(id);
+    else if (life.answer()->ran == dispatch::Ran::Unknown)
+        m_queue->unanswered(id, took, now);
+    else
+        m_queue->completed(id, took, now);
+}
+
 // Another request's answer is passed on; this one never ran by itself.
 void Requests::finishWith(const RequestId& id, const ApiAnswer& answer)
 {
--- a/packages/daemon/src/requests.h
+++ b/packages/daemon/src/requests.h
@@ -34,6 +34,8 @@
     void configure(const manifest::Manifest& manifest);
     void onMachines(const std::vector<platform::Machine>& machines);
     void onView();
+    /// The connection to the host's inner address broke.
+    void onPeerLost(const HostId& host);
     void onCreditReport(const wire::EnvelopeT& envelope, const wire::CreditReportT& report);
     void onCreditGrant(const wire::EnvelopeT& envelope, const wire::CreditGrantT& grant);
 
@@ -58,7 +60,8 @@
         std::vector<Answer> waiters;
         std::shared_ptr<std::atomic<bool>> callerGone;
         TimePoint offeredAt;
-        TimePoint startedAt; ///< Of the first attempt.
+        TimePoint startedAt; ///< Given out by the queue.
+        TimePoint attemptAt; ///< Of the last attempt.
         bool admitted = false;
         bool holdsRecord = false; ///< The record in the service names this request.
     };
@@ -85,6 +88,7 @@
     void breakForTests(platform::UpstreamAnswer& answer);
     void giveUp(const RequestId& id, const std::string& reason, Duration retryAfter);
     void finish(const RequestId& id);
+    void settleShare(const RequestId& id, const dispatch::RequestLife& life, const Work& work);
     void completeRecord(const dispatch::RequestLife& life, const Work& work);
     void finishWith(const RequestId& id, const ApiAnswer& answer);
     ApiAnswer finalAnswer(const dispatch::RequestLife& life) const;
@@ -112,6 +116,7 @@
     std::unordered_map<RequestId, std::string> m_references; ///< Of refusals whose answers are kept.
     std::size_t m_maxBodyBytes = 1 << 20;
     std::uint64_t m_lastNumber = 0;
+    std::uint32_t m_recording = 0; ///< Requests whose record is being created.
     bool m_draining = false;
     bool m_pumping = false;
     std::string m_bodyOfAnother; ///< For a counter-check only.
--- a/packages/wire/include/jujubereach/wire/peers.h
+++ b/packages/wire/include/jujubereach/wire/peers.h
@@ -42,6 +42,8 @@
     std::function<void(Duration, std::function<void()>)> postAfter;
     /// A call of a peer. One-way messages get a responder that goes nowhere.
     std::function<void(EnvelopeT&, Responder)> onCall;
+    /// A connection that this host had opened is gone. May be empty.
+    std::function<void(const std::string& address)> onLost;
     std::function<bool(const std::string& address)> mayReach;
 };
 
@@ -75,6 +77,9 @@
 
     LocalHost m_self;
     PeersHooks m_hooks;
+    ConnectionId connect(const std::string& address);
+
+    std::map<ConnectionId, std::string> m_opened; ///< Connections by this host and their addresses.
     std::uint64_t m_lastCorrelation = 0;
     std::map<std::uint64_t, Pending> m_pending; ///< Each ends by its reply, its timeout or its connection.
     std::unique_ptr<Network> m_network;
--- a/packages/wire/src/peers.cpp
+++ b/packages/wire/src/peers.cpp
@@ -42,7 +42,7 @@
 {
     auto envelope = envelopeFor(std::move(body));
     envelope.correlation = ++m_lastCorrelation;
-    const auto connection = m_network->connectionTo(address);
+    const auto connection = connect(address);
     if (!m_network->send(connection, envelope)) {
         m_hooks.post([onReply = std::move(onReply)] { onReply({ CallStatus::NotSent, nullptr }); });
         return;
@@ -56,7 +56,14 @@
 
 bool Peers::notify(const std::string& address, BodyUnion body)
 {
-    return m_network->send(m_network->connectionTo(address), envelopeFor(std::move(body)));
+    return m_network->send(connect(address), envelopeFor(std::move(body)));
+}
+
+ConnectionId Peers::connect(const std::string& address)
+{
+    const auto connection = m_network->connectionTo(address);
+    m_opened[connection] = address;
+    return connection;
 }
 
 void Peers::onMessage(ConnectionId connection, EnvelopeT& envelope)
@@ -85,6 +92,8 @@
     }
     for (const auto correlation : broken)
         finish(correlation, { CallStatus::Unknown, nullptr });
+    if (auto opened = m_opened.extract(connection); opened && m_hooks.onLost)
+        m_hooks.onLost(opened.mapped());
 }
 
 void Peers::finish(std::uint64_t correlation, CallResult result)
