Refuse jobs that shapes leave no room for; explain reservations and kept shares

Change: refused as NeverFits; the rule counts cells only; no gang of another class displaces an urgent one by rank.

--- a/bench/scheduling/cases.cpp
+++ b/bench/scheduling/cases.cpp
@@ -95,15 +95,21 @@
         };
     }
 
+    void printClass(
+        Report& report, const std::string& prefix, const std::string& name, const ClassFigures& figures)
+    {
+        auto completion = prefix + "-completion-" + name;
+        report.value(completion + "-mean", meanOf(figures.completion), "s");
+        report.value(completion + "-p50", percentileOf(figures.completion, 0.5), "s");
+        report.value(completion + "-p99", percentileOf(figures.completion, 0.99), "s");
+        report.value(prefix + "-wait-" + name + "-max", maxOf(figures.wait), "s");
+    }
+
     void printPool(Report& report, const std::string& prefix, const Pool& pool)
     {
         report.value(prefix + "-completion-mean", meanOf(pool.completionMeans), "s");
-        for (const auto& [name, each] : pool.classes) {
-            report.value(prefix + "-completion-" + name + "-mean", meanOf(each.completion), "s");
-            report.value(prefix + "-completion-" + name + "-p50", percentileOf(each.completion, 0.5), "s");
-            report.value(prefix + "-completion-" + name + "-p99", percentileOf(each.completion, 0.99), "s");
-            report.value(prefix + "-wait-" + name + "-max", maxOf(each.wait), "s");
-        }
+        for (const auto& [name, each] : pool.classes)
+            printClass(report, prefix, name, each);
         report.value(prefix + "-wait-longest", maxOf(pool.longestWaits), "s");
         report.value(prefix + "-frag-time-mean", meanOf(pool.fragTimes), "share");
         report.value(prefix + "-frag-gangs-mean", meanOf(pool.fragGangs), "share");
@@ -182,6 +188,7 @@
     const auto& own = pools["jujubereach"];
     auto ratioTo = [&](const std::string& other) { return completionRatio(own, pools[other]); };
     std::vector<double> bounds;
+    bounds.reserve(seeds.size());
     for (auto seed : seeds)
         bounds.push_back(areaBound(makeStream(deployment, seed)));
     report.value(deployment.name + "-completion-area-bound", meanOf(bounds), "s");
--- a/bench/scheduling/firstcome.cpp
+++ b/bench/scheduling/firstcome.cpp
@@ -12,7 +12,7 @@
 
 FirstCome::FirstCome(std::uint32_t workers, bool backfill)
     : m_backfill(backfill)
-    , m_busy(workers * acceleratorsPerWorker, false)
+    , m_busy(std::size_t(workers) * acceleratorsPerWorker, false)
     , m_up(workers, false)
 {
 }
--- a/bench/scheduling/world.cpp
+++ b/bench/scheduling/world.cpp
@@ -44,7 +44,7 @@
     class Meter {
     public:
         explicit Meter(const Stream& stream)
-            : m_busy(stream.workers * acceleratorsPerWorker, 0)
+            : m_busy(std::size_t(stream.workers) * acceleratorsPerWorker, 0)
             , m_cell(m_busy.size(), false)
             , m_free(static_cast<std::uint32_t>(m_busy.size()))
             , m_freeOpen(m_free)
--- a/packages/placement/src/freeruns.cpp
+++ b/packages/placement/src/freeruns.cpp
@@ -2,6 +2,7 @@
 
 #include <bit>
 #include <iterator>
+#include <ranges>
 
 namespace jujubereach::placement {
 
@@ -99,9 +100,9 @@
 {
     auto step = alignmentOf(count, m_acceleratorsPerWorker);
     for (auto each : { step, 1U }) {
-        for (auto it = m_byFirst.rbegin(); it != m_byFirst.rend(); ++it) {
+        for (auto [first, length] : std::views::reverse(m_byFirst)) {
             ++m_work;
-            if (auto found = within({ it->first, it->second }, count, each, Side::High, accept))
+            if (auto found = within({ first, length }, count, each, Side::High, accept))
                 return found;
         }
     }
--- a/packages/scheduling/src/decide.cpp
+++ b/packages/scheduling/src/decide.cpp
@@ -202,9 +202,13 @@
             kept
                 += std::max(0.0, workClass.config.minimumShare * m_state.line.usableCount() - workClass.used);
     }
-    kept = std::min(kept, m_state.line.openCount() / 2.0);
-    return m_state.fixedUsed == 0
-        || m_state.fixedUsed + job.spec.accelerators <= m_state.line.openCount() - kept;
+    if (kept <= 0 || m_state.fixedUsed == 0)
+        return true;
+    std::uint32_t inCells = 0;
+    for (const auto& cell : m_state.cells)
+        inCells += cell.placed ? cell.run.count : 0;
+    auto open = static_cast<double>(m_state.line.usableCount()) - inCells;
+    return m_state.fixedUsed + job.spec.accelerators <= open - std::min(kept, open / 2);
 }
 
 std::optional<Run> Scheduler::Impl::searchFree(
--- a/packages/scheduling/src/explain.cpp
+++ b/packages/scheduling/src/explain.cpp
@@ -43,6 +43,10 @@
     }
     explanation.state = "queued";
     explanation.text = waitingReason(job, now);
+    for (const auto& reservation : m_state.reservations) {
+        if (reservation.job == &job)
+            explanation.expectedWait = std::max(Duration { 0 }, reservation.expected - now);
+    }
     Order order(m_state, now);
     auto own = order.of(job);
     for (const auto& [key, lane] : m_state.lanes.all()) {
@@ -52,16 +56,28 @@
     return explanation;
 }
 
-std::string Scheduler::Impl::waitingReason(const Job& job, TimePoint) const
+std::string Scheduler::Impl::waitingReason(const Job& job, TimePoint now) const
 {
     auto count = std::to_string(job.spec.accelerators);
     if (job.claim)
         return "Other jobs are giving back the accelerators it gets; it starts within the reclaim bound.";
+    if (job.spec.shape)
+        return "Every run of its shape is in use by its own workspace or has a worker that is down; the job "
+               "starts when one is free, or earlier on other accelerators.";
     if (!withinQuota(job))
         return "Its workspace uses " + std::to_string(m_state.workspaces.at(job.spec.workspace).used)
             + " accelerators and may use "
             + std::to_string(m_state.workspaces.at(job.spec.workspace).config.quota)
             + "; the job starts when its own jobs end.";
+    if (!withinKeptShares(job, now))
+        return "The accelerators left are kept for the minimum shares of other classes, because the job can "
+               "neither be checkpointed nor stopped in time.";
+    bool reserved = std::any_of(m_state.reservations.begin(), m_state.reservations.end(),
+        [&job](const Reservation& each) { return each.job == &job; });
+    if (reserved)
+        return "A run of " + count
+            + " accelerators is reserved for it; it starts when the jobs that run there "
+              "and can't be preempted have ended.";
     const auto& free = job.lendable ? m_state.line.any() : m_state.line.open();
     if (free.total() < job.spec.accelerators)
         return "It needs " + count + " accelerators and " + std::to_string(free.total())
--- a/packages/scheduling/src/impl.cpp
+++ b/packages/scheduling/src/impl.cpp
@@ -59,6 +59,22 @@
         return nullptr;
     }
 
+    /// Longest run outside all guaranteed shapes.
+    std::uint32_t longestOpenRun(const placement::Packing& packing, std::uint32_t total)
+    {
+        std::map<std::uint32_t, std::uint32_t> ends;
+        for (const auto& placed : packing)
+            ends[placed.run.first] = placed.run.end();
+        ends[total] = total;
+        std::uint32_t longest = 0;
+        std::uint32_t at = 0;
+        for (const auto& [first, end] : ends) {
+            longest = std::max(longest, first - std::min(at, first));
+            at = end;
+        }
+        return longest;
+    }
+
     std::string accelerators(std::uint32_t count)
     {
         return std::to_string(count) + (count == 1 ? " accelerator" : " accelerators");
@@ -91,7 +107,9 @@
         m_state.classes[workClass.id].config = workClass;
         m_state.classes[workClass.id].listed = true;
     }
-    placeCells(m_state, packingOf(manifest, m_state));
+    auto packing = packingOf(manifest, m_state);
+    m_state.longestOpen = longestOpenRun(packing, m_state.total);
+    placeCells(m_state, packing);
     m_state.cellsBlocked = true;
 }
 
@@ -160,6 +178,11 @@
     if (spec.accelerators == 0 || spec.accelerators > m_state.total)
         return refuse(spec, RefusalReason::NeverFits,
             "The job needs " + wanted + ", the domain has " + std::to_string(m_state.total) + ".");
+    if (!spec.shape && !lendable(spec, m_state.limits) && spec.accelerators > m_state.longestOpen)
+        return refuse(spec, RefusalReason::NeverFits,
+            "The job needs " + wanted
+                + " and can neither be checkpointed nor stopped in time; guaranteed shapes leave at most "
+                + std::to_string(m_state.longestOpen) + " adjacent ones for such jobs.");
     if (!spec.shape && config.quota > 0 && spec.accelerators > config.quota)
         return refuse(spec, RefusalReason::NeverFits,
             "The job needs " + wanted + ", the workspace's quota is " + std::to_string(config.quota) + ".");
--- a/packages/scheduling/src/line.cpp
+++ b/packages/scheduling/src/line.cpp
@@ -49,13 +49,9 @@
 void Line::count(const Run& run, bool add)
 {
     std::uint32_t usable = 0;
-    std::uint32_t open = 0;
-    for (auto at = run.first; at < run.end(); ++at) {
+    for (auto at = run.first; at < run.end(); ++at)
         usable += m_slots[at].usable ? 1 : 0;
-        open += m_slots[at].usable && m_slots[at].protections == 0 ? 1 : 0;
-    }
     m_usable = add ? m_usable + usable : m_usable - usable;
-    m_openCount = add ? m_openCount + open : m_openCount - open;
 }
 
 template <typename Change> void Line::update(const Run& run, Change change)
--- a/packages/scheduling/src/line.h
+++ b/packages/scheduling/src/line.h
@@ -43,8 +43,6 @@
     const placement::FreeRuns& lent() const { return m_lent; }
     const placement::FreeRuns& any() const { return m_any; }
     std::uint32_t usableCount() const { return m_usable; }
-    /// Usable accelerators outside protected runs, free or not.
-    std::uint32_t openCount() const { return m_openCount; }
 
 private:
     struct Slot {
@@ -67,7 +65,6 @@
     placement::FreeRuns m_lent; ///< Exactly the free slots with protection.
     placement::FreeRuns m_any; ///< Exactly the free slots.
     std::uint32_t m_usable = 0;
-    std::uint32_t m_openCount = 0;
 };
 
 } // namespace jujubereach::scheduling
--- a/packages/scheduling/src/order.cpp
+++ b/packages/scheduling/src/order.cpp
@@ -56,6 +56,9 @@
 bool Order::outranks(const Job& job, const Gang& gang) const
 {
     constexpr double factor = 2; ///< Of the logarithm: a quarter of the area.
+    // Else an aged job and an urgent one would displace each other for ever.
+    if (m_state.urgent(*gang.job))
+        return false;
     auto own = rankOf(job);
     auto other = rankOf(*gang.job);
     if (own != other)
--- a/packages/scheduling/src/state.h
+++ b/packages/scheduling/src/state.h
@@ -37,6 +37,7 @@
     ZoneId zone;
     DomainId domain;
     std::uint32_t total = 0; ///< Accelerators that the manifest lists.
+    std::uint32_t longestOpen = 0; ///< Longest run outside the packed shapes, all workers up.
     std::map<ClassId, ClassState> classes;
     std::map<WorkspaceId, WorkspaceState> workspaces;
 
--- a/packages/scheduling/test/scheduling-test.cpp
+++ b/packages/scheduling/test/scheduling-test.cpp
@@ -28,6 +28,8 @@
     CPPUNIT_TEST(jobThatFailsEverywhereEnds);
     CPPUNIT_TEST(adoptedGangKeepsItsPlace);
     CPPUNIT_TEST(newManifestLeavesRunningGangs);
+    CPPUNIT_TEST(reservedRunIsNotDelayedByWrongEstimates);
+    CPPUNIT_TEST(migrationJoinsFreeRuns);
     CPPUNIT_TEST_SUITE_END();
 
     void jobStartsOnAdjacentAccelerators()
@@ -68,6 +70,7 @@
         auto reasonOf
             = [&](const JobSpec& spec) { return f.scheduler.submit(spec, f.now).value().refusal.value(); };
         CPPUNIT_ASSERT(reasonOf(f.job("big", 129)) == RefusalReason::NeverFits);
+        CPPUNIT_ASSERT(reasonOf(f.fixedJob("wide", 97)) == RefusalReason::NeverFits); // the shape has 32
         auto stranger = f.job("s", 1);
         stranger.workspace = WorkspaceId("nobody");
         CPPUNIT_ASSERT(reasonOf(stranger) == RefusalReason::UnknownWorkspace);
@@ -310,6 +313,46 @@
         f.decide();
         CPPUNIT_ASSERT_EQUAL(48u, f.runOf("call").count);
     }
+
+    // Fixed jobs that claim to be short may not start in the run that is reserved for the large one.
+    void reservedRunIsNotDelayedByWrongEstimates()
+    {
+        Fixture f;
+        f.submit(f.fixedJob("a", 48));
+        f.submit(f.fixedJob("b", 48));
+        f.decide();
+        f.submit(f.fixedJob("large", 96));
+        f.now += Duration { 300'000 };
+        f.decide();
+        CPPUNIT_ASSERT(f.textOf("large").find("reserved") != std::string::npos);
+        f.end("a", EndKind::Completed);
+        auto liar = f.fixedJob("liar", 8);
+        liar.declaredRunTime = Duration { 1000 };
+        f.submit(liar);
+        f.decide();
+        CPPUNIT_ASSERT(!f.runs("liar"));
+        f.end("b", EndKind::Completed);
+        f.decide();
+        CPPUNIT_ASSERT(f.runs("large"));
+    }
+
+    void migrationJoinsFreeRuns()
+    {
+        Fixture f;
+        for (int i = 0; i < 16; ++i)
+            f.submit(f.job("j" + std::to_string(i), 8));
+        f.decide();
+        f.now += Duration { 600'000 };
+        for (std::uint32_t worker = 0; worker < 16; worker += 2)
+            f.endGang(f.gangsOn(worker).front(), EndKind::Completed); // every second worker is free
+        f.decide();
+        f.submit(f.job("large", 32));
+        f.decide();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), f.endPreempted());
+        f.decide();
+        CPPUNIT_ASSERT_EQUAL(32u, f.runOf("large").count);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(9), f.gangs.size()); // those displaced run elsewhere
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SchedulingTest);
