Return moved cells to their place in the packing

Cause: a cell moved by an outage stayed in the middle of the line; gangs of 64 that can't be lent found 40 and 56 adjacent accelerators, for ever (invariants-test holdWithOutages, job starved: j1003). Change: an idle cell returns when its place in the packing is clear. Checked: invariants-test OK (5), scheduling-test OK (22).

--- a/packages/scheduling/src/cells.cpp
+++ b/packages/scheduling/src/cells.cpp
@@ -127,9 +127,11 @@
             lift(state, cell);
     }
     for (const auto& placed : packing) {
-        if (known(state, placed, placed.run.count))
+        if (auto* cell = known(state, placed, placed.run.count)) {
+            cell->home = placed.run;
             continue;
-        state.cells.push_back({ placed.workspace, placed.shape, placed.instance, placed.run });
+        }
+        state.cells.push_back({ placed.workspace, placed.shape, placed.instance, placed.run, placed.run });
         if (!overlapsAnother(state, placed.run))
             put(state, state.cells.back(), placed.run);
     }
@@ -149,28 +151,50 @@
     }
 }
 
+namespace {
+
+    bool clearable(const State& state, const Run& run)
+    {
+        for (auto at = run.first; at < run.end(); ++at) {
+            ++state.work;
+            if (!state.line.usable(at))
+                return false;
+            const auto* gang = state.line.gangAt(at);
+            if (gang && gang->state != GangState::Stopping && !preemptible(*gang))
+                return false;
+        }
+        return true;
+    }
+
+    /// Moves a cell back to its place in the packing when no other cell, claim or reservation is there.
+    void returnHome(State& state, Cell& cell)
+    {
+        lift(state, cell);
+        bool clear = clearable(state, cell.home);
+        for (auto at = cell.home.first; at < cell.home.end(); ++at)
+            clear = clear && !state.line.isProtected(at) && !state.line.held(at);
+        put(state, cell, clear ? cell.home : cell.run);
+    }
+
+} // namespace
+
 bool reclaimable(const State& state, const Cell& cell)
 {
-    if (!cell.placed)
-        return false;
-    for (auto at = cell.run.first; at < cell.run.end();) {
-        ++state.work;
-        if (!state.line.usable(at))
-            return false;
-        const auto* gang = state.line.gangAt(at);
-        if (gang && gang->state != GangState::Stopping && !preemptible(*gang))
-            return false;
-        ++at;
-    }
-    return true;
+    return cell.placed && clearable(state, cell.run);
 }
 
 void repairCells(State& state, bool awaitReports, TimePoint now)
 {
     state.cellsBlocked = false;
     for (auto& cell : state.cells) {
-        if (!idle(cell) || reclaimable(state, cell))
+        if (!idle(cell))
             continue;
+        if (reclaimable(state, cell)) {
+            if (cell.run != cell.home)
+                returnHome(state, cell);
+            state.cellsBlocked = state.cellsBlocked || cell.run != cell.home;
+            continue;
+        }
         state.cellsBlocked = true;
         if (awaitReports && awaitsReport(state, cell.run))
             continue;
--- a/packages/scheduling/src/records.h
+++ b/packages/scheduling/src/records.h
@@ -59,6 +59,7 @@
     ShapeId shape;
     std::uint32_t instance = 0;
     Run run;
+    Run home; ///< Where the packing puts it; a cell elsewhere splits the line, so it returns.
     bool placed = false; ///< False while no run can be kept, because too many workers are down.
     Gang* holder = nullptr; ///< The owner's gang, within `run`.
     Claim* claim = nullptr;
--- a/packages/scheduling/test/randomrun.h
+++ b/packages/scheduling/test/randomrun.h
@@ -195,7 +195,9 @@
             if (auto fault = decideAndCheck(); !fault.empty())
                 return fault;
         }
-        return m_open.empty() ? "" : "job starved: " + m_open.begin()->str() + ": " + m_fixture.textOf(m_open.begin()->str());
+        return m_open.empty()
+            ? ""
+            : "job starved: " + m_open.begin()->str() + ": " + m_fixture.textOf(m_open.begin()->str());
     }
 
     Random m_random;
