Search the highest fit without ranges::reverse, which clang rejects with this library

Checked: clang-tidy on placement, scheduling and bench/scheduling clean; placement-test OK (7), scheduling-test OK (22), invariants-test OK (5).

--- a/packages/placement/src/freeruns.cpp
+++ b/packages/placement/src/freeruns.cpp
@@ -1,8 +1,8 @@
 #include "jujubereach/placement/freeruns.h"
 
+#include <algorithm>
 #include <bit>
 #include <iterator>
-#include <ranges>
 
 namespace jujubereach::placement {
 
@@ -99,12 +99,15 @@
 std::optional<Run> FreeRuns::highestFit(std::uint32_t count, const Accept& accept) const
 {
     auto step = alignmentOf(count, m_acceleratorsPerWorker);
+    std::optional<Run> found;
     for (auto each : { step, 1U }) {
-        for (auto [first, length] : std::views::reverse(m_byFirst)) {
+        auto fits = [&](const auto& free) {
             ++m_work;
-            if (auto found = within({ first, length }, count, each, Side::High, accept))
-                return found;
-        }
+            found = within({ free.first, free.second }, count, each, Side::High, accept);
+            return found.has_value();
+        };
+        if (std::any_of(m_byFirst.rbegin(), m_byFirst.rend(), fits))
+            return found;
     }
     return std::nullopt;
 }
