--- a/packages/manifest/include/jujubereach/manifest/holder.h
+++ b/packages/manifest/include/jujubereach/manifest/holder.h
@@ -110,6 +110,10 @@
         std::vector<SectionName> changed;
         std::vector<ContentName> replaced;
     };
+    struct ChangeList {
+        std::uint64_t base = 0;
+        std::vector<SectionChange> changes;
+    };
     struct Target {
         Root root;
         std::optional<SectionMap> sections;
@@ -130,7 +134,7 @@
     void remember(std::uint64_t counter, const SectionMap& before);
     void dropUnusedParts();
     bool isUsed(const ContentName& content) const;
-    std::optional<std::vector<SectionChange>> changesSince(std::uint64_t counter) const;
+    std::optional<ChangeList> changesSince(std::uint64_t counter) const;
     std::vector<ContentName> missing() const;
     std::vector<HostId> sources(std::uint64_t counter) const;
     bool isBehindPeers(TimePoint now) const;
--- a/packages/manifest/src/apply-plan.cpp
+++ b/packages/manifest/src/apply-plan.cpp
@@ -241,6 +241,7 @@
     auto text = "operator " + other.operatorName.str() + " came first with revision "
         + std::to_string(other.counter) + " (operation " + other.operation.str() + ")";
     std::vector<std::string> names;
+    names.reserve(disputed.size());
     for (const auto& name : disputed)
         names.push_back(name.str());
     if (names.empty())
--- a/packages/manifest/src/holder.cpp
+++ b/packages/manifest/src/holder.cpp
@@ -186,21 +186,25 @@
         || std::any_of(m_history.begin(), m_history.end(), keepsContent);
 }
 
-std::optional<std::vector<SectionChange>> ManifestHolder::changesSince(std::uint64_t counter) const
+// From the latest step that begins at the counter or before it: the receiver may have had manifests in force
+// that this host skipped.
+std::optional<ManifestHolder::ChangeList> ManifestHolder::changesSince(std::uint64_t counter) const
 {
-    auto step = std::find_if(m_history.begin(), m_history.end(),
-        [&](const HistoryStep& other) { return other.before == counter; });
-    if (step == m_history.end())
+    auto after = std::find_if(
+        m_history.begin(), m_history.end(), [&](const HistoryStep& other) { return other.before > counter; });
+    if (after == m_history.begin())
         return std::nullopt;
+    auto step = std::prev(after);
+    ChangeList list { step->before, {} };
     std::set<SectionName> names;
     for (; step != m_history.end(); ++step)
         names.insert(step->changed.begin(), step->changed.end());
-    std::vector<SectionChange> changes;
+    list.changes.reserve(names.size());
     for (const auto& name : names) {
         auto section = m_sections.find(name);
-        changes.push_back({ name, section == m_sections.end() ? ContentName {} : section->second });
+        list.changes.push_back({ name, section == m_sections.end() ? ContentName {} : section->second, 0 });
     }
-    return changes;
+    return list;
 }
 
 std::vector<ContentName> ManifestHolder::missing() const
@@ -305,9 +309,9 @@
 {
     ManifestReply push;
     push.root = m_root;
-    if (auto changes = changesSince(have); changes && changes->size() <= maxPeerChanges) {
-        push.root->base = have;
-        push.root->changes = std::move(*changes);
+    if (auto list = changesSince(have); list && list->changes.size() <= maxPeerChanges) {
+        push.root->base = list->base;
+        push.root->changes = std::move(list->changes);
     }
     std::size_t bytes = 0;
     for (const auto& change : push.root->changes) {
--- a/packages/membership/include/jujubereach/membership/relay.h
+++ b/packages/membership/include/jujubereach/membership/relay.h
@@ -9,7 +9,7 @@
 
 namespace jujubereach::membership {
 
-/// Hosts that each host passes a new manifest on to.
+/// Hosts that each host but a delegate passes a new manifest on to.
 constexpr std::size_t relayFanout = 2;
 
 /// The hosts to which `self` passes on the manifest with this counter once it is in force here. The
--- a/packages/membership/src/relay.cpp
+++ b/packages/membership/src/relay.cpp
@@ -16,14 +16,17 @@
     for (const auto& delegate : order)
         std::erase(rest, delegate);
     rest = rankHosts(std::move(rest), "relay/" + std::to_string(counter));
-    auto roots = order.size();
+    auto delegates = order.size();
     order.insert(order.end(), rest.begin(), rest.end());
-    auto place = std::find(order.begin(), order.end(), self);
+    auto place = static_cast<std::size_t>(std::find(order.begin(), order.end(), self) - order.begin());
+    // A delegate also reads from the service, so it passes on to one host only, the root of a tree.
+    bool isDelegate = place < delegates;
+    auto first = isDelegate ? place + delegates : 2 * delegates + relayFanout * (place - delegates);
+    auto last = first + (isDelegate ? 1 : relayFanout);
     std::vector<HostId> targets;
-    if (place == order.end())
+    if (place == order.size())
         return targets;
-    auto first = roots + relayFanout * static_cast<std::size_t>(place - order.begin());
-    for (std::size_t i = first; i < std::min(first + relayFanout, order.size()); ++i)
+    for (auto i = first; i < std::min(last, order.size()); ++i)
         targets.push_back(order[i]);
     return targets;
 }
