Tell the changes of the last four steps in a push

Two changes within 300 ms: the push of the later one, told from the earlier, arrived first at hosts that had neither, and each of them asked a peer for the whole section map (seen in a trace: 'has 8 got root 10 base 9 asks').

--- a/packages/manifest/include/jujubereach/manifest/holder.h
+++ b/packages/manifest/include/jujubereach/manifest/holder.h
@@ -141,6 +141,7 @@
     ManifestRequest nextRequest() const;
     std::optional<HostId> nextSource();
     ManifestReply pushFor(std::uint64_t have) const;
+    ManifestReply pushToAll() const;
 
     HolderSettings m_settings;
     TimePoint m_startedAt;
--- a/packages/manifest/src/holder.cpp
+++ b/packages/manifest/src/holder.cpp
@@ -5,6 +5,12 @@
 
 namespace jujubereach::manifest {
 
+namespace {
+
+    constexpr std::size_t pushedSteps = 4;
+
+} // namespace
+
 ManifestHolder::ManifestHolder(HolderSettings settings, TimePoint now)
     : m_settings(settings)
     , m_startedAt(now)
@@ -144,7 +150,7 @@
     m_higherSince.reset();
     m_attempt = 0;
     m_serviceConfirmed = m_serviceConfirmed || (m_serviceRank && m_root.rank() >= *m_serviceRank);
-    m_update = ManifestUpdate { m_root, m_manifest, pushFor(previous) };
+    m_update = ManifestUpdate { m_root, m_manifest, pushToAll() };
 }
 
 void ManifestHolder::remember(std::uint64_t counter, const SectionMap& before)
@@ -326,6 +332,23 @@
     return push;
 }
 
+// Pushes overtake each other, so the changes are told from a few steps back; texts only of the last step.
+ManifestReply ManifestHolder::pushToAll() const
+{
+    if (m_history.empty())
+        return pushFor(0);
+    auto first = m_history.size() - std::min(m_history.size(), pushedSteps);
+    auto push = pushFor(m_history[first].before);
+    std::erase_if(push.contents, [&](const Content& content) {
+        return std::none_of(
+            m_history.back().changed.begin(), m_history.back().changed.end(), [&](const SectionName& name) {
+                auto section = m_sections.find(name);
+                return section != m_sections.end() && section->second == content.name;
+            });
+    });
+    return push;
+}
+
 bool ManifestHolder::ready(TimePoint now) const
 {
     return m_manifest && (m_serviceConfirmed || now - m_startedAt >= m_settings.startWindow);
