--- a/scenarios/src/run.cpp
+++ b/scenarios/src/run.cpp
@@ -10,7 +10,6 @@
 #include <algorithm>
 #include <csignal>
 #include <iostream>
-#include <ranges>
 
 namespace jujubereach::scenarios {
 
@@ -194,20 +193,26 @@
 Result<JobId> Run::job(const std::string& name)
 {
     const std::scoped_lock lock(m_mutex);
-    for (const auto& call : std::views::reverse(m_evidence.jobs)) {
+    JobId latest;
+    for (const auto& call : m_evidence.jobs) {
         if (call.name == name && !call.job.empty())
-            return call.job;
+            latest = call.job;
     }
+    if (!latest.empty())
+        return latest;
     return fail({ ErrorCode::NotFound, "no job was accepted under this name", "job", name });
 }
 
 Result<RequestCall> Run::request(const std::string& name)
 {
     const std::scoped_lock lock(m_mutex);
-    for (const auto& call : std::views::reverse(m_evidence.requests)) {
+    const RequestCall* latest = nullptr;
+    for (const auto& call : m_evidence.requests) {
         if (call.name == name)
-            return call;
+            latest = &call;
     }
+    if (latest)
+        return *latest;
     return fail({ ErrorCode::NotFound, "no request was sent under this name", "request", name });
 }
 
--- a/scenarios/src/steps-jobs.cpp
+++ b/scenarios/src/steps-jobs.cpp
@@ -52,6 +52,12 @@
             + describe(call) + ".";
     }
 
+    Error mismatchOf(const std::string& name, const std::string& expected, const JobCall& call)
+    {
+        return { ErrorCode::Unknown,
+            "job '" + name + "' should be " + expected + ", but was " + describe(call), {}, {} };
+    }
+
     // With "withinMs" the caller retries under the same key until the answer is as expected.
     Result<void> submit(Run& run, Fields& fields)
     {
@@ -75,8 +81,7 @@
                 return {};
             }
             if (steadyClock()() >= end)
-                return fail({ ErrorCode::Unknown,
-                    "job '" + name + "' should be " + expected + ", but was " + describe(call), {}, {} });
+                return fail(mismatchOf(name, expected, call));
             std::this_thread::sleep_for(retryInterval);
         }
     }
