--- a/packages/manifest/src/holder.cpp
+++ b/packages/manifest/src/holder.cpp
@@ -5,6 +5,12 @@
 
 namespace jujubereach::manifest {
 
+namespace {
+
+    constexpr std::size_t pushedSteps = 4;
+
+} // namespace
+
 ManifestHolder::ManifestHolder(HolderSettings settings, TimePoint now)
     : m_settings(settings)
     , m_startedAt(now)
@@ -144,7 +150,7 @@
     m_higherSince.reset();
     m_attempt = 0;
     m_serviceConfirmed = m_serviceConfirmed || (m_serviceRank && m_root.rank() >= *m_serviceRank);
-    m_update = ManifestUpdate { m_root, m_manifest, pushFor(previous) };
+    m_update = ManifestUpdate { m_root, m_manifest, pushToAll() };
 }
 
 void ManifestHolder::remember(std::uint64_t counter, const SectionMap& before)
@@ -186,21 +192,25 @@
         || std::any_of(m_history.begin(), m_history.end(), keepsContent);
 }
 
-std::optional<std::vector<SectionChange>> ManifestHolder::changesSince(std::uint64_t counter) const
+// From the latest step that begins at the counter or before it: the receiver may have had manifests in force
+// that this host skipped.
+std::optional<ManifestHolder::ChangeList> ManifestHolder::changesSince(std::uint64_t counter) const
 {
-    auto step = std::find_if(m_history.begin(), m_history.end(),
-        [&](const HistoryStep& other) { return other.before == counter; });
-    if (step == m_history.end())
+    auto after = std::find_if(
+        m_history.begin(), m_history.end(), [&](const HistoryStep& other) { return other.before > counter; });
+    if (after == m_history.begin())
         return std::nullopt;
+    auto step = std::prev(after);
+    ChangeList list { step->before, {} };
     std::set<SectionName> names;
     for (; step != m_history.end(); ++step)
         names.insert(step->changed.begin(), step->changed.end());
-    std::vector<SectionChange> changes;
+    list.changes.reserve(names.size());
     for (const auto& name : names) {
         auto section = m_sections.find(name);
-        changes.push_back({ name, section == m_sections.end() ? ContentName {} : section->second });
+        list.changes.push_back({ name, section == m_sections.end() ? ContentName {} : section->second, 0 });
     }
-    return changes;
+    return list;
 }
 
 std::vector<ContentName> ManifestHolder::missing() const
@@ -305,9 +315,9 @@
 {
     ManifestReply push;
     push.root = m_root;
-    if (auto changes = changesSince(have); changes && changes->size() <= maxPeerChanges) {
-        push.root->base = have;
-        push.root->changes = std::move(*changes);
+    if (auto list = changesSince(have); list && list->changes.size() <= maxPeerChanges) {
+        push.root->base = list->base;
+        push.root->changes = std::move(list->changes);
     }
     std::size_t bytes = 0;
     for (const auto& change : push.root->changes) {
@@ -322,6 +332,23 @@
     return push;
 }
 
+// Pushes overtake each other, so the changes are told from a few steps back; texts only of the last step.
+ManifestReply ManifestHolder::pushToAll() const
+{
+    if (m_history.empty())
+        return pushFor(0);
+    auto first = m_history.size() - std::min(m_history.size(), pushedSteps);
+    auto push = pushFor(m_history[first].before);
+    std::erase_if(push.contents, [&](const Content& content) {
+        return std::none_of(
+            m_history.back().changed.begin(), m_history.back().changed.end(), [&](const SectionName& name) {
+                auto section = m_sections.find(name);
+                return section != m_sections.end() && section->second == content.name;
+            });
+    });
+    return push;
+}
+
 bool ManifestHolder::ready(TimePoint now) const
 {
     return m_manifest && (m_serviceConfirmed || now - m_startedAt >= m_settings.startWindow);
--- a/packages/placement/src/freeruns.cpp
+++ b/packages/placement/src/freeruns.cpp
@@ -1,5 +1,6 @@
 #include "jujubereach/placement/freeruns.h"
 
+#include <algorithm>
 #include <bit>
 #include <iterator>
 
@@ -98,12 +99,15 @@
 std::optional<Run> FreeRuns::highestFit(std::uint32_t count, const Accept& accept) const
 {
     auto step = alignmentOf(count, m_acceleratorsPerWorker);
+    std::optional<Run> found;
     for (auto each : { step, 1U }) {
-        for (auto it = m_byFirst.rbegin(); it != m_byFirst.rend(); ++it) {
+        auto fits = [&](const auto& free) {
             ++m_work;
-            if (auto found = within({ it->first, it->second }, count, each, Side::High, accept))
-                return found;
-        }
+            found = within({ free.first, free.second }, count, each, Side::High, accept);
+            return found.has_value();
+        };
+        if (std::any_of(m_byFirst.rbegin(), m_byFirst.rend(), fits))
+            return found;
     }
     return std::nullopt;
 }
