--- a/bench/requests/zone.cpp
+++ b/bench/requests/zone.cpp
@@ -228,7 +228,7 @@
     Tally& tally = m_tallies[call.stream.group];
     const dispatch::FinalAnswer& answer = *call.life->answer();
     double took = static_cast<double>(m_events.now() - call.offered) / microsPerMs;
-    bool isGood = answer.ran == dispatch::Ran::Yes && answer.upstreamStatus < 500;
+    bool isGood = answer.ran == Ran::Yes && answer.upstreamStatus < 500;
     bool inTime = took <= static_cast<double>(call.stream.deadline.count());
     bool isInWindow = m_events.now() >= m_measureFrom && m_events.now() < m_measureUntil;
     if (isGood && inTime && isInWindow)
@@ -241,7 +241,7 @@
         ++tally.useful;
     else if (isGood)
         ++tally.late;
-    else if (answer.ran == dispatch::Ran::No)
+    else if (answer.ran == Ran::No)
         ++tally.refused;
     else
         ++tally.unknown;
--- a/packages/daemon/src/api.cpp
+++ b/packages/daemon/src/api.cpp
@@ -34,19 +34,6 @@
 
 } // namespace
 
-const char* nameOf(Ran ran)
-{
-    switch (ran) {
-    case Ran::No:
-        return "no";
-    case Ran::Yes:
-        return "yes";
-    case Ran::Unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
 Json makeJson()
 {
     return new Poco::JSON::Object(Poco::JSON_PRESERVE_KEY_ORDER);
--- a/packages/daemon/src/api.h
+++ b/packages/daemon/src/api.h
@@ -3,6 +3,7 @@
 
 #include "jujubereach/base/error.h"
 #include "jujubereach/base/id.h"
+#include "jujubereach/base/ran.h"
 #include "jujubereach/base/time.h"
 
 #include <Poco/JSON/Object.h>
@@ -40,10 +41,6 @@
 
 using Answer = std::function<void(ApiAnswer)>;
 
-/// Whether the work of a refused or failed call ran.
-enum class Ran { No, Yes, Unknown };
-const char* nameOf(Ran ran);
-
 struct ApiError {
     int status = 400;
     std::string error; ///< Stable name of the reason, such as "queue_full".
--- a/packages/daemon/src/domain.h
+++ b/packages/daemon/src/domain.h
@@ -30,6 +30,9 @@
     std::string key; ///< "<workspace>/<idempotency key>".
 };
 
+/// The job of an entry that has not ended; none when it cannot be read.
+std::optional<scheduling::JobSpec> specOf(const journal::JournalEntry& entry);
+
 class Domain {
 public:
     Domain(Context& ctx, Copies& copies, const manifest::Manifest& manifest, const manifest::Domain& domain,
--- a/packages/daemon/src/requests-api.cpp
+++ b/packages/daemon/src/requests-api.cpp
@@ -145,7 +145,7 @@
 {
     const auto& final = *life.answer();
     const int status = dispatch::httpStatusOf(final);
-    if (final.ran == dispatch::Ran::Yes) {
+    if (final.ran == Ran::Yes) {
         auto json = makeJson();
         json->set("request", life.info().id.str());
         json->set("ran", std::string("yes"));
@@ -156,7 +156,7 @@
     ApiError error;
     error.status = status;
     error.error = final.reason;
-    error.ran = final.ran == dispatch::Ran::No ? Ran::No : Ran::Unknown;
+    error.ran = final.ran == Ran::No ? Ran::No : Ran::Unknown;
     error.what = error.ran == Ran::No ? "the request was refused and did not run"
                                       : "it is not known whether the request ran; it is not run again";
     if (final.retryAfter.count() > 0)
--- a/packages/daemon/src/requests-once.cpp
+++ b/packages/daemon/src/requests-once.cpp
@@ -10,14 +10,14 @@
     constexpr Duration askLaterAfter { 1000 };
     constexpr Duration holderMargin { 500 };
 
-    dispatch::OnceState stateOf(dispatch::Ran ran)
+    dispatch::OnceState stateOf(Ran ran)
     {
         switch (ran) {
-        case dispatch::Ran::Yes:
+        case Ran::Yes:
             return dispatch::OnceState::Done;
-        case dispatch::Ran::No:
+        case Ran::No:
             return dispatch::OnceState::NotRun;
-        case dispatch::Ran::Unknown:
+        case Ran::Unknown:
             return dispatch::OnceState::Unknown;
         }
         return dispatch::OnceState::Unknown;
--- a/packages/daemon/src/requests.cpp
+++ b/packages/daemon/src/requests.cpp
@@ -253,9 +253,9 @@
         return;
     const auto now = m_ctx.clock();
     const auto took = now - work.attemptAt;
-    if (life.attempts() == 0 || life.answer()->ran == dispatch::Ran::No)
+    if (life.attempts() == 0 || life.answer()->ran == Ran::No)
         m_queue->notRun(id);
-    else if (life.answer()->ran == dispatch::Ran::Unknown)
+    else if (life.answer()->ran == Ran::Unknown)
         m_queue->unanswered(id, took, now);
     else
         m_queue->completed(id, took, now);
@@ -278,7 +278,7 @@
 void Requests::recordRefusal(const dispatch::RequestLife& life)
 {
     const auto& info = life.info();
-    if (life.answer()->ran == dispatch::Ran::No)
+    if (life.answer()->ran == Ran::No)
         m_references[info.id]
             = m_hooks.refuse({ info.workspace, info.caller, info.workClass, life.answer()->reason });
 }
@@ -294,13 +294,13 @@
 {
     const auto& info = life.info();
     const auto took = static_cast<double>((m_ctx.clock() - work.offeredAt).count());
-    if (life.answer()->ran == dispatch::Ran::Yes) {
+    if (life.answer()->ran == Ran::Yes) {
         m_ctx.metrics.observe("jujubereach_request_ms", { { "workspace", info.workspace.str() } }, took);
         return;
     }
     m_ctx.metrics.add("jujubereach_request_failures_total",
         { { "workspace", info.workspace.str() }, { "reason", life.answer()->reason },
-            { "ran", dispatch::nameOf(life.answer()->ran) } });
+            { "ran", nameOf(life.answer()->ran) } });
 }
 
 void Requests::sweep()
--- a/packages/dispatch/include/jujubereach/dispatch/once.h
+++ b/packages/dispatch/include/jujubereach/dispatch/once.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include "jujubereach/base/id.h"
+#include "jujubereach/base/ran.h"
 #include "jujubereach/base/time.h"
-#include "jujubereach/dispatch/ran.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/packages/dispatch/include/jujubereach/dispatch/request.h
+++ b/packages/dispatch/include/jujubereach/dispatch/request.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "jujubereach/base/id.h"
+#include "jujubereach/base/ran.h"
 #include "jujubereach/base/time.h"
-#include "jujubereach/dispatch/ran.h"
 #include "jujubereach/dispatch/retry.h"
 #include "jujubereach/platform/upstream.h"
 
--- a/packages/dispatch/include/jujubereach/dispatch/retry.h
+++ b/packages/dispatch/include/jujubereach/dispatch/retry.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "jujubereach/base/id.h"
+#include "jujubereach/base/ran.h"
 #include "jujubereach/base/random.h"
 #include "jujubereach/base/time.h"
-#include "jujubereach/dispatch/ran.h"
 #include "jujubereach/platform/upstream.h"
 
 #include <cstdint>
--- a/packages/dispatch/src/retry.cpp
+++ b/packages/dispatch/src/retry.cpp
@@ -22,19 +22,6 @@
 
 } // namespace
 
-const char* nameOf(Ran ran)
-{
-    switch (ran) {
-    case Ran::No:
-        return "no";
-    case Ran::Yes:
-        return "yes";
-    case Ran::Unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
 const char* nameOf(RetryReason reason)
 {
     switch (reason) {
--- a/packages/jobs/include/jujubereach/jobs/owner.h
+++ b/packages/jobs/include/jujubereach/jobs/owner.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "jujubereach/base/id.h"
+#include "jujubereach/base/ran.h"
 #include "jujubereach/base/time.h"
 #include "jujubereach/jobs/scheduler-hooks.h"
 #include "jujubereach/platform/worker.h"
@@ -61,8 +62,6 @@
     TimePoint sendBy; ///< When it is past just before sending, the sync is dropped as Unreachable.
 };
 
-enum class Ran { Yes, No, Unknown };
-
 enum class JobEventKind {
     Claimed, ///< A job that is not restartable is about to start; its start waits for the commit.
     Unclaimed, ///< That attempt did not run, or ended with its progress saved.
--- a/packages/scheduling/include/jujubereach/scheduling/scheduler.h
+++ b/packages/scheduling/include/jujubereach/scheduling/scheduler.h
@@ -45,6 +45,9 @@
     Unknown, ///< It may run or have run somewhere; never started again.
 };
 
+/// Name as it stands in answers and records.
+const char* nameOf(EndKind kind);
+
 struct GangEnd {
     GangId gang;
     EndKind kind = EndKind::Completed;
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -4,6 +4,27 @@
 
 namespace jujubereach::scheduling {
 
+const char* nameOf(EndKind kind)
+{
+    switch (kind) {
+    case EndKind::Completed:
+        return "completed";
+    case EndKind::Failed:
+        return "failed";
+    case EndKind::StartFailed:
+        return "start_failed";
+    case EndKind::WorkerLost:
+        return "worker_lost";
+    case EndKind::Checkpointed:
+        return "checkpointed";
+    case EndKind::Stopped:
+        return "stopped";
+    case EndKind::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
 const char* nameOf(RefusalReason reason)
 {
     switch (reason) {
