--- a/cmake/jujubereach-package.cmake
+++ b/cmake/jujubereach-package.cmake
@@ -4,7 +4,9 @@
 target_compile_options(jujubereach-options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror -fno-omit-frame-pointer)
 target_link_libraries(jujubereach-options INTERFACE Threads::Threads)
 if(JUJUBEREACH_SANITIZE)
-    target_compile_options(jujubereach-options INTERFACE -fsanitize=${JUJUBEREACH_SANITIZE} -fno-sanitize-recover=all)
+    # The instrumented code makes this compiler see uninitialized members of empty optionals.
+    target_compile_options(jujubereach-options INTERFACE -fsanitize=${JUJUBEREACH_SANITIZE} -fno-sanitize-recover=all
+                           -Wno-maybe-uninitialized)
     target_link_options(jujubereach-options INTERFACE -fsanitize=${JUJUBEREACH_SANITIZE})
 endif()
 
--- a/packages/ctl/src/run.cpp
+++ b/packages/ctl/src/run.cpp
@@ -83,7 +83,7 @@
         "Examples:\n"
         "  jujubereachctl validate site.json\n"
         "  jujubereachctl --server 127.0.0.1:8080 apply site.json\n"
-        "  jujubereachctl submit --workspace foil --class proofs --caller press-7 --accelerators 16 "
+        "  jujubereachctl submit --workspace foil --class proof --caller press-7 --accelerators 16 "
         "--run-time-ms 60000\n"
         "  jujubereachctl explain JOB\n"
         "Exit status: 0 done, 1 refused (did not run), 2 bad input, 3 no host answered, 4 may have run.");
