Build the common part of a call's body once in jujubereachctl; drop a counter nobody read

Cause: the last reading found the same four fields, random key and printing in job-commands.cpp and request-commands.cpp, and HttpServer::callsInProgress without a caller since the drain counts requests itself. Change: callerJson and toText in client.h serve both; the counter is gone. Behaviour stays as it is.

--- a/packages/ctl/src/client.cpp
+++ b/packages/ctl/src/client.cpp
@@ -6,6 +6,9 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/StreamCopier.h>
 #include <Poco/URI.h>
+#include <Poco/UUIDGenerator.h>
+
+#include <sstream>
 
 namespace jujubereach::ctl {
 
@@ -72,6 +75,24 @@
     return fail({ ErrorCode::Unavailable, "no entry host answered (" + tried + ")", "--server", {} });
 }
 
+Poco::JSON::Object callerJson(const std::string& workspace, const std::string& workClass,
+    const std::string& caller, const std::string& key)
+{
+    Poco::JSON::Object json(Poco::JSON_PRESERVE_KEY_ORDER);
+    json.set("workspace", workspace);
+    json.set("class", workClass);
+    json.set("caller", caller);
+    json.set("key", key.empty() ? Poco::UUIDGenerator::defaultGenerator().createRandom().toString() : key);
+    return json;
+}
+
+std::string toText(const Poco::JSON::Object& json)
+{
+    std::ostringstream out;
+    json.stringify(out);
+    return out.str();
+}
+
 std::string escapeQuery(const std::string& value)
 {
     std::string out;
--- a/packages/ctl/src/client.h
+++ b/packages/ctl/src/client.h
@@ -45,6 +45,12 @@
     std::vector<std::string> m_servers; ///< "ip:port", in order of preference.
 };
 
+/// Body that jobs and requests begin with; an empty key becomes a random one, so that a second send of the
+/// same call is recognised.
+Poco::JSON::Object callerJson(const std::string& workspace, const std::string& workClass,
+    const std::string& caller, const std::string& key);
+std::string toText(const Poco::JSON::Object& json);
+
 /// Escapes one value of a query.
 std::string escapeQuery(const std::string& value);
 
--- a/packages/ctl/src/job-commands.cpp
+++ b/packages/ctl/src/job-commands.cpp
@@ -4,11 +4,9 @@
 #include "table.h"
 
 #include <CLI/CLI.hpp>
-#include <Poco/UUIDGenerator.h>
 
 #include <iostream>
 #include <memory>
-#include <sstream>
 
 namespace jujubereach::ctl {
 
@@ -31,13 +29,7 @@
 
     std::string bodyOf(const JobFlags& flags)
     {
-        Poco::JSON::Object json(Poco::JSON_PRESERVE_KEY_ORDER);
-        json.set("workspace", flags.workspace);
-        json.set("class", flags.workClass);
-        json.set("caller", flags.caller);
-        json.set("key",
-            flags.key.empty() ? Poco::UUIDGenerator::defaultGenerator().createRandom().toString()
-                              : flags.key);
+        auto json = callerJson(flags.workspace, flags.workClass, flags.caller, flags.key);
         if (!flags.kind.empty())
             json.set("kind", flags.kind);
         if (!flags.shape.empty())
@@ -47,9 +39,7 @@
         json.set("checkpointTimeMs", static_cast<Poco::Int64>(flags.checkpointTimeMs));
         json.set("checkpointable", flags.checkpointable);
         json.set("restartable", flags.restartable);
-        std::ostringstream out;
-        json.stringify(out);
-        return out.str();
+        return toText(json);
     }
 
     void submit(Context& ctx, const JobFlags& flags)
--- a/packages/ctl/src/request-commands.cpp
+++ b/packages/ctl/src/request-commands.cpp
@@ -4,11 +4,9 @@
 #include "table.h"
 
 #include <CLI/CLI.hpp>
-#include <Poco/UUIDGenerator.h>
 
 #include <iostream>
 #include <memory>
-#include <sstream>
 
 namespace jujubereach::ctl {
 
@@ -40,19 +38,11 @@
 
     std::string bodyOf(const RequestFlags& flags)
     {
-        Poco::JSON::Object json(Poco::JSON_PRESERVE_KEY_ORDER);
-        json.set("workspace", flags.workspace);
-        json.set("class", flags.workClass);
-        json.set("caller", flags.caller);
-        json.set("key",
-            flags.key.empty() ? Poco::UUIDGenerator::defaultGenerator().createRandom().toString()
-                              : flags.key);
+        auto json = callerJson(flags.workspace, flags.workClass, flags.caller, flags.key);
         json.set("repeatable", flags.repeatable);
         json.set("deadlineMs", static_cast<Poco::Int64>(flags.deadlineMs));
         json.set("body", flags.body);
-        std::ostringstream out;
-        json.stringify(out);
-        return out.str();
+        return toText(json);
     }
 
     void addRequest(CLI::App& app, Context& ctx)
--- a/packages/daemon/src/http-server.cpp
+++ b/packages/daemon/src/http-server.cpp
@@ -27,7 +27,6 @@
     struct ServerState {
         HttpLimits limits;
         HttpHandler handler;
-        std::atomic<int> inProgress { 0 };
         std::atomic<bool> stopping { false };
     };
 
@@ -131,13 +130,11 @@
 
         void handleRequest(net::HTTPServerRequest& request, net::HTTPServerResponse& response) override
         {
-            ++m_state.inProgress;
             try {
                 handle(request, response);
             } catch (const Poco::Exception& e) {
                 VLOG(1) << "http: call ended: " << e.displayText();
             }
-            --m_state.inProgress;
         }
 
     private:
@@ -249,9 +246,4 @@
         m_impl->server->stop();
 }
 
-int HttpServer::callsInProgress() const
-{
-    return m_impl->state.inProgress;
-}
-
 } // namespace jujubereach::daemon
--- a/packages/daemon/src/http-server.h
+++ b/packages/daemon/src/http-server.h
@@ -27,8 +27,6 @@
 
     /// Takes no new connection and answers the calls in progress.
     void stopIntake();
-    /// Calls that are not answered yet.
-    int callsInProgress() const;
 
 private:
     struct Impl;
