--- a/cmake/jujubereach-package.cmake
+++ b/cmake/jujubereach-package.cmake
@@ -1,7 +1,10 @@
 # Functions that declare packages, programs and tests in the same way everywhere.
 
 add_library(jujubereach-options INTERFACE)
-target_compile_options(jujubereach-options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror -fno-omit-frame-pointer)
+target_compile_options(jujubereach-options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -fno-omit-frame-pointer)
+if(JUJUBEREACH_WERROR)
+    target_compile_options(jujubereach-options INTERFACE -Werror)
+endif()
 target_link_libraries(jujubereach-options INTERFACE Threads::Threads)
 if(JUJUBEREACH_SANITIZE)
     # The instrumented code makes this compiler see uninitialized members of empty optionals.
@@ -35,6 +38,9 @@
     list(TRANSFORM ARG_DEPS PREPEND jujubereach-)
     target_link_libraries(jujubereach-${name} PUBLIC ${ARG_DEPS} ${ARG_LIBS})
     jujubereach_target(jujubereach-${name})
+    if(NOT JUJUBEREACH_TESTS)
+        return()
+    endif()
     file(GLOB tests CONFIGURE_DEPENDS test/*-test.cpp)
     foreach(test IN LISTS tests)
         get_filename_component(testName ${test} NAME_WE)
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -2,6 +2,8 @@
 #include "host.h"
 #include "settings.h"
 
+#include "jujubereach/users/serve.h"
+
 #include <glog/logging.h>
 
 #include <csignal>
@@ -51,10 +53,23 @@
     }).detach();
 }
 
+// "jujubereachd entry" serves the users' platform; its settings come from the file that the platform names.
+int serveUsers()
+{
+    const auto* path = std::getenv(users::settingsVariable);
+    if (!path) {
+        std::cerr << "jujubereachd: " << users::settingsVariable << " must name the settings file\n";
+        return daemon::badSettingStatus;
+    }
+    return users::serve(path);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
+    if (argc == 2 && std::string_view(argv[1]) == "entry")
+        return serveUsers();
     const auto choice = daemon::readSettings(argc, argv);
     if (choice.action == daemon::StartAction::Exit) {
         (choice.exitStatus == 0 ? std::cout : std::cerr) << choice.message << '\n';
--- /dev/null
+++ b/packages/entry/include/jujubereach/entry/event-log.h
@@ -0,0 +1,48 @@
+// Structured log: one JSON object a line on standard output, bounded by kind, never blocking.
+#pragma once
+
+#include "jujubereach/base/time.h"
+
+#include <boost/json/object.hpp>
+
+#include <map>
+#include <string>
+
+namespace jujubereach::entry {
+
+struct LogBudget {
+    int burst = 200; ///< Lines of one kind at once.
+    int perSecond = 40; ///< Lines of one kind in the long run; a flood of refusals stays below 1 % of a core.
+};
+
+/// Used from one thread. Lines over the budget, or that standard output does not take at once, are left out and
+/// counted; a later line "left-out" tells how many.
+class EventLog {
+public:
+    EventLog(std::string host, Clock clock, WallClock wall, int fd = 1, LogBudget budget = {});
+
+    void write(const char* event, boost::json::object fields);
+
+    std::uint64_t leftOut() const { return m_totalLeftOut; }
+
+private:
+    struct Allowance {
+        double lines = 0;
+        TimePoint at;
+        std::uint64_t leftOut = 0;
+    };
+
+    bool takes(Allowance& allowance);
+    bool writeLine(const char* event, boost::json::object fields);
+
+    const std::string m_host;
+    const Clock m_clock;
+    const WallClock m_wall;
+    const int m_fd;
+    const LogBudget m_budget;
+    std::map<std::string, Allowance> m_allowances;
+    std::string m_rest; ///< Of a line that was written in part.
+    std::uint64_t m_totalLeftOut = 0;
+};
+
+} // namespace jujubereach::entry
--- /dev/null
+++ b/packages/entry/src/calls.cpp
@@ -0,0 +1,291 @@
+// Callers' requests: each is decided by the store, under the configuration that this host knows to be in force.
+#include "host-impl.h"
+
+#include <algorithm>
+
+namespace jujubereach::entry {
+
+namespace keys = fleet::keys;
+
+namespace {
+
+    constexpr Duration writeTimeout { 1200 }; // Three answers of a store that is a hundred times slower than usual.
+    constexpr Duration readTimeout { 900 };
+    constexpr Duration defaultDeadline { 3000 };
+    constexpr Duration answerReserve { 150 }; // Of the caller's time, for the way back.
+    constexpr Duration outageRetryAfter { 1000 }; // Most hosts find the store again within a second or two.
+    constexpr int maxAttempts = 4;
+
+    std::size_t idLength(const std::string& path, const std::string& prefix)
+    {
+        return path.size() - std::min(path.size(), prefix.size());
+    }
+
+} // namespace
+
+/// A request that was read and is not answered.
+struct OpenCall {
+    CallerRequest request;
+    CallerDone done;
+    TimePoint arrived;
+    TimePoint giveUp;
+    fleet::RouteId route;
+    WorkspaceId workspace;
+    JobId id;
+    int attempts = 0;
+    bool fateOpen = false; ///< An unanswered write of ours may still take effect.
+    std::string record; ///< Encoded, of a submission.
+
+    Duration timeLeft(TimePoint now, Duration bound) const { return std::min(bound, giveUp - now); }
+};
+
+void EntryHost::Impl::finish(const std::shared_ptr<OpenCall>& call, CallerAnswer answer, const char* why)
+{
+    ++m_counters[nameOf(answer.outcome)];
+    if (call->request.kind != CallKind::Query || answer.outcome != CallOutcome::State)
+        m_hooks.log("call",
+            { { "id", call->id.str() },
+                { "kind", call->request.kind == CallKind::Submit ? "submit" : call->request.kind == CallKind::Query ? "query" : "cancel" },
+                { "outcome", nameOf(answer.outcome) }, { "why", why }, { "route", call->route.str() },
+                { "workspace", call->workspace.str() }, { "configVersion", m_config ? m_config->version : 0 },
+                { "newsAgeMs", (now() - m_confirmedAt).count() }, { "attempts", call->attempts },
+                { "tookMs", (now() - call->arrived).count() } });
+    auto done = std::exchange(call->done, nullptr);
+    if (done)
+        done(answer);
+}
+
+void EntryHost::Impl::handle(CallerRequest request, CallerDone done)
+{
+    auto call = std::make_shared<OpenCall>();
+    call->request = std::move(request);
+    call->done = std::move(done);
+    call->arrived = now();
+    const auto deadline = call->request.deadline.count() > 0 ? call->request.deadline : defaultDeadline;
+    call->giveUp = call->arrived + std::max(answerReserve, deadline - answerReserve);
+    if (!newsIsFresh())
+        return finish(call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the configuration is not confirmed");
+    const auto* route = m_config->findRoute(call->request.hostName, call->request.path);
+    if (!route)
+        return finish(call, { CallOutcome::NoSuchRoute }, "no route");
+    call->route = route->id;
+    const auto key = m_config->keys.find(call->request.key);
+    if (key != m_config->keys.end())
+        call->workspace = key->second;
+    else if (!route->isPublic)
+        return finish(call, { CallOutcome::UnknownKey }, "no workspace has this key");
+    if (idLength(call->request.path, route->prefix) == 0)
+        return call->request.kind == CallKind::Query ? count(call)
+                                                      : finish(call, { CallOutcome::Malformed }, "no job id");
+    call->id = JobId(call->request.path.substr(route->prefix.size()));
+    constexpr std::size_t maxIdBytes = 64;
+    if (call->id.str().size() > maxIdBytes || call->id.str().find('/') != std::string::npos)
+        return finish(call, { call->request.kind == CallKind::Submit ? CallOutcome::Malformed : CallOutcome::NoSuchJob },
+            "not a job id");
+    switch (call->request.kind) {
+    case CallKind::Submit:
+        return submit(call);
+    case CallKind::Query:
+        return query(call);
+    case CallKind::Cancel:
+        return cancel(call);
+    }
+}
+
+void EntryHost::Impl::submit(std::shared_ptr<OpenCall> call)
+{
+    if (!call->request.spec)
+        return finish(call, { CallOutcome::Malformed }, "the body is no job");
+    // The configuration may have changed since the last attempt.
+    const auto route = m_config->routes.find(call->route);
+    if (route == m_config->routes.end())
+        return finish(call, { call->fateOpen ? CallOutcome::Undecided : CallOutcome::NoSuchRoute }, "no route");
+    if (!route->second.isPublic && !m_config->keys.contains(call->request.key))
+        return finish(call, { call->fateOpen ? CallOutcome::Undecided : CallOutcome::UnknownKey }, "no workspace has this key");
+    fleet::JobRecord record;
+    record.id = call->id;
+    record.route = call->route;
+    record.workspace = call->workspace;
+    record.acceptedAt = m_hooks.wall();
+    record.spec = *call->request.spec;
+    record.terms = route->second;
+    fleet::StoreWrite write;
+    write.expected.push_back({ keys::job(call->id), {} });
+    write.expected.push_back({ m_hooks.layout.configKey, m_configRevision });
+    write.puts.push_back({ keys::job(call->id), encode(record), {} });
+    ++call->attempts;
+    m_hooks.store.write(std::move(write), call->timeLeft(now(), writeTimeout),
+        [this, self = m_self, call](StoreAnswer answer) {
+            if (*self)
+                submitAnswered(call, std::move(answer));
+        });
+}
+
+void EntryHost::Impl::submitAnswered(std::shared_ptr<OpenCall> call, StoreAnswer answer)
+{
+    if (answer.fate == StoreFate::Done)
+        return finish(call, { CallOutcome::Accepted }, "stored");
+    if (answer.fate == StoreFate::Conflict) {
+        auto stale = false;
+        for (const auto& item : answer.items) {
+            if (item.key == keys::job(call->id))
+                return finish(call, { CallOutcome::Accepted }, "stored before");
+            if (item.key == m_hooks.layout.configKey) {
+                configWritten(item);
+                stale = true;
+            }
+        }
+        if (stale && call->attempts < maxAttempts && now() < call->giveUp)
+            return submit(call);
+        return finish(call, { call->fateOpen ? CallOutcome::Undecided : CallOutcome::NotAccepted, {}, 0, outageRetryAfter },
+            "the configuration changes too fast");
+    }
+    if (answer.fate == StoreFate::Refused) {
+        if (call->fateOpen)
+            return finish(call, { CallOutcome::Undecided }, "the store gave no answer to the first write");
+        return finish(call, { CallOutcome::NotAccepted, {}, 0, outageRetryAfter }, "the store refuses writes");
+    }
+    // No answer: the same conditional write again tells, unless the first is still to come.
+    call->fateOpen = true;
+    if (call->attempts < maxAttempts && call->giveUp - now() > answerReserve)
+        return submit(call);
+    finish(call, { CallOutcome::Undecided }, "the store does not answer");
+}
+
+void EntryHost::Impl::query(std::shared_ptr<OpenCall> call)
+{
+    const auto failed = [this](const std::shared_ptr<OpenCall>& open, const StoreAnswer& answer) {
+        if (++open->attempts < maxAttempts && answer.fate == StoreFate::Unknown
+            && open->giveUp - now() > answerReserve)
+            return query(open);
+        finish(open, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the store does not answer");
+    };
+    m_hooks.store.read(keys::progress(call->id), call->timeLeft(now(), readTimeout),
+        [this, self = m_self, call, failed](const StoreAnswer& answer) {
+            if (!*self)
+                return;
+            if (answer.fate == StoreFate::Done && !answer.items.empty()) {
+                const auto progress = fleet::decodeProgress(answer.items[0].value);
+                if (!progress)
+                    m_hooks.log("record-unreadable", { { "key", keys::progress(call->id) } });
+                return finish(
+                    call, { CallOutcome::State, progress ? progress->state : JobState::Running }, "in the store");
+            }
+            if (answer.fate != StoreFate::Missing)
+                return failed(call, answer);
+            m_hooks.store.read(keys::job(call->id), call->timeLeft(now(), readTimeout),
+                [this, self, call, failed](const StoreAnswer& job) {
+                    if (!*self)
+                        return;
+                    if (job.fate == StoreFate::Missing)
+                        return finish(call, { CallOutcome::NoSuchJob }, "not in the store");
+                    if (job.fate != StoreFate::Done || job.items.empty())
+                        return failed(call, job);
+                    const auto record = fleet::decodeJob(call->id, job.items[0].value);
+                    const auto cancelled = record && record->cancelled;
+                    finish(call, { CallOutcome::State, cancelled ? JobState::Cancelled : JobState::Queued },
+                        "in the store");
+                });
+        });
+}
+
+void EntryHost::Impl::cancel(std::shared_ptr<OpenCall> call)
+{
+    ++call->attempts;
+    m_hooks.store.read(keys::job(call->id), call->timeLeft(now(), readTimeout),
+        [this, self = m_self, call](const StoreAnswer& answer) {
+            if (!*self)
+                return;
+            if (answer.fate == StoreFate::Missing)
+                return finish(call, { CallOutcome::NoSuchJob }, "not in the store");
+            if (answer.fate == StoreFate::Done && !answer.items.empty())
+                return writeCancel(call, answer.items[0]);
+            if (answer.fate == StoreFate::Unknown && call->attempts < maxAttempts
+                && call->giveUp - now() > answerReserve)
+                return cancel(call);
+            finish(call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the store does not answer");
+        });
+}
+
+void EntryHost::Impl::writeCancel(std::shared_ptr<OpenCall> call, const StoreItem& item)
+{
+    auto record = fleet::decodeJob(call->id, item.value);
+    if (!record)
+        return finish(call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the record cannot be read");
+    if (record->cancelled)
+        return finish(call, { CallOutcome::Cancelled }, "cancelled before");
+    record->cancelled = true;
+    fleet::StoreWrite write;
+    write.expected.push_back({ item.key, item.revision });
+    write.expected.push_back({ m_hooks.layout.configKey, m_configRevision });
+    write.puts.push_back({ item.key, encode(*record), {} });
+    m_hooks.store.write(std::move(write), call->timeLeft(now(), writeTimeout),
+        [this, self = m_self, call](const StoreAnswer& answer) {
+            if (!*self)
+                return;
+            if (answer.fate == StoreFate::Done)
+                return finish(call, { CallOutcome::Cancelled }, "stored");
+            if (answer.fate == StoreFate::Refused)
+                return finish(call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the store refuses writes");
+            for (const auto& changed : answer.items) {
+                if (changed.key == m_hooks.layout.configKey)
+                    configWritten(changed);
+            }
+            if (!m_config->keys.contains(call->request.key) && answer.fate == StoreFate::Conflict)
+                return handle(std::move(call->request), std::exchange(call->done, nullptr));
+            if (call->attempts < maxAttempts && call->giveUp - now() > answerReserve)
+                return cancel(call);
+            finish(call, { CallOutcome::Undecided }, "the store does not answer");
+        });
+}
+
+void EntryHost::Impl::count(std::shared_ptr<OpenCall> call)
+{
+    m_hooks.store.read(keys::summary, call->timeLeft(now(), readTimeout),
+        [this, self = m_self, call](const StoreAnswer& answer) {
+            if (!*self)
+                return;
+            if (answer.fate == StoreFate::Done && !answer.items.empty()) {
+                const auto summary = fleet::decodeSummary(answer.items[0].value);
+                // One of an earlier owner may be of any age.
+                if (summary && m_knownOwner.value != 0 && summary->owner == m_knownOwner) {
+                    CallerAnswer counted { CallOutcome::Count };
+                    for (const auto& [route, pending] : summary->pending) {
+                        if (route == call->route)
+                            counted.pending = pending;
+                    }
+                    return finish(call, counted, "by the owner");
+                }
+            } else if (answer.fate != StoreFate::Missing)
+                return finish(
+                    call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the store does not answer");
+            countFromRecords(call);
+        });
+}
+
+void EntryHost::Impl::countFromRecords(std::shared_ptr<OpenCall> call)
+{
+    auto begun = std::make_shared<std::vector<StoreItem>>();
+    readPages(keys::progressPrefix, {}, begun, [this, call, begun](bool read) {
+        if (!read)
+            return finish(call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the store does not answer");
+        auto accepted = std::make_shared<std::vector<StoreItem>>();
+        readPages(keys::jobPrefix, {}, accepted, [this, call, begun, accepted](bool readJobs) {
+            if (!readJobs)
+                return finish(
+                    call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the store does not answer");
+            std::set<std::string> started;
+            for (const auto& item : *begun)
+                started.insert(item.key.substr(std::string_view(keys::progressPrefix).size()));
+            CallerAnswer counted { CallOutcome::Count };
+            for (const auto& item : *accepted) {
+                const JobId id(item.key.substr(std::string_view(keys::jobPrefix).size()));
+                const auto record = started.contains(id.str()) ? std::nullopt : fleet::decodeJob(id, item.value);
+                counted.pending += record && record->route == call->route && !record->cancelled;
+            }
+            finish(call, counted, "from the records");
+        });
+    });
+}
+
+} // namespace jujubereach::entry
--- /dev/null
+++ b/packages/entry/src/entry-host.cpp
@@ -0,0 +1,150 @@
+#include "host-impl.h"
+
+namespace jujubereach::entry {
+
+namespace {
+
+    // A watch may miss changes for a second before its history is dropped, and requests take time.
+    constexpr Duration revokeSlack { 1500 };
+
+} // namespace
+
+const char* nameOf(CallOutcome outcome)
+{
+    constexpr const char* names[] = { "accepted", "state", "cancelled", "count", "no-such-route", "no-such-job",
+        "unknown-key", "malformed", "not-accepted", "unavailable", "undecided" };
+    return names[static_cast<int>(outcome)];
+}
+
+EntryHost::Impl::Impl(HostSettings settings, HostHooks hooks)
+    : m_settings(std::move(settings))
+    , m_hooks(std::move(hooks))
+    , m_self(std::make_shared<Impl*>(this))
+    , m_random(m_settings.seed)
+{
+}
+
+EntryHost::Impl::~Impl()
+{
+    *m_self = nullptr;
+    for (auto& follower : { m_news, m_jobs, m_workers }) {
+        if (follower)
+            follower->stop();
+    }
+}
+
+void EntryHost::Impl::start()
+{
+    Follower::Hooks hooks;
+    hooks.written = [this](const StoreItem& item) {
+        if (item.key == m_hooks.layout.configKey)
+            configWritten(item);
+        else if (item.key == fleet::keys::owner)
+            ownerWritten(item);
+    };
+    hooks.removed = [this](const std::string& key) {
+        if (key == fleet::keys::owner)
+            ownerRemoved();
+    };
+    hooks.all = [this](const std::vector<StoreItem>& items) {
+        const StoreItem* owner = nullptr;
+        for (const auto& item : items) {
+            if (item.key == m_hooks.layout.configKey)
+                configWritten(item);
+            else if (item.key == fleet::keys::owner)
+                owner = &item;
+        }
+        owner ? ownerWritten(*owner) : ownerRemoved();
+    };
+    hooks.confirmed = [this](TimePoint sentAt) { m_confirmedAt = std::max(m_confirmedAt, sentAt); };
+    m_news = std::make_shared<Follower>(m_hooks, m_hooks.layout.newsPrefix, Duration(0), std::move(hooks));
+    m_news->start();
+}
+
+void EntryHost::Impl::configWritten(const StoreItem& item)
+{
+    auto config = m_hooks.decodeConfig(item.value);
+    if (!config) {
+        m_hooks.log("config-unreadable", { { "revision", item.revision.value } });
+        return;
+    }
+    // An older answer may come after a newer one; a version in force never goes back.
+    if (m_config && config->version <= m_config->version)
+        return;
+    m_hooks.log("config",
+        { { "version", config->version }, { "revision", item.revision.value },
+            { "before", m_config ? m_config->version : 0 }, { "routes", config->routes.size() },
+            { "keys", config->keys.size() } });
+    m_config = std::move(config);
+    m_configRevision = item.revision;
+    m_hooks.configChanged(*m_config);
+    if (m_owner)
+        m_owner->setConfig(m_config);
+    if (m_knownOwner.value == 0)
+        claim();
+}
+
+bool EntryHost::Impl::newsIsFresh() const
+{
+    return m_config && now() - m_confirmedAt < m_settings.revokeBound - revokeSlack;
+}
+
+EntryHost::EntryHost(HostSettings settings, HostHooks hooks)
+    : m_impl(std::make_unique<Impl>(std::move(settings), std::move(hooks)))
+{
+}
+
+EntryHost::~EntryHost() = default;
+
+void EntryHost::start()
+{
+    m_impl->start();
+}
+
+void EntryHost::handle(CallerRequest request, CallerDone done)
+{
+    m_impl->handle(std::move(request), std::move(done));
+}
+
+bool EntryHost::isReady() const
+{
+    return !m_impl->m_draining && m_impl->newsIsFresh();
+}
+
+void EntryHost::drain()
+{
+    if (std::exchange(m_impl->m_draining, true))
+        return;
+    const auto lease = m_impl->m_lease;
+    const auto owned = m_impl->m_owner != nullptr;
+    m_impl->stepDown("planned stop");
+    if (owned)
+        m_impl->m_hooks.store.endLease(lease, Duration(1000), [](const StoreAnswer&) { /* Or it lapses. */ });
+}
+
+bool EntryHost::ownsFleet() const
+{
+    return m_impl->m_owner != nullptr;
+}
+
+fleet::OwnerFigures EntryHost::ownerFigures() const
+{
+    return m_impl->m_owner ? m_impl->m_owner->figures() : fleet::OwnerFigures {};
+}
+
+std::uint64_t EntryHost::configVersion() const
+{
+    return m_impl->m_config ? m_impl->m_config->version : 0;
+}
+
+Duration EntryHost::newsAge() const
+{
+    return m_impl->now() - m_impl->m_confirmedAt;
+}
+
+const std::map<std::string, std::uint64_t>& EntryHost::counters() const
+{
+    return m_impl->m_counters;
+}
+
+} // namespace jujubereach::entry
--- /dev/null
+++ b/packages/entry/src/event-log.cpp
@@ -0,0 +1,79 @@
+#include "jujubereach/entry/event-log.h"
+
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace jujubereach::entry {
+
+namespace json = boost::json;
+
+EventLog::EventLog(std::string host, Clock clock, WallClock wall, int fd, LogBudget budget)
+    : m_host(std::move(host))
+    , m_clock(std::move(clock))
+    , m_wall(std::move(wall))
+    , m_fd(fd)
+    , m_budget(budget)
+{
+    const auto flags = fcntl(m_fd, F_GETFL);
+    if (flags >= 0)
+        fcntl(m_fd, F_SETFL, flags | O_NONBLOCK);
+}
+
+bool EventLog::takes(Allowance& allowance)
+{
+    const auto now = m_clock();
+    if (allowance.at == TimePoint {})
+        allowance.lines = m_budget.burst;
+    else
+        allowance.lines = std::min<double>(m_budget.burst,
+            allowance.lines + m_budget.perSecond * static_cast<double>((now - allowance.at).count()) / 1000);
+    allowance.at = now;
+    if (allowance.lines < 1)
+        return false;
+    allowance.lines -= 1;
+    return true;
+}
+
+void EventLog::write(const char* event, json::object fields)
+{
+    auto& allowance = m_allowances[event];
+    if (!takes(allowance)) {
+        ++allowance.leftOut;
+        ++m_totalLeftOut;
+        return;
+    }
+    if (allowance.leftOut > 0
+        && writeLine("left-out", { { "kind", event }, { "lines", allowance.leftOut } }))
+        allowance.leftOut = 0;
+    if (!writeLine(event, std::move(fields))) {
+        ++allowance.leftOut;
+        ++m_totalLeftOut;
+    }
+}
+
+bool EventLog::writeLine(const char* event, json::object fields)
+{
+    json::object line { { "t", m_wall().milliseconds }, { "host", m_host }, { "event", event } };
+    for (auto& field : fields)
+        line[field.key()] = std::move(field.value());
+    auto text = json::serialize(line);
+    text += '\n';
+    if (!m_rest.empty()) {
+        const auto wrote = ::write(m_fd, m_rest.data(), m_rest.size());
+        if (wrote > 0)
+            m_rest.erase(0, static_cast<std::size_t>(wrote));
+        if (!m_rest.empty())
+            return false;
+    }
+    const auto wrote = ::write(m_fd, text.data(), text.size());
+    if (wrote < 0)
+        return false;
+    if (static_cast<std::size_t>(wrote) < text.size())
+        m_rest = text.substr(static_cast<std::size_t>(wrote));
+    return true;
+}
+
+} // namespace jujubereach::entry
--- /dev/null
+++ b/packages/entry/src/host-impl.h
@@ -0,0 +1,112 @@
+// The entry host's state, shared by the parts of its work.
+#pragma once
+
+#include "jujubereach/entry/entry-host.h"
+
+namespace jujubereach::entry {
+
+using fleet::Fence;
+using fleet::Owner;
+using fleet::StoreAnswer;
+using fleet::StoreFate;
+using fleet::StoreItem;
+using fleet::StoreLease;
+
+/// Follows a prefix of the store: a read of all of it, then watches, and a read again when history is gone.
+class Follower : public std::enable_shared_from_this<Follower> {
+public:
+    struct Hooks {
+        std::function<void(const StoreItem&)> written;
+        std::function<void(const std::string& key)> removed;
+        std::function<void(std::vector<StoreItem>)> all; ///< Everything below the prefix, after a read of it.
+        std::function<void(TimePoint sentAt)> confirmed; ///< An answer came to a call sent then.
+    };
+
+    Follower(const HostHooks& host, std::string prefix, Duration pause, Hooks hooks);
+    void start() { readAll(); }
+    void stop() { m_stopped = true; }
+
+private:
+    void readAll();
+    void readPage(std::string after);
+    void watch();
+    void retry(void (Follower::*step)());
+
+    const HostHooks& m_host;
+    const std::string m_prefix;
+    const Duration m_pause; ///< Between watches, so that many changes come in one answer.
+    const Hooks m_hooks;
+    std::vector<StoreItem> m_items;
+    Revision m_at;
+    bool m_firstPage = true;
+    int m_failures = 0;
+    bool m_stopped = false;
+};
+
+class EntryHost::Impl {
+public:
+    Impl(HostSettings settings, HostHooks hooks);
+    ~Impl();
+
+    // entry-host.cpp
+    void start();
+    void configWritten(const StoreItem& item);
+    bool newsIsFresh() const;
+
+    // calls.cpp
+    void handle(CallerRequest request, CallerDone done);
+    void submit(std::shared_ptr<struct OpenCall> call);
+    void submitAnswered(std::shared_ptr<struct OpenCall> call, StoreAnswer answer);
+    void query(std::shared_ptr<struct OpenCall> call);
+    void cancel(std::shared_ptr<struct OpenCall> call);
+    void writeCancel(std::shared_ptr<struct OpenCall> call, const StoreItem& item);
+    void count(std::shared_ptr<struct OpenCall> call);
+    void countFromRecords(std::shared_ptr<struct OpenCall> call);
+    void finish(const std::shared_ptr<struct OpenCall>& call, CallerAnswer answer, const char* why);
+
+    // ownership.cpp
+    void ownerWritten(const StoreItem& item);
+    void ownerRemoved();
+    void claim();
+    void claimAnswered(StoreLease lease, TimePoint sentAt, const StoreAnswer& answer);
+    void renew();
+    void recover();
+    void recoverJobs();
+    void restore(const std::vector<StoreItem>& jobs);
+    void followFleet();
+    void workersRead(const std::vector<StoreItem>& items);
+    void stepDown(const char* why);
+    void wakeIn(Duration delay);
+    void readPages(std::string prefix, std::string after, std::shared_ptr<std::vector<StoreItem>> items,
+        std::function<void(bool)> done);
+
+    TimePoint now() const { return m_hooks.clock(); }
+
+    const HostSettings m_settings;
+    const HostHooks m_hooks;
+    std::shared_ptr<Impl*> m_self; ///< Answers that come after this object is gone find null.
+    std::mt19937_64 m_random;
+    std::shared_ptr<Follower> m_news;
+    std::shared_ptr<const FleetConfig> m_config; ///< Null before the first.
+    Revision m_configRevision;
+    TimePoint m_confirmedAt; ///< What this host knows of the news was true then or later.
+    bool m_draining = false;
+    std::map<std::string, std::uint64_t> m_counters;
+
+    Fence m_knownOwner; ///< 0 for none.
+    bool m_claiming = false;
+    StoreLease m_lease;
+    std::uint64_t m_term = 0; ///< Counts ownerships of this host; answers of an earlier one are passed over.
+    std::unique_ptr<Owner> m_owner;
+    Fence m_fence; ///< Of our ownership; 0 for none.
+    std::shared_ptr<Follower> m_jobs;
+    std::shared_ptr<Follower> m_workers;
+    std::map<std::string, StoreItem> m_progress; ///< Read during recovery.
+    std::set<WorkerId> m_listed;
+    bool m_jobsRead = false;
+    bool m_workersRead = false;
+    bool m_restored = false;
+    TimePoint m_wakeAt;
+};
+
+} // namespace jujubereach::entry
--- /dev/null
+++ b/packages/entry/src/ownership.cpp
@@ -0,0 +1,320 @@
+// Who owns the fleet: a key under a lease. Its creation gives the fence; a new owner reads everything anew.
+#include "host-impl.h"
+
+namespace jujubereach::entry {
+
+namespace keys = fleet::keys;
+
+namespace {
+
+    constexpr Duration leaseTtl { 2500 }; // Three renewals, one of them lost.
+    constexpr Duration renewInterval { 700 };
+    constexpr Duration callTimeout { 1000 };
+    constexpr Duration writeTimeout { 1500 };
+    constexpr Duration claimJitter { 120 }; // Spreads claims over a few round trips.
+    constexpr Duration claimRetry { 300 };
+    constexpr Duration readTimeout { 2500 };
+    constexpr Duration workerNewsPause { 300 }; // Joins reports; well below the bound on workers that leave.
+
+} // namespace
+
+void EntryHost::Impl::ownerWritten(const StoreItem& item)
+{
+    const Fence fence { item.created.value };
+    if (fence.value < m_knownOwner.value)
+        return;
+    if (fence != m_knownOwner)
+        m_hooks.log("owner", { { "fence", fence.value }, { "name", item.value } });
+    m_knownOwner = fence;
+    if (m_owner && fence.value > m_fence.value)
+        stepDown("another host owns the fleet");
+}
+
+void EntryHost::Impl::ownerRemoved()
+{
+    m_knownOwner = {};
+    if (m_owner)
+        stepDown("the owner's key is gone");
+    claim();
+}
+
+void EntryHost::Impl::claim()
+{
+    if (m_claiming || m_draining || m_owner || !m_config)
+        return;
+    m_claiming = true;
+    const Duration jitter(static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(claimJitter.count())));
+    m_hooks.after(jitter, [this, self = m_self] {
+        if (!*self)
+            return;
+        if (m_knownOwner.value != 0 || m_draining) {
+            m_claiming = false;
+            return;
+        }
+        const auto sentAt = now();
+        m_hooks.store.grantLease(leaseTtl, callTimeout, [this, self, sentAt](const StoreAnswer& granted) {
+            if (!*self)
+                return;
+            if (granted.fate != StoreFate::Done || m_draining)
+                return claimAnswered({}, sentAt, granted.fate == StoreFate::Done ? StoreAnswer {} : granted);
+            fleet::StoreWrite write;
+            write.expected.push_back({ keys::owner, {} });
+            write.puts.push_back({ keys::owner, m_settings.name, granted.lease });
+            m_hooks.store.write(
+                std::move(write), writeTimeout, [this, self, sentAt, lease = granted.lease](const StoreAnswer& answer) {
+                    if (*self)
+                        claimAnswered(lease, sentAt, answer);
+                });
+        });
+    });
+}
+
+void EntryHost::Impl::claimAnswered(StoreLease lease, TimePoint sentAt, const StoreAnswer& answer)
+{
+    m_claiming = false;
+    if (answer.fate != StoreFate::Done || lease.value == 0 || m_draining) {
+        m_hooks.log("claim-failed", { { "fate", nameOf(answer.fate) } });
+        // An unanswered claim that took effect lapses unless it is renewed.
+        m_hooks.after(claimRetry, [this, self = m_self] {
+            if (*self && m_knownOwner.value == 0)
+                claim();
+        });
+        return;
+    }
+    m_lease = lease;
+    m_fence = { answer.at.value };
+    m_knownOwner = m_fence;
+    const auto term = ++m_term;
+    m_hooks.log("claimed", { { "fence", m_fence.value } });
+
+    fleet::OwnerHooks hooks;
+    hooks.clock = m_hooks.clock;
+    hooks.wall = m_hooks.wall;
+    hooks.workers = m_hooks.workers;
+    hooks.advise = m_hooks.advise;
+    hooks.log = m_hooks.log;
+    hooks.wakeIn = [this](Duration delay) { wakeIn(delay); };
+    hooks.lost = [this, self = m_self, term] {
+        m_hooks.after(Duration(0), [this, self, term] {
+            if (*self && term == m_term)
+                stepDown("superseded");
+        });
+    };
+    hooks.write = [this](fleet::StoreWrite write, fleet::StoreDone done) {
+        m_hooks.store.write(std::move(write), writeTimeout, std::move(done));
+    };
+    m_owner = std::make_unique<Owner>(m_settings.owner, std::move(hooks), m_fence, Revision { m_fence.value });
+    m_owner->setConfig(m_config);
+    m_owner->confirm(sentAt);
+    m_jobsRead = m_workersRead = m_restored = false;
+    m_progress.clear();
+    m_listed.clear();
+    m_wakeAt = {};
+    renew();
+    recover();
+}
+
+void EntryHost::Impl::renew()
+{
+    m_hooks.after(renewInterval, [this, self = m_self, term = m_term] {
+        if (!*self || term != m_term || !m_owner)
+            return;
+        const auto sentAt = now();
+        m_hooks.store.renewLease(m_lease, callTimeout, [this, self, term, sentAt](const StoreAnswer& answer) {
+            if (!*self || term != m_term || !m_owner)
+                return;
+            if (answer.fate == StoreFate::Missing)
+                return stepDown("the lease has ended");
+            if (answer.fate == StoreFate::Done)
+                m_owner->confirm(sentAt);
+            renew();
+        });
+    });
+}
+
+void EntryHost::Impl::readPages(std::string prefix, std::string after,
+    std::shared_ptr<std::vector<StoreItem>> items, std::function<void(bool)> done)
+{
+    m_hooks.store.range(prefix, after, readTimeout,
+        [this, self = m_self, prefix, items, done = std::move(done)](StoreAnswer answer) {
+            if (!*self)
+                return;
+            if (answer.fate != StoreFate::Done)
+                return done(false);
+            std::move(answer.items.begin(), answer.items.end(), std::back_inserter(*items));
+            if (answer.more && !items->empty())
+                return readPages(prefix, items->back().key, items, done);
+            done(true);
+        });
+}
+
+// Progress is read after this host holds the key: no other owner can write it from then on.
+void EntryHost::Impl::recover()
+{
+    auto items = std::make_shared<std::vector<StoreItem>>();
+    readPages(keys::progressPrefix, {}, items, [this, items, term = m_term](bool read) {
+        if (term != m_term || !m_owner)
+            return;
+        if (!read) {
+            m_hooks.after(claimRetry, [this, self = m_self, term] {
+                if (*self && term == m_term && m_owner)
+                    recover();
+            });
+            return;
+        }
+        for (auto& item : *items)
+            m_progress[item.key] = std::move(item);
+        followFleet();
+    });
+}
+
+void EntryHost::Impl::followFleet()
+{
+    const auto term = m_term;
+    Follower::Hooks jobs;
+    jobs.all = [this](const std::vector<StoreItem>& items) { restore(items); };
+    jobs.written = [this](const StoreItem& item) {
+        auto record = fleet::decodeJob(JobId(item.key.substr(std::string_view(keys::jobPrefix).size())), item.value);
+        if (!record)
+            return m_hooks.log("record-unreadable", { { "key", item.key } });
+        if (m_owner)
+            m_owner->jobWritten(std::move(*record));
+    };
+    jobs.removed = [](const std::string&) { /* Only this owner removes records. */ };
+    jobs.confirmed = [](TimePoint) {};
+    m_jobs = std::make_shared<Follower>(m_hooks, keys::jobPrefix, Duration(0), std::move(jobs));
+
+    Follower::Hooks workers;
+    workers.all = [this](const std::vector<StoreItem>& items) { workersRead(items); };
+    workers.written = [this](const StoreItem& item) {
+        const auto report = m_hooks.decodeWorker(item.key, item.value);
+        const auto id = m_hooks.workerOfKey(item.key);
+        if (!m_owner)
+            return;
+        if (report) {
+            m_listed.insert(id);
+            m_owner->workerReported(*report);
+        } else if (m_listed.erase(id) > 0) {
+            m_hooks.log("worker-unreadable", { { "worker", id.str() } });
+            m_owner->workerUnlisted(id);
+        }
+    };
+    workers.removed = [this](const std::string& key) {
+        const auto id = m_hooks.workerOfKey(key);
+        m_listed.erase(id);
+        if (m_owner)
+            m_owner->workerUnlisted(id);
+    };
+    workers.confirmed = [](TimePoint) {};
+    m_workers
+        = std::make_shared<Follower>(m_hooks, m_hooks.layout.workerPrefix, workerNewsPause, std::move(workers));
+
+    m_hooks.store.read(keys::roster, readTimeout, [this, self = m_self, term](const StoreAnswer& answer) {
+        if (!*self || term != m_term || !m_owner)
+            return;
+        if (answer.fate == StoreFate::Done && !answer.items.empty()) {
+            const auto roster = fleet::decodeRoster(answer.items[0].value);
+            if (!roster)
+                m_hooks.log("record-unreadable", { { "key", keys::roster } });
+            m_owner->restoreRoster(
+                roster ? *roster : std::vector<fleet::WorkerReport> {}, answer.items[0].revision);
+        } else if (answer.fate != StoreFate::Missing) {
+            m_hooks.after(claimRetry, [this, self, term] {
+                if (*self && term == m_term && m_owner)
+                    followFleet();
+            });
+            return;
+        }
+        m_workers->start();
+        m_jobs->start();
+    });
+}
+
+void EntryHost::Impl::restore(const std::vector<StoreItem>& items)
+{
+    if (!m_owner)
+        return;
+    for (const auto& item : items) {
+        const JobId id(item.key.substr(std::string_view(keys::jobPrefix).size()));
+        auto record = fleet::decodeJob(id, item.value);
+        if (!record) {
+            m_hooks.log("record-unreadable", { { "key", item.key } });
+            continue;
+        }
+        if (m_restored) {
+            m_owner->jobWritten(std::move(*record));
+            continue;
+        }
+        const auto found = m_progress.find(keys::progress(id));
+        std::optional<fleet::ProgressRecord> progress;
+        Revision revision;
+        if (found != m_progress.end()) {
+            revision = found->second.revision;
+            progress = fleet::decodeProgress(found->second.value);
+            if (!progress) {
+                m_hooks.log("record-unreadable", { { "key", found->first } });
+                continue;
+            }
+        }
+        m_owner->restoreJob(std::move(*record), std::move(progress), revision);
+    }
+    m_jobsRead = true;
+    m_progress.clear();
+    if (m_workersRead && !std::exchange(m_restored, true))
+        m_owner->recovered();
+}
+
+void EntryHost::Impl::workersRead(const std::vector<StoreItem>& items)
+{
+    if (!m_owner)
+        return;
+    std::set<WorkerId> present;
+    for (const auto& item : items) {
+        if (const auto report = m_hooks.decodeWorker(item.key, item.value)) {
+            present.insert(report->id);
+            m_owner->workerReported(*report);
+        }
+    }
+    for (const auto& id : m_listed) {
+        if (!present.contains(id))
+            m_owner->workerUnlisted(id);
+    }
+    m_listed = std::move(present);
+    m_workersRead = true;
+    if (m_jobsRead && !std::exchange(m_restored, true))
+        m_owner->recovered();
+}
+
+void EntryHost::Impl::wakeIn(Duration delay)
+{
+    const auto at = now() + delay;
+    if (m_wakeAt != TimePoint {} && m_wakeAt <= at && m_wakeAt > now())
+        return;
+    m_wakeAt = at;
+    m_hooks.after(delay, [this, self = m_self, at, term = m_term] {
+        if (!*self || term != m_term || !m_owner || m_wakeAt != at)
+            return;
+        m_wakeAt = {};
+        m_owner->tick();
+    });
+}
+
+void EntryHost::Impl::stepDown(const char* why)
+{
+    if (!m_owner)
+        return;
+    m_hooks.log("step-down", { { "fence", m_fence.value }, { "why", why } });
+    ++m_term;
+    m_owner.reset();
+    m_fence = {};
+    m_lease = {};
+    for (auto* follower : { &m_jobs, &m_workers }) {
+        if (*follower)
+            (*follower)->stop();
+        follower->reset();
+    }
+    if (m_knownOwner.value == 0)
+        claim();
+}
+
+} // namespace jujubereach::entry
--- /dev/null
+++ b/packages/fleet/include/jujubereach/fleet/owner.h
@@ -0,0 +1,106 @@
+// The owner of a fleet of workers: places accepted jobs, keeps their leases, records their ends.
+// Decides on one thread, in the time that its clock tells, through hooks only.
+#pragma once
+
+#include "jujubereach/fleet/fleet-config.h"
+#include "jujubereach/fleet/records.h"
+#include "jujubereach/fleet/store.h"
+#include "jujubereach/fleet/worker-calls.h"
+
+#include <boost/json/object.hpp>
+
+#include <memory>
+
+namespace jujubereach::fleet {
+
+/// Writes one line of the log, without blocking.
+using LogEvent = std::function<void(const char* event, boost::json::object fields)>;
+
+struct OwnerSettings {
+    Duration maxHold { 10'000 }; ///< Longest lease that workers grant.
+    Duration stopTimeout { 200 }; ///< Bound on a stop at a worker.
+    Duration cancelBound { 3000 }; ///< A cancelled job's tasks are stopped within it.
+    Duration drainBound { 2500 }; ///< A worker that leaves serves so long at least.
+    Duration keepFinished { 120'000 }; ///< A job's final state is told so long at least.
+    Duration early { 250 }; ///< An occurrence may start so much before its time.
+    /// Without confirmation of its ownership for so long, an owner neither starts nor extends anything.
+    /// A successor counts on it: see `recoveryDoubt`.
+    Duration confirmBound { 5000 };
+};
+
+/// A run that no look has found has surely ended so long after a takeover.
+Duration recoveryDoubt(const OwnerSettings& settings);
+
+struct Ticket {
+    WorkerId worker;
+    std::string ticket;
+};
+
+struct AdviceAnswer {
+    bool answered = false;
+    std::vector<Ticket> good;
+    Duration validity { 0 };
+};
+
+struct OwnerHooks {
+    Clock clock; ///< Counts suspended time too.
+    WallClock wall;
+    WorkerCalls workers;
+    std::function<void(StoreWrite, StoreDone)> write;
+    /// Asks which of some workers may run a step; `step` names any task of it.
+    std::function<void(TaskId step, std::vector<WorkerId>, std::function<void(AdviceAnswer)>)> advise;
+    std::function<void()> lost; ///< Another owner exists; this one has stopped ordering.
+    std::function<void(Duration)> wakeIn; ///< Asks for a call of `tick` at the latest after so long.
+    LogEvent log;
+};
+
+struct OwnerFigures {
+    std::size_t jobs = 0; ///< Not in a final state.
+    std::size_t waitingTasks = 0;
+    std::size_t activeTasks = 0;
+    std::size_t workers = 0;
+    std::size_t usableWorkers = 0;
+    std::uint64_t starts = 0;
+    std::uint64_t stops = 0;
+    std::uint64_t endsByKind[6] = {};
+    double thrownAway = 0; ///< Core-seconds of work that ended without being saved.
+};
+
+/// Called from one thread.
+class Owner {
+public:
+    Owner(OwnerSettings, OwnerHooks, Fence, Revision ownerKey);
+    ~Owner();
+    Owner(const Owner&) = delete;
+    Owner& operator=(const Owner&) = delete;
+
+    void setConfig(std::shared_ptr<const FleetConfig> config);
+
+    /// The store has confirmed this owner, by an answer to a call sent at `sentAt`.
+    void confirm(TimePoint sentAt);
+
+    /// Recovery: what the store holds, then `recovered` once, before any other news.
+    void restoreJob(JobRecord record, std::optional<ProgressRecord> progress, Revision progressRevision);
+    void restoreRoster(const std::vector<WorkerReport>& roster, Revision revision);
+    void recovered();
+
+    /// News from the store: a job was accepted or cancelled, a worker reported or lost its entry.
+    void jobWritten(JobRecord record);
+    void workerReported(const WorkerReport& report);
+    void workerUnlisted(const WorkerId& id);
+
+    /// Does what is due.
+    void tick();
+
+    OwnerFigures figures() const;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+/// The roster's record: workers that an owner may have given orders to.
+std::string encodeRoster(const std::vector<WorkerReport>& roster);
+std::optional<std::vector<WorkerReport>> decodeRoster(const std::string& value);
+
+} // namespace jujubereach::fleet
--- /dev/null
+++ b/packages/fleet/include/jujubereach/fleet/placement.h
@@ -0,0 +1,61 @@
+// Chooses workers for the tasks of a step. Works on plain views, so that a load can be played without a network.
+#pragma once
+
+#include "jujubereach/fleet/job-spec.h"
+
+#include <map>
+#include <set>
+
+namespace jujubereach::fleet {
+
+/// A task that placing may displace.
+struct Displaceable {
+    TaskId task;
+    Room room;
+    double loss = 0; ///< Work that its stop throws away, in core-seconds; of its whole gang where it has one.
+    bool gang = false;
+};
+
+struct WorkerView {
+    WorkerId id;
+    ServiceId service;
+    std::string rack;
+    const std::vector<std::string>* labels = nullptr;
+    Room capacity;
+    Room free;
+    double distrust = 0; ///< 0 for a worker without failures.
+    bool serves = false; ///< Runs a task with a tail target.
+    bool fills = false; ///< Runs a task that uses what others leave.
+    std::vector<Displaceable> displaceable;
+};
+
+struct PlaceRequest {
+    const StepSpec* spec = nullptr;
+    ServiceId service;
+    int count = 1; ///< Tasks to place; a gang is placed whole or not at all.
+    bool anyRack = false; ///< Give up on the rack where the data is.
+    bool anyRackForGang = false; ///< Give up on one rack for the whole gang.
+    const std::map<WorkerId, int>* onWorker = nullptr; ///< Tasks of the step that run already.
+    const std::set<WorkerId>* avoid = nullptr; ///< Workers that failed the task.
+    const std::set<WorkerId>* allowed = nullptr; ///< Where an adviser names them.
+};
+
+/// Indices into the views, one for each task placed; fewer than asked when room is short.
+using Placement = std::vector<std::size_t>;
+
+/// Best fit: the worker on which the least is left, with processors and accelerators in balance, so that whole
+/// workers and whole racks stay free for gangs. Takes the room from the views.
+Placement place(const PlaceRequest& request, std::vector<WorkerView>& views);
+
+struct Displacement {
+    Placement placement;
+    std::vector<TaskId> victims;
+};
+
+/// Places all tasks by displacing the least work. Empty when even that makes no room. Changes no view.
+Displacement placeByDisplacing(const PlaceRequest& request, const std::vector<WorkerView>& views);
+
+/// Whether the step could run on the worker if it were empty.
+bool couldRun(const PlaceRequest& request, const WorkerView& view);
+
+} // namespace jujubereach::fleet
--- /dev/null
+++ b/packages/fleet/src/job.cpp
@@ -0,0 +1,87 @@
+#include "job.h"
+
+#include <algorithm>
+
+namespace jujubereach::fleet {
+
+bool Occurrence::finished() const
+{
+    return std::all_of(steps.begin(), steps.end(), [](const Step& step) { return step.finished(); });
+}
+
+bool Occurrence::isReady(const Step& step) const
+{
+    return std::all_of(step.spec->after.begin(), step.spec->after.end(),
+        [&](int index) { return steps[static_cast<std::size_t>(index)].finished(); });
+}
+
+void Job::addOccurrence(int number)
+{
+    auto& occurrence = occurrences[number];
+    occurrence.number = number;
+    for (const auto& spec : record.spec.steps) {
+        Step step;
+        step.spec = &spec;
+        step.tasks.resize(static_cast<std::size_t>(spec.count));
+        occurrence.steps.push_back(std::move(step));
+    }
+    nextOccurrence = std::max(nextOccurrence, number + 1);
+}
+
+Step* Job::findStep(const TaskId& task)
+{
+    const auto found = occurrences.find(task.occurrence);
+    if (found == occurrences.end() || task.step < 0 || task.index < 0)
+        return nullptr;
+    auto& steps = found->second.steps;
+    if (task.step >= static_cast<int>(steps.size()))
+        return nullptr;
+    auto& step = steps[static_cast<std::size_t>(task.step)];
+    return task.index < step.spec->count ? &step : nullptr;
+}
+
+ProgressRecord Job::progress() const
+{
+    ProgressRecord out;
+    out.state = state;
+    if (isFinal(state))
+        return out;
+    out.occurrencesDone = occurrences.empty() ? nextOccurrence : occurrences.begin()->first;
+    for (const auto& [number, occurrence] : occurrences) {
+        for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+            const auto& tasks = occurrence.steps[s].tasks;
+            for (std::size_t i = 0; i < tasks.size(); ++i) {
+                const auto& task = tasks[i];
+                if (task.done || task.lastRun.value > 0 || task.failures > 0)
+                    out.tasks.push_back({ number, static_cast<int>(s), static_cast<int>(i), task.done,
+                        task.failures, task.lastRun, task.failedRun, task.done ? "" : task.checkpoint });
+            }
+        }
+    }
+    return out;
+}
+
+void Job::restore(const ProgressRecord& progress)
+{
+    state = progress.state;
+    if (isFinal(state))
+        return;
+    nextOccurrence = progress.occurrencesDone;
+    for (const auto& row : progress.tasks) {
+        while (nextOccurrence <= row.occurrence)
+            addOccurrence(nextOccurrence);
+        auto* step = findStep({ id(), row.occurrence, row.step, row.index });
+        if (!step)
+            continue;
+        auto& task = step->tasks[static_cast<std::size_t>(row.index)];
+        task.done = row.done;
+        task.failures = row.failures;
+        task.lastRun = row.lastRun;
+        task.failedRun = row.failedRun;
+        task.checkpoint = row.checkpoint;
+        if (row.done)
+            ++step->done;
+    }
+}
+
+} // namespace jujubereach::fleet
--- /dev/null
+++ b/packages/fleet/src/job.h
@@ -0,0 +1,70 @@
+// Jobs as the owner sees them while they run.
+#pragma once
+
+#include "jujubereach/fleet/records.h"
+
+#include <map>
+#include <set>
+
+namespace jujubereach::fleet {
+
+struct Task {
+    bool done = false;
+    int failures = 0; ///< Of a gang: kept in task 0.
+    Run lastRun; ///< Highest known start.
+    Run failedRun; ///< Highest run whose failure is counted.
+    std::string checkpoint;
+    WorkerId worker; ///< Where a run of it is, or may be; empty for none.
+    std::set<WorkerId> failedOn;
+};
+
+/// Workers chosen for the tasks of a step whose room is still being freed.
+struct Plan {
+    std::vector<std::pair<int, WorkerId>> tasks; ///< Index and worker.
+    TimePoint expires;
+};
+
+struct Step {
+    const StepSpec* spec = nullptr;
+    std::vector<Task> tasks;
+    int done = 0;
+    int active = 0; ///< Tasks with a worker.
+    std::optional<Plan> plan;
+    std::map<WorkerId, int> onWorker; ///< Active tasks by worker.
+
+    bool finished() const { return done == spec->count; }
+    /// The task that carries what a gang's members share, else the task itself.
+    Task& shared(int index) { return tasks[spec->gang ? 0 : static_cast<std::size_t>(index)]; }
+};
+
+struct Occurrence {
+    int number = 0;
+    std::vector<Step> steps;
+
+    bool finished() const;
+    /// Whether all steps that this one waits for are done.
+    bool isReady(const Step& step) const;
+};
+
+struct Job {
+    JobRecord record;
+    JobState state = JobState::Queued;
+    std::map<int, Occurrence> occurrences; ///< Those that are due and not done.
+    int nextOccurrence = 0; ///< The first that is not due yet.
+    TimePoint arrived; ///< When this owner heard of it.
+    TimePoint ended;
+    bool recovered = false; ///< Another owner may have started its tasks.
+    Revision progressRevision; ///< Of its progress record; 0 for none.
+    std::uint64_t changes = 0; ///< Rises with each change of what is saved.
+    std::uint64_t saved = 0; ///< The value of `changes` that the store has.
+
+    const JobId& id() const { return record.id; }
+    const JobSpec& spec() const { return record.spec; }
+    int occurrenceCount() const { return std::max(1, record.spec.repeatCount); }
+    void addOccurrence(int number);
+    Step* findStep(const TaskId& task); ///< Null for a task that the job does not have, or no longer.
+    ProgressRecord progress() const;
+    void restore(const ProgressRecord& progress);
+};
+
+} // namespace jujubereach::fleet
--- /dev/null
+++ b/packages/fleet/src/owner-ends.cpp
@@ -0,0 +1,275 @@
+// What becomes of runs: seen running, ended, lost; and of their jobs.
+#include "owner-impl.h"
+
+#include "jujubereach/fleet/queue-order.h"
+
+#include <algorithm>
+
+namespace jujubereach::fleet {
+
+namespace {
+
+    /// A run whose percentage does not move for so long stands still. Above the time that a gang's members wait
+    /// for each other, and that a restored task takes to move.
+    constexpr Duration stallBound { 3500 };
+
+    double coreSeconds(const Room& room, Duration time)
+    {
+        const auto cores = static_cast<double>(room.milliCores) / 1000
+            + coresPerAccelerator * static_cast<double>(room.accelerators);
+        return cores * static_cast<double>(time.count()) / 1000;
+    }
+
+} // namespace
+
+void Owner::Impl::adopt(Worker& worker, const RunningTask& running, TimePoint sentAt)
+{
+    auto* job = findJob(running.task.job);
+    auto* step = job ? job->findStep(running.task) : nullptr;
+    const auto known = worker.runs.find(running.task);
+    if (known != worker.runs.end() && known->second.run == running.run) {
+        auto& run = known->second;
+        if (run.phase == RunPhase::Ordered) {
+            run.phase = RunPhase::Running;
+            run.confirmed = true;
+            run.confirmedAt = now();
+            run.progressAt = now();
+            run.callInFlight = false;
+            ++m_figures.starts;
+        }
+        if (step && !running.checkpoint.empty())
+            step->shared(running.task.index).checkpoint = running.checkpoint;
+        if (run.phase == RunPhase::Running && step)
+            watchProgress(worker, run, running);
+        return;
+    }
+    if (known != worker.runs.end() && known->second.run > running.run)
+        return; // An order that was sent after the look.
+    ActiveRun run;
+    run.task = running.task;
+    run.run = running.run;
+    run.phase = RunPhase::Running;
+    run.confirmed = true;
+    run.confirmedAt = sentAt;
+    run.orderedAt = now();
+    run.progressAt = now();
+    run.percent = running.percent;
+    if (known != worker.runs.end())
+        release(worker, running.task);
+    if (step) {
+        run.room = step->spec->room;
+        run.serves = step->spec->tailTarget.count() > 0;
+        run.fills = step->spec->fills;
+        run.priority = termsOf(*job).priority;
+    }
+    auto* task = step ? &step->tasks[static_cast<std::size_t>(running.task.index)] : nullptr;
+    const auto wanted = task && !task->done && task->worker.empty() && !isFinal(job->state)
+        && running.run >= step->shared(running.task.index).lastRun;
+    run.foreign = !wanted;
+    worker.addRun(run);
+    m_hooks.log("adopt",
+        { { "task", toString(running.task) }, { "run", running.run.value }, { "worker", worker.id().str() },
+            { "wanted", wanted }, { "percent", running.percent } });
+    if (!wanted)
+        return stop(worker, running.task, "nobody waits for it");
+    task->worker = worker.id();
+    step->shared(running.task.index).lastRun = running.run;
+    ++step->active;
+    ++step->onWorker[worker.id()];
+    if (!running.checkpoint.empty())
+        step->shared(running.task.index).checkpoint = running.checkpoint;
+    if (job->state == JobState::Queued) {
+        job->state = JobState::Running;
+        changed(*job);
+    }
+}
+
+void Owner::Impl::watchProgress(Worker& worker, ActiveRun& run, const RunningTask& seen)
+{
+    if (seen.percent != run.percent) {
+        run.percent = seen.percent;
+        run.progressAt = now();
+        return;
+    }
+    auto* job = findJob(run.task.job);
+    auto* step = job ? job->findStep(run.task) : nullptr;
+    if (!step || step->spec->longRunning || seen.percent >= 100)
+        return;
+    // One per cent of a very long task takes its time.
+    const auto bound = std::max(stallBound, step->spec->estimate / 10);
+    if (now() - run.progressAt < bound)
+        return;
+    if (step->spec->gang && step->active < step->spec->count)
+        return; // Waits for the others.
+    worker.trust.taskStalled(now());
+    m_hooks.log("stalled",
+        { { "task", toString(run.task) }, { "worker", worker.id().str() }, { "percent", seen.percent } });
+    stop(worker, run.task, "it stands still");
+}
+
+void Owner::Impl::ended(Worker& worker, const EndedTask& end)
+{
+    if (end.number <= worker.acknowledged || worker.ends.contains(end.number))
+        return;
+    ++m_figures.endsByKind[static_cast<int>(end.kind)];
+    auto* job = findJob(end.task.job);
+    auto* step = job ? job->findStep(end.task) : nullptr;
+    const auto before = job ? job->changes : 0;
+    auto* task = step ? &step->tasks[static_cast<std::size_t>(end.task.index)] : nullptr;
+    const auto found = worker.runs.find(end.task);
+    const auto current = found != worker.runs.end() && found->second.run == end.run;
+    const auto ranFor = current ? now() - found->second.confirmedAt : Duration(0);
+    if (current && end.kind != EndKind::Done && end.kind != EndKind::Failed && end.checkpoint.empty())
+        m_figures.thrownAway += coreSeconds(found->second.room, ranFor);
+    const auto stopping = current && found->second.phase == RunPhase::Stopping;
+    if (current)
+        release(worker, end.task);
+    if (task && !end.checkpoint.empty() && end.run >= step->shared(end.task.index).lastRun)
+        step->shared(end.task.index).checkpoint = end.checkpoint;
+    if (task && end.run > step->shared(end.task.index).lastRun)
+        step->shared(end.task.index).lastRun = end.run;
+    // A run that was given up as lost does not count beside the one that replaced it.
+    const auto replaced = task && !current && !task->worker.empty();
+    m_hooks.log("end",
+        { { "task", toString(end.task) }, { "run", end.run.value }, { "worker", worker.id().str() },
+            { "kind", nameOf(end.kind) }, { "ranMs", ranFor.count() }, { "counted", task && !replaced },
+            { "saved", !end.checkpoint.empty() } });
+    if (task && !replaced && !isFinal(job->state) && !task->done) {
+        if (end.kind == EndKind::Done) {
+            worker.trust.taskDone();
+            if (current && !stopping && step->shared(end.task.index).checkpoint.empty()
+                && step->spec->estimate.count() > 0) {
+                auto& history = m_history[job->record.route];
+                const auto factor = static_cast<double>(ranFor.count())
+                    / static_cast<double>(step->spec->estimate.count());
+                ++history.timed;
+                history.timeFactor += (factor - history.timeFactor) / std::min(history.timed + 1, 30);
+            }
+            taskDone(*job, *step, end.task);
+        } else if (end.kind == EndKind::Failed)
+            taskFailed(*job, *step, end.task, end.run, worker);
+    }
+    if (job && job->changes == before && job->saved < job->changes && end.kind == EndKind::Failed)
+        changed(*job);
+    worker.ends[end.number] = { end.task.job, job && job->changes != before ? job->changes : 0 };
+    soon();
+}
+
+void Owner::Impl::release(Worker& worker, const TaskId& id)
+{
+    worker.removeRun(id);
+    auto* job = findJob(id.job);
+    auto* step = job ? job->findStep(id) : nullptr;
+    if (!step)
+        return;
+    auto& task = step->tasks[static_cast<std::size_t>(id.index)];
+    if (task.worker != worker.id())
+        return;
+    task.worker = {};
+    --step->active;
+    if (--step->onWorker[worker.id()] <= 0)
+        step->onWorker.erase(worker.id());
+    soon();
+}
+
+void Owner::Impl::loseRun(Worker& worker, const TaskId& id, const char* why)
+{
+    const auto found = worker.runs.find(id);
+    if (found == worker.runs.end())
+        return;
+    m_hooks.log("run-lost",
+        { { "task", toString(id) }, { "run", found->second.run.value }, { "worker", worker.id().str() },
+            { "why", why } });
+    release(worker, id);
+    // The others of a gang cannot go on without it.
+    auto* job = findJob(id.job);
+    auto* step = job ? job->findStep(id) : nullptr;
+    if (!step || !step->spec->gang || step->finished())
+        return;
+    for (int i = 0; i < step->spec->count; ++i) {
+        const auto at = step->tasks[static_cast<std::size_t>(i)].worker;
+        if (auto* other = at.empty() ? nullptr : findWorker(at))
+            stop(*other, { id.job, id.occurrence, id.step, i }, "a member of its gang is lost");
+    }
+}
+
+void Owner::Impl::loseRuns(Worker& worker, const char* why)
+{
+    std::vector<TaskId> tasks;
+    for (const auto& [task, run] : worker.runs)
+        tasks.push_back(task);
+    for (const auto& task : tasks)
+        loseRun(worker, task, why);
+    worker.ends.clear();
+    worker.acknowledged = 0;
+    worker.lastDeadline = {};
+}
+
+void Owner::Impl::taskDone(Job& job, Step& step, const TaskId& id)
+{
+    if (step.spec->longRunning)
+        return;
+    if (step.spec->gang) {
+        for (auto& task : step.tasks)
+            task.done = true;
+        step.done = step.spec->count;
+    } else {
+        step.tasks[static_cast<std::size_t>(id.index)].done = true;
+        ++step.done;
+    }
+    changed(job);
+    if (step.finished())
+        stepAdvanced(job, id.occurrence);
+}
+
+void Owner::Impl::taskFailed(Job& job, Step& step, const TaskId& id, Run run, Worker& worker)
+{
+    auto& task = step.shared(id.index);
+    worker.trust.taskFailed(now());
+    step.tasks[static_cast<std::size_t>(id.index)].failedOn.insert(worker.id());
+    if (run <= task.failedRun)
+        return;
+    task.failedRun = run;
+    ++task.failures;
+    changed(job);
+    if (!step.spec->longRunning && task.failures >= termsOf(job).maxAttempts)
+        finish(job, JobState::Failed, "a task has failed as often as its queue allows");
+}
+
+void Owner::Impl::stepAdvanced(Job& job, int)
+{
+    while (!job.occurrences.empty() && job.occurrences.begin()->second.finished())
+        job.occurrences.erase(job.occurrences.begin());
+    if (job.occurrences.empty() && job.nextOccurrence >= job.occurrenceCount())
+        finish(job, JobState::Completed, "all tasks are done");
+}
+
+void Owner::Impl::finish(Job& job, JobState state, const char* why)
+{
+    job.state = state;
+    job.ended = now();
+    changed(job);
+    m_open.erase(job.id());
+    m_hooks.log("job-end",
+        { { "id", job.id().str() }, { "route", job.record.route.str() }, { "state", nameOf(state) },
+            { "why", why }, { "afterMs", (now() - job.arrived).count() } });
+    for (auto& [number, occurrence] : job.occurrences) {
+        for (auto& step : occurrence.steps)
+            dropPlan(step);
+    }
+    if (state != JobState::Completed)
+        stopTasks(job, why);
+    job.occurrences.clear();
+}
+
+void Owner::Impl::stopTasks(Job& job, const char* why)
+{
+    for (auto& [id, worker] : m_workers) {
+        for (const auto& [task, run] : worker.runs) {
+            if (task.job == job.id())
+                stop(worker, task, why);
+        }
+    }
+}
+
+} // namespace jujubereach::fleet
--- /dev/null
+++ b/packages/fleet/src/owner-impl.h
@@ -0,0 +1,120 @@
+// The owner's state and the parts of its work, a source file each.
+#pragma once
+
+#include "job.h"
+#include "jujubereach/fleet/owner.h"
+#include "jujubereach/fleet/placement.h"
+#include "worker.h"
+
+#include <deque>
+
+namespace jujubereach::fleet {
+
+/// What a queue's jobs have turned out to be.
+struct QueueHistory {
+    double meanWork = 0; ///< Of accepted jobs, in core-seconds.
+    int jobs = 0;
+    double timeFactor = 1; ///< Actual run time over the estimate.
+    int timed = 0;
+};
+
+class Owner::Impl {
+public:
+    Impl(OwnerSettings settings, OwnerHooks hooks, Fence fence, Revision ownerKey);
+
+    // owner.cpp: jobs and workers come and go.
+    void restoreJob(JobRecord record, std::optional<ProgressRecord> progress, Revision revision);
+    void restoreRoster(const std::vector<WorkerReport>& roster, Revision revision);
+    void recovered();
+    void jobWritten(JobRecord record);
+    void workerReported(const WorkerReport& report);
+    void workerUnlisted(const WorkerId& id);
+    void tick();
+    OwnerFigures figures() const;
+
+    // owner-save.cpp: what goes to the store.
+    void changed(Job& job);
+    void saveDue();
+    void noteSaved();
+    void saveSummary(StoreWrite& write);
+
+    // owner-orders.cpp: calls to workers and their answers.
+    void callsDue(Worker& worker);
+    void look(Worker& worker);
+    void startCall(Worker& worker, ActiveRun& run);
+    void stopCall(Worker& worker, ActiveRun& run);
+    void startAnswered(const WorkerId& id, const TaskId& task, Run run, TimePoint sentAt, OrderAnswer answer);
+    void stopAnswered(const WorkerId& id, const TaskId& task, Run run, OrderAnswer answer);
+    void lookAnswered(const WorkerId& id, TimePoint sentAt, bool extended, OrderAnswer answer);
+    bool noteAnswer(Worker& worker, TimePoint sentAt, const OrderAnswer& answer);
+    void stop(Worker& worker, const TaskId& task, const char* why);
+    void superseded(const char* by);
+
+    // owner-ends.cpp: what becomes of runs.
+    void adopt(Worker& worker, const RunningTask& running, TimePoint sentAt);
+    void ended(Worker& worker, const EndedTask& end);
+    void release(Worker& worker, const TaskId& task);
+    void loseRuns(Worker& worker, const char* why);
+    void loseRun(Worker& worker, const TaskId& task, const char* why);
+    void taskDone(Job& job, Step& step, const TaskId& task);
+    void taskFailed(Job& job, Step& step, const TaskId& task, Run run, Worker& worker);
+    void stepAdvanced(Job& job, int occurrence);
+    void finish(Job& job, JobState state, const char* why);
+    void stopTasks(Job& job, const char* why);
+    void watchProgress(Worker& worker, ActiveRun& run, const RunningTask& seen);
+
+    // owner-pass.cpp: placing.
+    void pass();
+    struct Ready;
+    std::vector<Ready> readySteps();
+    std::vector<WorkerView> views() const;
+    bool runPlan(Job& job, int occurrence, int stepIndex);
+    void dropPlan(Step& step);
+    void begin(Job& job, const TaskId& task, Worker& worker, Run run);
+    bool displaceFor(const Ready& ready, std::vector<WorkerView>& views);
+    void occurrencesDue();
+    Duration expectedTime(const Job& job, const StepSpec& step) const;
+    double workOf(const Job& job, const StepSpec& step) const;
+
+    TimePoint now() const { return m_hooks.clock(); }
+    bool mayOrder() const { return now() - m_confirmedAt < m_settings.confirmBound && !m_superseded; }
+    const Route& termsOf(const Job& job) const;
+    bool inDoubt() const;
+    Worker* findWorker(const WorkerId& id);
+    Job* findJob(const JobId& id);
+    void soon(); ///< Asks for a pass.
+
+    const OwnerSettings m_settings;
+    const OwnerHooks m_hooks;
+    const Fence m_fence;
+    const Revision m_ownerKey;
+    std::shared_ptr<const FleetConfig> m_config;
+    TimePoint m_confirmedAt;
+    TimePoint m_tookOverAt;
+    bool m_superseded = false;
+    bool m_recovered = false;
+    std::shared_ptr<Impl*> m_self; ///< Answers that come after this object is gone find null.
+
+    std::map<JobId, Job> m_jobs;
+    std::set<JobId> m_open; ///< Jobs not in a final state.
+    std::map<WorkerId, Worker> m_workers;
+    std::map<RouteId, QueueHistory> m_history;
+
+    std::set<WorkerId> m_unresolved; ///< Of the roster at takeover; may run what nobody told this owner.
+    std::set<WorkerId> m_roster; ///< As stored; only its members are given orders.
+    Revision m_rosterRevision;
+    bool m_rosterDue = false;
+
+    std::set<JobId> m_dirty;
+    bool m_saving = false;
+    TimePoint m_nextSave;
+    int m_saveFailures = 0;
+    TimePoint m_summaryAt;
+    std::string m_summary; ///< As last written.
+
+    bool m_passDue = false;
+    TimePoint m_nextPass;
+    OwnerFigures m_figures;
+};
+
+} // namespace jujubereach::fleet
--- /dev/null
+++ b/packages/fleet/src/owner-orders.cpp
@@ -0,0 +1,267 @@
+// Calls to workers, and what their answers tell.
+#include "owner-impl.h"
+
+#include <algorithm>
+
+namespace jujubereach::fleet {
+
+namespace {
+
+    constexpr Duration lookWait { 1500 }; // Below the platform's bound of 2 s on a wait.
+    constexpr Duration lookSlack { 1000 }; // Over the wait, until a look counts as lost.
+    constexpr Duration probePause { 400 }; // Between looks at a worker that does not answer.
+    constexpr Duration savedWait { 1000 }; // A look goes out at the latest, though ends are not yet saved.
+    constexpr Duration orderTimeout { 800 }; // Twenty round trips between regions.
+    constexpr Duration retryPause { 200 };
+    constexpr int maxStartAttempts = 3; // Within the time that a gang's members wait for each other.
+    constexpr std::size_t maxListedEnds = 500; // A longer list comes in parts.
+
+} // namespace
+
+void Owner::Impl::callsDue(Worker& worker)
+{
+    const auto time = now();
+    for (auto& [task, run] : worker.runs) {
+        if (run.callInFlight || run.nextCall > time || worker.misses > 0)
+            continue;
+        if (run.phase == RunPhase::Ordered)
+            startCall(worker, run);
+        else if (run.phase == RunPhase::Stopping && !run.confirmed)
+            stopCall(worker, run);
+    }
+    const auto wanted = !worker.fenced ? worker.listed || !worker.runs.empty() || m_unresolved.contains(worker.id())
+                                       : !worker.runs.empty() || worker.acknowledged > 0 || !worker.ends.empty();
+    if (wanted && !worker.lookInFlight && worker.nextLook <= time)
+        look(worker);
+}
+
+void Owner::Impl::look(Worker& worker)
+{
+    HoldOrder order;
+    order.fence = m_fence;
+    order.acknowledged = worker.acknowledged;
+    // A worker that does not answer gets no further lease: what runs there must end in a known time.
+    const auto extend = worker.fenced && worker.misses == 0 && !worker.runs.empty() && mayOrder();
+    if (extend) {
+        order.deadline = WorkerTime { worker.clockNow(now()).value + static_cast<std::uint64_t>(m_settings.maxHold.count()) };
+        worker.lastDeadline = std::max(worker.lastDeadline, *order.deadline);
+    }
+    if (worker.fenced && worker.misses == 0 && !worker.runs.empty())
+        order.wait = lookWait;
+    worker.lookInFlight = true;
+    const auto sentAt = now();
+    m_hooks.workers.hold(worker.report, order, order.wait + lookSlack,
+        [this, self = m_self, id = worker.id(), sentAt, extend](OrderAnswer answer) {
+            if (*self)
+                lookAnswered(id, sentAt, extend, std::move(answer));
+        });
+}
+
+bool Owner::Impl::noteAnswer(Worker& worker, TimePoint sentAt, const OrderAnswer& answer)
+{
+    if (answer.fate == OrderFate::Fenced) {
+        superseded(worker.id().str().c_str());
+        return false;
+    }
+    if (answer.fate == OrderFate::OtherLife || (answer.born != 0 && worker.born != 0 && answer.born > worker.born)) {
+        loseRuns(worker, "its worker was born again");
+        worker.fenced = false;
+        worker.nextLook = now();
+    }
+    if (answer.born > worker.born)
+        worker.born = answer.born;
+    if (answer.clock.value > 0 && sentAt >= worker.clockAt) {
+        worker.clock = answer.clock;
+        worker.clockAt = now();
+    }
+    return true;
+}
+
+void Owner::Impl::lookAnswered(const WorkerId& id, TimePoint sentAt, bool extended, OrderAnswer answer)
+{
+    auto* worker = findWorker(id);
+    if (!worker || m_superseded)
+        return;
+    worker->lookInFlight = false;
+    if (!noteAnswer(*worker, sentAt, answer))
+        return;
+    if (answer.fate != OrderFate::Done) {
+        if (worker->misses++ == 0)
+            m_hooks.log("worker-silent",
+                { { "worker", id.str() }, { "fate", nameOf(answer.fate) }, { "runs", worker->runs.size() },
+                    { "extended", extended }, { "lapsesInMs", (worker->lapseTime() - now()).count() } });
+        worker->nextLook = now() + probePause;
+        return;
+    }
+    if (worker->misses > 0) {
+        m_hooks.log("worker-answers", { { "worker", id.str() }, { "misses", worker->misses } });
+        worker->misses = 0;
+        soon();
+    }
+    if (!worker->fenced) {
+        worker->fenced = true;
+        worker->acknowledged = 0;
+        worker->ends.clear();
+        m_unresolved.erase(id);
+        soon();
+    }
+    for (const auto& end : answer.ended)
+        ended(*worker, end);
+    std::set<TaskId> seen;
+    for (const auto& running : answer.running) {
+        seen.insert(running.task);
+        adopt(*worker, running, sentAt);
+    }
+    std::vector<TaskId> absent;
+    for (const auto& [task, run] : worker->runs) {
+        if (run.confirmed && run.confirmedAt < sentAt && !seen.contains(task))
+            absent.push_back(task);
+    }
+    if (answer.ended.size() < maxListedEnds) {
+        for (const auto& task : absent)
+            loseRun(*worker, task, "its worker does not list it");
+    }
+    noteSaved();
+    if (!worker->ends.empty())
+        worker->nextLook = now() + savedWait;
+    if (worker->runs.empty() && worker->ends.empty() && answer.ended.empty())
+        worker->acknowledged = 0; // Nothing left to acknowledge: no further look is needed.
+    callsDue(*worker);
+}
+
+void Owner::Impl::startCall(Worker& worker, ActiveRun& run)
+{
+    auto* job = findJob(run.task.job);
+    if (!job || !mayOrder())
+        return;
+    StartOrder order;
+    order.task = run.task;
+    order.run = run.run;
+    order.payload = job->spec().payload;
+    order.fence = m_fence;
+    order.checkpoint = run.checkpoint;
+    order.ticket = run.ticket;
+    order.deadline = { worker.clockNow(now()).value + static_cast<std::uint64_t>(m_settings.maxHold.count()) };
+    worker.lastDeadline = std::max(worker.lastDeadline, order.deadline);
+    run.callInFlight = true;
+    ++run.startAttempts;
+    m_hooks.workers.start(worker.report, std::move(order), orderTimeout,
+        [this, self = m_self, id = worker.id(), task = run.task, number = run.run, sentAt = now()](
+            OrderAnswer answer) {
+            if (*self)
+                startAnswered(id, task, number, sentAt, std::move(answer));
+        });
+}
+
+void Owner::Impl::startAnswered(
+    const WorkerId& id, const TaskId& task, Run number, TimePoint sentAt, OrderAnswer answer)
+{
+    auto* worker = findWorker(id);
+    if (!worker || m_superseded)
+        return;
+    const auto reborn = worker->born != 0 && answer.born > worker->born;
+    if (!noteAnswer(*worker, sentAt, answer))
+        return;
+    if (reborn && answer.fate == OrderFate::Done)
+        return adopt(*worker, { task, number, {}, 0, 0 }, sentAt); // The new life has begun it.
+    const auto found = worker->runs.find(task);
+    if (found == worker->runs.end() || found->second.run != number || found->second.phase == RunPhase::Stopping)
+        return;
+    auto& run = found->second;
+    run.callInFlight = false;
+    if (run.phase == RunPhase::Running)
+        return; // A look has told before.
+    if (answer.fate != OrderFate::Done)
+        m_hooks.log("start-refused",
+            { { "task", toString(task) }, { "run", number.value }, { "worker", id.str() },
+                { "fate", nameOf(answer.fate) }, { "attempt", run.startAttempts } });
+    switch (answer.fate) {
+    case OrderFate::Done:
+    case OrderFate::Old: // It has ended already, or was stopped: a look tells which.
+        run.phase = RunPhase::Running;
+        run.confirmed = true;
+        run.confirmedAt = now();
+        run.progressAt = now();
+        ++m_figures.starts;
+        if (!worker->lookInFlight)
+            look(*worker);
+        return;
+    case OrderFate::Unknown:
+        if (run.startAttempts < maxStartAttempts) {
+            run.nextCall = now();
+            return startCall(*worker, run);
+        }
+        return stop(*worker, task, "its start got no answer");
+    case OrderFate::Refused:
+        worker->trust.taskFailed(now());
+        break;
+    case OrderFate::NotSent:
+        ++worker->misses;
+        worker->nextLook = std::min(worker->nextLook, now());
+        break;
+    default:
+        break;
+    }
+    if (run.startAttempts > 1)
+        return stop(*worker, task, "its start was refused after one without an answer");
+    loseRun(*worker, task, nameOf(answer.fate));
+}
+
+void Owner::Impl::stop(Worker& worker, const TaskId& task, const char* why)
+{
+    const auto found = worker.runs.find(task);
+    if (found == worker.runs.end() || found->second.phase == RunPhase::Stopping)
+        return;
+    auto& run = found->second;
+    run.phase = RunPhase::Stopping;
+    run.confirmed = false;
+    run.callInFlight = false;
+    run.nextCall = now();
+    ++m_figures.stops;
+    m_hooks.log("stop",
+        { { "task", toString(task) }, { "run", run.run.value }, { "worker", worker.id().str() }, { "why", why } });
+    stopCall(worker, run);
+}
+
+void Owner::Impl::stopCall(Worker& worker, ActiveRun& run)
+{
+    run.callInFlight = true;
+    m_hooks.workers.stop(worker.report, { run.task, run.run, m_fence }, orderTimeout,
+        [this, self = m_self, id = worker.id(), task = run.task, number = run.run](OrderAnswer answer) {
+            if (*self)
+                stopAnswered(id, task, number, std::move(answer));
+        });
+}
+
+void Owner::Impl::stopAnswered(const WorkerId& id, const TaskId& task, Run number, OrderAnswer answer)
+{
+    auto* worker = findWorker(id);
+    if (!worker || m_superseded || !noteAnswer(*worker, now(), answer))
+        return;
+    const auto found = worker->runs.find(task);
+    if (found == worker->runs.end() || found->second.run != number)
+        return;
+    auto& run = found->second;
+    run.callInFlight = false;
+    if (answer.fate == OrderFate::Done) {
+        run.confirmed = true;
+        run.confirmedAt = now() + m_settings.stopTimeout + m_settings.stopTimeout / 4;
+        if (!worker->lookInFlight)
+            worker->nextLook = std::min(worker->nextLook, now());
+        return;
+    }
+    m_hooks.log("stop-refused",
+        { { "task", toString(task) }, { "worker", id.str() }, { "fate", nameOf(answer.fate) } });
+    run.nextCall = now() + retryPause;
+}
+
+void Owner::Impl::superseded(const char* by)
+{
+    if (m_superseded)
+        return;
+    m_superseded = true;
+    m_hooks.log("superseded", { { "fence", m_fence.value }, { "by", by } });
+    m_hooks.lost();
+}
+
+} // namespace jujubereach::fleet
--- /dev/null
+++ b/packages/fleet/src/owner-save.cpp
@@ -0,0 +1,154 @@
+// What goes to the store, and which ends a worker may forget once it is there.
+#include "owner-impl.h"
+
+namespace jujubereach::fleet {
+
+namespace {
+
+    constexpr std::size_t jobsPerWrite = (maxWriteEntries - 3) / 2; // A condition and a put each.
+    constexpr Duration savePause { 25 }; // Joins what ends at the same moment.
+    constexpr Duration firstRetry { 100 };
+    constexpr int maxRetryDoublings = 3;
+    constexpr Duration summaryInterval { 500 }; // A quarter of the age that callers are promised.
+
+    // The state of a key among the items of a refused write; 0 when it does not exist.
+    Revision revisionOf(const std::vector<StoreItem>& items, const std::string& key)
+    {
+        for (const auto& item : items) {
+            if (item.key == key)
+                return item.revision;
+        }
+        return {};
+    }
+
+} // namespace
+
+void Owner::Impl::changed(Job& job)
+{
+    ++job.changes;
+    m_dirty.insert(job.id());
+    if (!m_saving && m_nextSave <= now())
+        m_nextSave = now() + savePause;
+    m_hooks.wakeIn(savePause);
+}
+
+void Owner::Impl::saveDue()
+{
+    if (m_saving || m_superseded || now() < m_nextSave)
+        return;
+    StoreWrite write;
+    write.expected.push_back({ keys::owner, m_ownerKey });
+    std::vector<std::pair<JobId, std::uint64_t>> jobs;
+    for (const auto& id : m_dirty) {
+        if (jobs.size() == jobsPerWrite)
+            break;
+        auto& job = m_jobs.at(id);
+        write.expected.push_back({ keys::progress(id), job.progressRevision });
+        write.puts.push_back({ keys::progress(id), encode(job.progress()), {} });
+        jobs.emplace_back(id, job.changes);
+    }
+    std::vector<WorkerId> roster;
+    if (m_rosterDue && jobs.size() < jobsPerWrite) {
+        std::vector<WorkerReport> reports;
+        for (const auto& [id, worker] : m_workers) {
+            reports.push_back(worker.report);
+            roster.push_back(id);
+        }
+        write.expected.push_back({ keys::roster, m_rosterRevision });
+        write.puts.push_back({ keys::roster, encodeRoster(reports), {} });
+    }
+    saveSummary(write);
+    if (write.puts.empty())
+        return;
+    m_saving = true;
+    const auto sentAt = now();
+    m_hooks.write(std::move(write), [this, self = m_self, jobs, roster, sentAt](StoreAnswer answer) {
+        if (!*self)
+            return;
+        m_saving = false;
+        m_nextSave = now() + savePause;
+        if (answer.fate == StoreFate::Conflict) {
+            if (revisionOf(answer.items, keys::owner) != m_ownerKey)
+                return superseded("the store");
+            // An earlier write without an answer was carried out after all.
+            for (const auto& [id, changes] : jobs) {
+                if (auto* job = findJob(id))
+                    job->progressRevision = revisionOf(answer.items, keys::progress(id));
+            }
+            if (!roster.empty())
+                m_rosterRevision = revisionOf(answer.items, keys::roster);
+            m_nextSave = now();
+        }
+        if (answer.fate != StoreFate::Done) {
+            m_summary.clear();
+            m_saveFailures = std::min(m_saveFailures + 1, maxRetryDoublings);
+            if (answer.fate != StoreFate::Conflict)
+                m_nextSave = now() + firstRetry * (1 << m_saveFailures);
+            m_hooks.log("save-failed", { { "fate", nameOf(answer.fate) }, { "jobs", m_dirty.size() } });
+            return;
+        }
+        m_saveFailures = 0;
+        m_confirmedAt = std::max(m_confirmedAt, sentAt);
+        for (const auto& [id, changes] : jobs) {
+            auto* job = findJob(id);
+            if (!job)
+                continue;
+            job->progressRevision = answer.at;
+            job->saved = changes;
+            if (job->saved == job->changes)
+                m_dirty.erase(id);
+        }
+        if (!roster.empty()) {
+            m_roster = { roster.begin(), roster.end() };
+            m_rosterRevision = answer.at;
+            m_rosterDue = roster.size() != m_workers.size();
+            soon();
+        }
+        noteSaved();
+        if (!m_dirty.empty())
+            m_hooks.wakeIn(savePause);
+    });
+}
+
+void Owner::Impl::noteSaved()
+{
+    for (auto& [id, worker] : m_workers) {
+        auto advanced = false;
+        while (!worker.ends.empty()) {
+            const auto& [number, end] = *worker.ends.begin();
+            const auto* job = findJob(end.job);
+            if (job && job->saved < end.changes)
+                break;
+            worker.acknowledged = std::max(worker.acknowledged, number);
+            worker.ends.erase(worker.ends.begin());
+            advanced = true;
+        }
+        if (advanced && worker.ends.empty()) {
+            worker.nextLook = now();
+            callsDue(worker);
+        }
+    }
+}
+
+void Owner::Impl::saveSummary(StoreWrite& write)
+{
+    if (now() - m_summaryAt < summaryInterval)
+        return;
+    QueueSummary summary;
+    summary.owner = m_fence;
+    std::map<RouteId, std::int64_t> pending;
+    for (const auto& id : m_open) {
+        const auto& job = m_jobs.at(id);
+        if (job.state == JobState::Queued)
+            ++pending[job.record.route];
+    }
+    summary.pending = { pending.begin(), pending.end() };
+    auto value = encode(summary);
+    if (value == m_summary)
+        return;
+    m_summary = value;
+    m_summaryAt = now();
+    write.puts.push_back({ keys::summary, std::move(value), {} });
+}
+
+} // namespace jujubereach::fleet
--- /dev/null
+++ b/packages/fleet/src/owner.cpp
@@ -0,0 +1,346 @@
+#include "owner-impl.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace jujubereach::fleet {
+
+namespace {
+
+    constexpr Duration tickInterval { 50 }; // Far below each bound that the owner keeps.
+    constexpr Duration rosterPause { 200 };
+    constexpr Duration evacuationLead { 900 }; // A stop, its answer and a look, before a worker may exit.
+
+} // namespace
+
+Duration recoveryDoubt(const OwnerSettings& settings)
+{
+    const auto hold = static_cast<double>(settings.maxHold.count()) * (1 + clockDrift);
+    return settings.confirmBound + Duration(static_cast<std::int64_t>(hold)) + lapseMargin;
+}
+
+Owner::Impl::Impl(OwnerSettings settings, OwnerHooks hooks, Fence fence, Revision ownerKey)
+    : m_settings(settings)
+    , m_hooks(std::move(hooks))
+    , m_fence(fence)
+    , m_ownerKey(ownerKey)
+    , m_config(std::make_shared<FleetConfig>())
+    , m_confirmedAt(m_hooks.clock())
+    , m_tookOverAt(m_confirmedAt)
+    , m_self(std::make_shared<Impl*>(this))
+{
+}
+
+void Owner::Impl::restoreJob(JobRecord record, std::optional<ProgressRecord> progress, Revision revision)
+{
+    const auto id = record.id;
+    auto& job = m_jobs[id];
+    job.record = std::move(record);
+    job.arrived = now();
+    job.ended = now();
+    job.recovered = true;
+    job.progressRevision = revision;
+    if (progress)
+        job.restore(*progress);
+    if (isFinal(job.state))
+        return;
+    if (job.spec().repeatCount == 0 && job.nextOccurrence == 0)
+        job.addOccurrence(0);
+    m_open.insert(id);
+}
+
+void Owner::Impl::restoreRoster(const std::vector<WorkerReport>& roster, Revision revision)
+{
+    m_rosterRevision = revision;
+    for (const auto& report : roster) {
+        m_roster.insert(report.id);
+        m_unresolved.insert(report.id);
+        auto& worker = m_workers[report.id];
+        if (worker.report.id.empty())
+            worker.report = report;
+    }
+}
+
+void Owner::Impl::recovered()
+{
+    m_recovered = true;
+    m_hooks.log("takeover",
+        { { "fence", m_fence.value }, { "openJobs", m_open.size() }, { "jobs", m_jobs.size() },
+            { "workers", m_workers.size() }, { "roster", m_roster.size() } });
+    const auto open = m_open;
+    for (const auto& id : open) {
+        auto& job = m_jobs.at(id);
+        if (job.record.cancelled)
+            finish(job, JobState::Cancelled, "cancelled before the takeover");
+    }
+    for (auto& [id, worker] : m_workers)
+        callsDue(worker);
+    soon();
+    tick();
+}
+
+void Owner::Impl::jobWritten(JobRecord record)
+{
+    const auto id = record.id;
+    auto* known = findJob(id);
+    if (known) {
+        known->record.cancelled = known->record.cancelled || record.cancelled;
+        if (known->record.cancelled && !isFinal(known->state))
+            finish(*known, JobState::Cancelled, "cancelled by its caller");
+        return;
+    }
+    auto& job = m_jobs[id];
+    job.record = std::move(record);
+    job.arrived = now();
+    m_open.insert(id);
+    double work = 0;
+    for (const auto& step : job.spec().steps)
+        work += workOf(job, step) * step.count;
+    auto& history = m_history[job.record.route];
+    history.meanWork += (work - history.meanWork) / ++history.jobs;
+    m_hooks.log("job",
+        { { "id", id.str() }, { "route", job.record.route.str() }, { "steps", job.spec().steps.size() },
+            { "tasks", job.spec().steps.empty() ? 0 : job.spec().steps[0].count }, { "work", work },
+            { "acceptedAt", job.record.acceptedAt.milliseconds }, { "repeat", job.spec().repeatCount } });
+    if (job.record.cancelled)
+        return finish(job, JobState::Cancelled, "cancelled by its caller");
+    if (job.spec().repeatCount == 0)
+        job.addOccurrence(0);
+    soon();
+}
+
+void Owner::Impl::workerReported(const WorkerReport& report)
+{
+    auto& worker = m_workers[report.id];
+    const auto moved = worker.report.address != report.address;
+    const auto wasDraining = worker.report.draining;
+    worker.report = report;
+    worker.listed = true;
+    if (report.draining && !wasDraining) {
+        worker.drainingSince = now();
+        m_hooks.log("worker-drains", { { "worker", report.id.str() }, { "runs", worker.runs.size() } });
+    }
+    if (worker.born != 0 && report.born > worker.born) {
+        loseRuns(worker, "its worker was born again");
+        worker.born = report.born;
+        worker.fenced = false;
+    }
+    if (moved || !worker.fenced)
+        worker.nextLook = now();
+    if (!m_roster.contains(report.id))
+        m_rosterDue = true;
+    if (m_recovered)
+        callsDue(worker);
+    soon();
+}
+
+void Owner::Impl::workerUnlisted(const WorkerId& id)
+{
+    auto* worker = findWorker(id);
+    if (!worker || !worker->listed)
+        return;
+    worker->listed = false;
+    m_hooks.log("worker-unlisted",
+        { { "worker", id.str() }, { "runs", worker->runs.size() }, { "misses", worker->misses } });
+}
+
+void Owner::Impl::tick()
+{
+    if (m_superseded || !m_recovered)
+        return;
+    const auto time = now();
+    occurrencesDue();
+    for (auto i = m_workers.begin(); i != m_workers.end();) {
+        auto& worker = i->second;
+        if (worker.misses > 0 && !worker.runs.empty() && time >= worker.lapseTime())
+            loseRuns(worker, "its lease has lapsed");
+        const auto leaves = worker.drainingSince != TimePoint {}
+            && time - worker.drainingSince > m_settings.drainBound - evacuationLead;
+        if (worker.report.draining && leaves) {
+            for (auto& [task, run] : worker.runs) {
+                auto* job = findJob(task.job);
+                auto* step = job ? job->findStep(task) : nullptr;
+                if (step && step->spec->checkpointing && run.phase == RunPhase::Running)
+                    stop(worker, task, "its worker leaves");
+            }
+        }
+        callsDue(worker);
+        const auto gone = !worker.listed && worker.runs.empty() && worker.ends.empty() && worker.fenced
+            && worker.misses > 0 && time >= worker.lapseTime();
+        if (gone) {
+            m_rosterDue = true;
+            i = m_workers.erase(i);
+        } else
+            ++i;
+    }
+    if (!m_unresolved.empty() && time - m_tookOverAt > recoveryDoubt(m_settings)) {
+        m_hooks.log("doubt-over", { { "silentWorkers", m_unresolved.size() } });
+        for (const auto& id : m_unresolved) {
+            if (auto* worker = findWorker(id); worker && !worker->listed && !worker->fenced)
+                m_workers.erase(id);
+        }
+        m_unresolved.clear();
+        m_rosterDue = true;
+        soon();
+    }
+    if (m_passDue && time >= m_nextPass)
+        pass();
+    saveDue();
+    for (auto i = m_jobs.begin(); i != m_jobs.end();) {
+        const auto& job = i->second;
+        const auto old = isFinal(job.state) && job.saved == job.changes
+            && time - job.ended > m_settings.keepFinished + m_settings.keepFinished / 4;
+        i = old ? m_jobs.erase(i) : std::next(i);
+    }
+    m_hooks.wakeIn(m_passDue ? std::max(Duration(1), std::min(tickInterval, m_nextPass - time)) : tickInterval);
+}
+
+void Owner::Impl::occurrencesDue()
+{
+    const auto wall = m_hooks.wall();
+    for (const auto& id : m_open) {
+        auto& job = m_jobs.at(id);
+        while (job.nextOccurrence < job.spec().repeatCount) {
+            const auto due = job.spec().firstRun.milliseconds + job.nextOccurrence * job.spec().interval.count();
+            if (wall.milliseconds < due)
+                break;
+            job.addOccurrence(job.nextOccurrence);
+            soon();
+        }
+    }
+}
+
+const Route& Owner::Impl::termsOf(const Job& job) const
+{
+    const auto found = m_config->routes.find(job.record.route);
+    return found == m_config->routes.end() ? job.record.terms : found->second;
+}
+
+bool Owner::Impl::inDoubt() const
+{
+    return !m_unresolved.empty();
+}
+
+Worker* Owner::Impl::findWorker(const WorkerId& id)
+{
+    const auto found = m_workers.find(id);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+Job* Owner::Impl::findJob(const JobId& id)
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+void Owner::Impl::soon()
+{
+    m_passDue = true;
+    m_hooks.wakeIn(Duration(2));
+}
+
+OwnerFigures Owner::Impl::figures() const
+{
+    auto figures = m_figures;
+    figures.jobs = m_open.size();
+    figures.workers = m_workers.size();
+    for (const auto& [id, worker] : m_workers) {
+        figures.activeTasks += worker.runs.size();
+        figures.usableWorkers += worker.listed && worker.fenced && !worker.report.draining;
+    }
+    for (const auto& id : m_open) {
+        for (const auto& [number, occurrence] : m_jobs.at(id).occurrences) {
+            for (const auto& step : occurrence.steps)
+                figures.waitingTasks += static_cast<std::size_t>(std::max(0, step.spec->count - step.done - step.active));
+        }
+    }
+    return figures;
+}
+
+Owner::Owner(OwnerSettings settings, OwnerHooks hooks, Fence fence, Revision ownerKey)
+    : m_impl(std::make_unique<Impl>(settings, std::move(hooks), fence, ownerKey))
+{
+}
+
+Owner::~Owner()
+{
+    *m_impl->m_self = nullptr;
+}
+
+void Owner::setConfig(std::shared_ptr<const FleetConfig> config)
+{
+    m_impl->m_config = std::move(config);
+}
+
+void Owner::confirm(TimePoint sentAt)
+{
+    m_impl->m_confirmedAt = std::max(m_impl->m_confirmedAt, sentAt);
+}
+
+void Owner::restoreJob(JobRecord record, std::optional<ProgressRecord> progress, Revision progressRevision)
+{
+    m_impl->restoreJob(std::move(record), std::move(progress), progressRevision);
+}
+
+void Owner::restoreRoster(const std::vector<WorkerReport>& roster, Revision revision)
+{
+    m_impl->restoreRoster(roster, revision);
+}
+
+void Owner::recovered()
+{
+    m_impl->recovered();
+}
+
+void Owner::jobWritten(JobRecord record)
+{
+    m_impl->jobWritten(std::move(record));
+}
+
+void Owner::workerReported(const WorkerReport& report)
+{
+    m_impl->workerReported(report);
+}
+
+void Owner::workerUnlisted(const WorkerId& id)
+{
+    m_impl->workerUnlisted(id);
+}
+
+void Owner::tick()
+{
+    m_impl->tick();
+}
+
+OwnerFigures Owner::figures() const
+{
+    return m_impl->figures();
+}
+
+std::string encodeRoster(const std::vector<WorkerReport>& roster)
+{
+    boost::json::array rows;
+    for (const auto& worker : roster)
+        rows.push_back({ worker.id.str(), worker.address });
+    return boost::json::serialize(rows);
+}
+
+std::optional<std::vector<WorkerReport>> decodeRoster(const std::string& value)
+{
+    try {
+        std::vector<WorkerReport> roster;
+        const auto parsed = boost::json::parse(value);
+        for (const auto& row : parsed.as_array()) {
+            WorkerReport worker;
+            worker.id = WorkerId(std::string(row.as_array().at(0).as_string()));
+            worker.address = std::string(row.as_array().at(1).as_string());
+            roster.push_back(std::move(worker));
+        }
+        return roster;
+    } catch (const std::exception&) {
+        return std::nullopt; // The caller logs it.
+    }
+}
+
+} // namespace jujubereach::fleet
--- /dev/null
+++ b/packages/fleet/src/placement.cpp
@@ -0,0 +1,298 @@
+#include "jujubereach/fleet/placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace jujubereach::fleet {
+
+namespace {
+
+    constexpr double distrustWeight = 10; // A failure counts for more than any difference of fit.
+    constexpr double balanceWeight = 0.5; // Stranded processors or accelerators against plain room left.
+    constexpr double unfit = std::numeric_limits<double>::infinity();
+
+    bool hasLabel(const WorkerView& view, const std::string& label)
+    {
+        return label.empty()
+            || (view.labels && std::find(view.labels->begin(), view.labels->end(), label) != view.labels->end());
+    }
+
+    double share(std::int64_t part, std::int64_t whole)
+    {
+        return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0;
+    }
+
+    // Tasks of the step on each worker, with those placed just now.
+    struct Counts {
+        std::map<std::size_t, int> placed;
+
+        int on(const PlaceRequest& request, const std::vector<WorkerView>& views, std::size_t i) const
+        {
+            int count = 0;
+            if (request.onWorker) {
+                const auto found = request.onWorker->find(views[i].id);
+                if (found != request.onWorker->end())
+                    count = found->second;
+            }
+            const auto found = placed.find(i);
+            return found == placed.end() ? count : count + found->second;
+        }
+    };
+
+    bool isAllowed(const PlaceRequest& request, const WorkerView& view)
+    {
+        if (request.avoid && request.avoid->contains(view.id))
+            return false;
+        // A task that fills disturbs one with a tail target, by an amount that nobody knows in advance.
+        if (request.spec->fills && view.serves)
+            return false;
+        return !(request.spec->tailTarget.count() > 0 && view.fills);
+    }
+
+    double misfit(const PlaceRequest& request, const WorkerView& view)
+    {
+        const auto& need = request.spec->room;
+        if (!view.free.holds(need))
+            return unfit;
+        const auto cpuLeft = share(view.free.milliCores - need.milliCores, view.capacity.milliCores);
+        const auto accLeft = share(view.free.accelerators - need.accelerators, view.capacity.accelerators);
+        return accLeft + balanceWeight * std::abs(cpuLeft - accLeft) + distrustWeight * view.distrust;
+    }
+
+    bool isOnWantedRack(const PlaceRequest& request, const WorkerView& view)
+    {
+        return request.anyRack || request.spec->rack.empty() || view.rack == request.spec->rack;
+    }
+
+    bool isWithinSpread(
+        const PlaceRequest& request, const std::vector<WorkerView>& views, const Counts& counts, std::size_t i)
+    {
+        return request.spec->maxPerWorker == 0 || counts.on(request, views, i) < request.spec->maxPerWorker;
+    }
+
+    // Places up to `request.count` tasks on the views named by `among`.
+    Placement placeAmong(const PlaceRequest& request, std::vector<WorkerView>& views,
+        const std::vector<std::size_t>& among, double& total)
+    {
+        Placement placement;
+        Counts counts;
+        while (static_cast<int>(placement.size()) < request.count) {
+            auto best = unfit;
+            std::size_t chosen = 0;
+            for (const auto i : among) {
+                const auto value = misfit(request, views[i]);
+                if (value < best && isWithinSpread(request, views, counts, i)) {
+                    best = value;
+                    chosen = i;
+                }
+            }
+            if (best == unfit)
+                break;
+            total += best;
+            views[chosen].free -= request.spec->room;
+            ++counts.placed[chosen];
+            placement.push_back(chosen);
+        }
+        return placement;
+    }
+
+    void giveBack(const PlaceRequest& request, std::vector<WorkerView>& views, const Placement& placement)
+    {
+        for (const auto i : placement)
+            views[i].free += request.spec->room;
+    }
+
+    std::vector<std::size_t> candidates(const PlaceRequest& request, const std::vector<WorkerView>& views)
+    {
+        std::vector<std::size_t> out;
+        for (std::size_t i = 0; i < views.size(); ++i) {
+            if (couldRun(request, views[i]) && isAllowed(request, views[i])
+                && isOnWantedRack(request, views[i]))
+                out.push_back(i);
+        }
+        return out;
+    }
+
+    std::map<std::string, std::vector<std::size_t>> byRack(
+        const std::vector<WorkerView>& views, const std::vector<std::size_t>& among)
+    {
+        std::map<std::string, std::vector<std::size_t>> racks;
+        for (const auto i : among)
+            racks[views[i].rack].push_back(i);
+        return racks;
+    }
+
+    bool needsOneRack(const PlaceRequest& request)
+    {
+        return request.spec->gang && request.spec->sameRack && !request.anyRackForGang;
+    }
+
+    // The rack on which the gang fits with the least left over.
+    Placement placeOnOneRack(
+        const PlaceRequest& request, std::vector<WorkerView>& views, const std::vector<std::size_t>& among)
+    {
+        Placement best;
+        auto bestTotal = unfit;
+        for (const auto& [rack, members] : byRack(views, among)) {
+            double total = 0;
+            auto placement = placeAmong(request, views, members, total);
+            giveBack(request, views, placement);
+            if (static_cast<int>(placement.size()) == request.count && total < bestTotal) {
+                bestTotal = total;
+                best = std::move(placement);
+            }
+        }
+        for (const auto i : best)
+            views[i].free -= request.spec->room;
+        return best;
+    }
+
+    // Searches the cheapest displacement among some workers.
+    class Displacer {
+    public:
+        Displacer(const PlaceRequest& request, const std::vector<WorkerView>& views)
+            : m_request(request)
+            , m_views(views)
+        {
+        }
+
+        bool run(const std::vector<std::size_t>& among)
+        {
+            for (const auto i : among)
+                m_free[i] = m_views[i].free;
+            while (static_cast<int>(m_found.placement.size()) < m_request.count) {
+                if (!placeOne(among))
+                    return false;
+            }
+            return true;
+        }
+
+        double loss() const { return m_loss; }
+        Displacement take() { return std::move(m_found); }
+
+    private:
+        struct Choice {
+            std::size_t worker = 0;
+            double cost = unfit;
+            std::vector<const Displaceable*> victims;
+        };
+
+        bool placeOne(const std::vector<std::size_t>& among)
+        {
+            Choice best;
+            for (const auto i : among) {
+                if (!isWithinSpread(m_request, m_views, m_counts, i))
+                    continue;
+                auto choice = cheapestOn(i);
+                if (choice.cost < best.cost)
+                    best = std::move(choice);
+            }
+            if (best.cost == unfit)
+                return false;
+            for (const auto* victim : best.victims) {
+                m_free[best.worker] += victim->room;
+                m_loss += lossOf(*victim);
+                m_found.victims.push_back(victim->task);
+                m_gone.insert(victim->task);
+                m_gangs.insert(gangOf(*victim));
+            }
+            m_free[best.worker] -= m_request.spec->room;
+            ++m_counts.placed[best.worker];
+            m_found.placement.push_back(best.worker);
+            return true;
+        }
+
+        static TaskId gangOf(const Displaceable& victim)
+        {
+            auto gang = victim.task;
+            if (victim.gang)
+                gang.index = 0;
+            return gang;
+        }
+
+        // The loss of a gang counts once.
+        double lossOf(const Displaceable& victim) const
+        {
+            return m_gangs.contains(gangOf(victim)) ? 0 : victim.loss;
+        }
+
+        Choice cheapestOn(std::size_t i) const
+        {
+            Choice choice { i, m_views[i].distrust * distrustWeight, {} };
+            auto free = m_free.at(i);
+            std::vector<const Displaceable*> options;
+            for (const auto& option : m_views[i].displaceable) {
+                if (!m_gone.contains(option.task))
+                    options.push_back(&option);
+            }
+            const auto costPerRoom = [&](const Displaceable* option) {
+                return (lossOf(*option) + 1) / static_cast<double>(option->room.accelerators + 1);
+            };
+            std::sort(options.begin(), options.end(),
+                [&](const auto* a, const auto* b) { return costPerRoom(a) < costPerRoom(b); });
+            for (const auto* option : options) {
+                if (free.holds(m_request.spec->room))
+                    break;
+                free += option->room;
+                choice.victims.push_back(option);
+                choice.cost += lossOf(*option) + 1;
+            }
+            if (!free.holds(m_request.spec->room))
+                choice.cost = unfit;
+            return choice;
+        }
+
+        const PlaceRequest& m_request;
+        const std::vector<WorkerView>& m_views;
+        std::map<std::size_t, Room> m_free;
+        std::set<TaskId> m_gone;
+        std::set<TaskId> m_gangs;
+        Counts m_counts;
+        Displacement m_found;
+        double m_loss = 0;
+    };
+
+} // namespace
+
+bool couldRun(const PlaceRequest& request, const WorkerView& view)
+{
+    return view.service == request.service && view.capacity.holds(request.spec->room)
+        && hasLabel(view, request.spec->label) && (!request.allowed || request.allowed->contains(view.id));
+}
+
+Placement place(const PlaceRequest& request, std::vector<WorkerView>& views)
+{
+    const auto among = candidates(request, views);
+    if (needsOneRack(request))
+        return placeOnOneRack(request, views, among);
+    double total = 0;
+    auto placement = placeAmong(request, views, among, total);
+    if (request.spec->gang && static_cast<int>(placement.size()) < request.count) {
+        giveBack(request, views, placement);
+        placement.clear();
+    }
+    return placement;
+}
+
+Displacement placeByDisplacing(const PlaceRequest& request, const std::vector<WorkerView>& views)
+{
+    const auto among = candidates(request, views);
+    Displacement best;
+    auto bestLoss = unfit;
+    const auto search = [&](const std::vector<std::size_t>& members) {
+        Displacer displacer(request, views);
+        if (!displacer.run(members) || displacer.loss() >= bestLoss)
+            return;
+        bestLoss = displacer.loss();
+        best = displacer.take();
+    };
+    if (needsOneRack(request)) {
+        for (const auto& [rack, members] : byRack(views, among))
+            search(members);
+    } else
+        search(among);
+    return best;
+}
+
+} // namespace jujubereach::fleet
--- /dev/null
+++ b/packages/fleet/src/worker.h
@@ -0,0 +1,91 @@
+// Workers as the owner sees them: what runs there, until when at the latest, and how far they are trusted.
+#pragma once
+
+#include "jujubereach/fleet/worker-calls.h"
+
+#include <map>
+
+namespace jujubereach::fleet {
+
+enum class RunPhase {
+    Ordered, ///< The start was sent and is not confirmed.
+    Running,
+    Stopping,
+};
+
+/// A run that a worker has, or may have.
+struct ActiveRun {
+    TaskId task;
+    Run run;
+    RunPhase phase = RunPhase::Ordered;
+    Room room;
+    int priority = 0;
+    bool serves = false; ///< Has a tail target of its own.
+    bool fills = false;
+    bool foreign = false; ///< Belongs to no task that this owner wants; only to be stopped.
+    bool callInFlight = false; ///< A start or stop is under way.
+    int startAttempts = 0;
+    TimePoint orderedAt;
+    TimePoint confirmedAt; ///< A look that was sent later shows the run, or it has ended.
+    bool confirmed = false;
+    TimePoint nextCall; ///< Earliest time of the next start or stop call.
+    std::string ticket;
+    std::string checkpoint; ///< That the start carried.
+    int percent = 0;
+    TimePoint progressAt; ///< When the percentage changed last.
+};
+
+/// An end that the worker lists until it is acknowledged.
+struct UnacknowledgedEnd {
+    JobId job;
+    std::uint64_t changes = 0; ///< The job's count of changes that must be saved before.
+};
+
+/// How far a worker is trusted, by what became of the tasks that it ran.
+struct Trust {
+    int strikes = 0; ///< Failures since the last task that was done.
+    int timesSetAside = 0;
+    TimePoint setAsideUntil;
+    bool proven = false; ///< Has finished a task.
+
+    void taskDone();
+    void taskFailed(TimePoint now);
+    void taskStalled(TimePoint now);
+    bool isSetAside(TimePoint now) const { return now < setAsideUntil; }
+};
+
+struct Worker {
+    WorkerReport report;
+    bool listed = false; ///< Stands in the store's list.
+    bool fenced = false; ///< This life has answered to this owner's fence, and its runs are known.
+    std::int64_t born = 0; ///< Of the life that answered last; 0 before an answer.
+    std::map<TaskId, ActiveRun> runs;
+    Room used; ///< Of `runs`.
+    Room booked; ///< Of plans that wait for room here.
+
+    WorkerTime clock; ///< At `clockAt` or earlier.
+    TimePoint clockAt;
+    WorkerTime lastDeadline; ///< Highest that any order carried; nothing runs beyond it.
+
+    bool lookInFlight = false;
+    int misses = 0; ///< Looks without an answer since the last one.
+    TimePoint nextLook;
+    std::uint64_t acknowledged = 0;
+    std::map<std::uint64_t, UnacknowledgedEnd> ends;
+    TimePoint drainingSince;
+    Trust trust;
+
+    const WorkerId& id() const { return report.id; }
+    WorkerTime clockNow(TimePoint now) const;
+    /// When the last lease has surely ended, whatever the worker's clock within its drift.
+    TimePoint lapseTime() const;
+    void addRun(ActiveRun run);
+    void removeRun(const TaskId& task);
+    Room freeRoom() const;
+};
+
+/// Bound on the drift of a worker's clock against ours: 2 %, as the platform states, and rounding.
+constexpr double clockDrift = 0.021;
+constexpr Duration lapseMargin { 150 }; ///< For a worker's timer that fires late.
+
+} // namespace jujubereach::fleet
--- /dev/null
+++ b/packages/net/include/jujubereach/net/http-client.h
@@ -0,0 +1,49 @@
+// Calls over pooled HTTP/1.1 connections on one event loop; never blocks.
+#pragma once
+
+#include "jujubereach/base/time.h"
+#include "jujubereach/net/http.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+
+namespace jujubereach::net {
+
+struct ClientLimits {
+    std::size_t maxIdlePerEndpoint = 4;
+    std::size_t maxResponseBytes = 64U << 20U; ///< A page of the store is the largest answer by far.
+};
+
+/// Used from the thread of its loop only. Each connection carries one call at a time. A call that times out
+/// closes its connection and the idle ones to the same endpoint, which may have gone silent with it.
+class HttpClient {
+public:
+    explicit HttpClient(boost::asio::io_context& loop, ClientLimits limits = {});
+    ~HttpClient();
+    HttpClient(const HttpClient&) = delete;
+    HttpClient& operator=(const HttpClient&) = delete;
+
+    /// Sends to `endpoint`, "ip:port"; `done` runs once, later, from the loop. A bad endpoint ends as NotSent.
+    void call(const std::string& endpoint, HttpRequest request, Duration timeout, CallDone done);
+
+    /// Closes the idle connections to an endpoint.
+    void forget(const std::string& endpoint);
+
+    std::uint64_t connectionsOpened() const { return m_opened; }
+
+private:
+    friend class ClientConnection;
+    using ConnectionPtr = std::shared_ptr<class ClientConnection>;
+
+    void putBack(const ConnectionPtr& connection);
+
+    boost::asio::io_context& m_loop;
+    const ClientLimits m_limits;
+    std::map<std::string, std::vector<ConnectionPtr>> m_idle;
+    std::uint64_t m_opened = 0;
+    std::shared_ptr<bool> m_alive; ///< False once this object is gone; connections hold it.
+};
+
+} // namespace jujubereach::net
--- /dev/null
+++ b/packages/net/src/http-client.cpp
@@ -0,0 +1,277 @@
+#include "jujubereach/net/http-client.h"
+
+#include "message-codec.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <Poco/NumberParser.h>
+
+#include <netinet/tcp.h>
+
+#include <array>
+
+namespace jujubereach::net {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+    constexpr std::size_t readBytes = 16'384;
+    constexpr unsigned peerTimeoutMs = 4000; // Beyond the longest wait of a long poll and its answer's way.
+
+    std::optional<tcp::endpoint> parseEndpoint(const std::string& text)
+    {
+        const auto colon = text.rfind(':');
+        if (colon == std::string::npos)
+            return std::nullopt;
+        unsigned port = 0;
+        if (!Poco::NumberParser::tryParseUnsigned(text.substr(colon + 1), port) || port > 65'535)
+            return std::nullopt;
+        boost::system::error_code failed;
+        const auto ip = asio::ip::make_address(text.substr(0, colon), failed);
+        if (failed)
+            return std::nullopt;
+        return tcp::endpoint(ip, static_cast<unsigned short>(port));
+    }
+
+} // namespace
+
+// One connection: idle in the pool, or carrying one call.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+public:
+    ClientConnection(HttpClient& client, std::string endpoint)
+        : m_client(client)
+        , m_clientAlive(client.m_alive)
+        , m_endpoint(std::move(endpoint))
+        , m_socket(client.m_loop)
+        , m_timer(client.m_loop)
+    {
+    }
+
+    const std::string& endpoint() const { return m_endpoint; }
+
+    void connectAndCall(const tcp::endpoint& peer, std::string bytes, Duration timeout, CallDone done)
+    {
+        begin(std::move(bytes), timeout, std::move(done));
+        m_socket.async_connect(peer, [self = shared_from_this()](const boost::system::error_code& failed) {
+            if (!self->m_done)
+                return;
+            if (failed)
+                return self->end(CallFate::NotSent);
+            boost::system::error_code ignored;
+            self->m_socket.set_option(tcp::no_delay(true), ignored);
+            self->setPeerTimeout();
+            self->write();
+        });
+    }
+
+    void callAgain(std::string bytes, Duration timeout, CallDone done)
+    {
+        m_watched = false;
+        boost::system::error_code ignored;
+        m_socket.cancel(ignored); // Ends the wait for a close by the peer.
+        begin(std::move(bytes), timeout, std::move(done));
+        write();
+    }
+
+    // While idle, notices that the peer closed.
+    void watchIdle()
+    {
+        m_watched = true;
+        m_socket.async_wait(
+            tcp::socket::wait_read, [self = shared_from_this()](const boost::system::error_code& failed) {
+                if (!failed && self->m_watched) {
+                    self->close();
+                    self->m_closedByPeer = true;
+                }
+            });
+    }
+
+    bool closedByPeer() const { return m_closedByPeer; }
+
+    void close()
+    {
+        m_watched = false;
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+        m_timer.cancel();
+    }
+
+private:
+    void begin(std::string bytes, Duration timeout, CallDone done)
+    {
+        m_out = std::move(bytes);
+        m_in.clear();
+        m_framing = {};
+        m_sent = false;
+        m_done = std::move(done);
+        m_timer.expires_after(timeout);
+        m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& failed) {
+            if (failed || !self->m_done)
+                return;
+            if (*self->m_clientAlive)
+                self->m_client.forget(self->m_endpoint);
+            self->end(self->m_sent ? CallFate::Unknown : CallFate::NotSent);
+        });
+    }
+
+    // The kernel gives a peer up that acknowledges nothing; works also where keep-alive probes are off.
+    void setPeerTimeout()
+    {
+        setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &peerTimeoutMs, sizeof peerTimeoutMs);
+    }
+
+    void write()
+    {
+        m_sent = true;
+        asio::async_write(m_socket, asio::buffer(m_out),
+            [self = shared_from_this()](const boost::system::error_code& failed, std::size_t) {
+                if (!self->m_done)
+                    return;
+                if (failed)
+                    return self->end(CallFate::Unknown);
+                self->read();
+            });
+    }
+
+    void read()
+    {
+        m_socket.async_read_some(asio::buffer(m_chunk),
+            [self = shared_from_this()](const boost::system::error_code& failed, std::size_t size) {
+                if (!self->m_done)
+                    return;
+                if (failed)
+                    return self->end(CallFate::Unknown);
+                self->m_in.append(self->m_chunk.data(), size);
+                self->parse(size);
+            });
+    }
+
+    void parse(std::size_t added)
+    {
+        if (m_framing.headBytes == 0) {
+            m_framing.headBytes = detail::headSize(m_in, m_in.size() - added);
+            if (m_framing.headBytes == 0)
+                return read();
+            auto head = detail::parseResponseHead(m_in, m_framing);
+            if (!head || m_framing.bodyBytes > m_client.m_limits.maxResponseBytes)
+                return end(CallFate::Unknown);
+            m_response = std::move(*head);
+        }
+        if (m_framing.chunked) {
+            const auto used = detail::joinChunks(m_in, m_framing.headBytes, m_response.body);
+            if (!used || m_in.size() > m_client.m_limits.maxResponseBytes)
+                return end(CallFate::Unknown);
+            return *used == 0 ? read() : answered();
+        }
+        if (m_in.size() < m_framing.headBytes + m_framing.bodyBytes)
+            return read();
+        m_response.body = m_in.substr(m_framing.headBytes, m_framing.bodyBytes);
+        answered();
+    }
+
+    void answered()
+    {
+        m_timer.cancel();
+        auto done = std::exchange(m_done, nullptr);
+        auto response = std::move(m_response);
+        m_response = {};
+        m_in.clear();
+        m_in.shrink_to_fit();
+        const auto connection = response.header("Connection");
+        if (*m_clientAlive && connection != "close")
+            m_client.putBack(shared_from_this());
+        else
+            close();
+        done({ CallFate::Answered, std::move(response) });
+    }
+
+    void end(CallFate fate)
+    {
+        auto done = std::exchange(m_done, nullptr);
+        close();
+        done({ fate, {} });
+    }
+
+    HttpClient& m_client;
+    std::shared_ptr<bool> m_clientAlive;
+    const std::string m_endpoint;
+    tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    std::array<char, readBytes> m_chunk {};
+    std::string m_out;
+    std::string m_in;
+    detail::Framing m_framing;
+    HttpResponse m_response;
+    CallDone m_done; ///< Set while a call is under way.
+    bool m_sent = false; ///< A byte of the request may have left.
+    bool m_watched = false;
+    bool m_closedByPeer = false;
+};
+
+HttpClient::HttpClient(asio::io_context& loop, ClientLimits limits)
+    : m_loop(loop)
+    , m_limits(limits)
+    , m_alive(std::make_shared<bool>(true))
+{
+}
+
+HttpClient::~HttpClient()
+{
+    *m_alive = false;
+    for (auto& [endpoint, connections] : m_idle) {
+        for (auto& connection : connections)
+            connection->close();
+    }
+}
+
+void HttpClient::call(const std::string& endpoint, HttpRequest request, Duration timeout, CallDone done)
+{
+    auto bytes = detail::encode(request, endpoint);
+    auto& idle = m_idle[endpoint];
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        if (connection->closedByPeer())
+            continue;
+        connection->callAgain(std::move(bytes), timeout, std::move(done));
+        return;
+    }
+    const auto peer = parseEndpoint(endpoint);
+    if (!peer) {
+        asio::post(m_loop, [done = std::move(done)] { done({ CallFate::NotSent, {} }); });
+        return;
+    }
+    ++m_opened;
+    auto connection = std::make_shared<ClientConnection>(*this, endpoint);
+    connection->connectAndCall(*peer, std::move(bytes), timeout, std::move(done));
+}
+
+void HttpClient::forget(const std::string& endpoint)
+{
+    const auto found = m_idle.find(endpoint);
+    if (found == m_idle.end())
+        return;
+    for (auto& connection : found->second)
+        connection->close();
+    m_idle.erase(found);
+}
+
+void HttpClient::putBack(const ConnectionPtr& connection)
+{
+    auto& idle = m_idle[connection->endpoint()];
+    if (idle.size() >= m_limits.maxIdlePerEndpoint) {
+        connection->close();
+        return;
+    }
+    connection->watchIdle();
+    idle.push_back(connection);
+}
+
+} // namespace jujubereach::net
