Count failures of replaced runs, and room of runs that nobody waits for

Ruled out: late orders of the last owner (all were refused by the fence), estimates of the worker's clock. Change: room comes from the job's record, and is the whole worker where the job is unknown; failures are kept as a set of runs.

--- a/packages/fleet/include/jujubereach/fleet/records.h
+++ b/packages/fleet/include/jujubereach/fleet/records.h
@@ -5,6 +5,7 @@
 #include "jujubereach/fleet/job-spec.h"
 
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,9 +32,8 @@
     int step = 0;
     int index = 0;
     bool done = false;
-    int failures = 0;
     Run lastRun; ///< Highest that was started.
-    Run failedRun; ///< Highest whose failure is counted in `failures`.
+    std::set<Run> failedRuns;
     std::string checkpoint;
 };
 
--- a/packages/fleet/src/job.cpp
+++ b/packages/fleet/src/job.cpp
@@ -40,6 +40,12 @@
     return task.index < step.spec->count ? &step : nullptr;
 }
 
+const StepSpec* Job::specOf(const TaskId& task) const
+{
+    const auto index = static_cast<std::size_t>(task.step);
+    return task.step >= 0 && index < record.spec.steps.size() ? &record.spec.steps[index] : nullptr;
+}
+
 ProgressRecord Job::progress() const
 {
     ProgressRecord out;
@@ -52,9 +58,9 @@
             const auto& tasks = occurrence.steps[s].tasks;
             for (std::size_t i = 0; i < tasks.size(); ++i) {
                 const auto& task = tasks[i];
-                if (task.done || task.lastRun.value > 0 || task.failures > 0)
+                if (task.done || task.lastRun.value > 0 || !task.failedRuns.empty())
                     out.tasks.push_back({ number, static_cast<int>(s), static_cast<int>(i), task.done,
-                        task.failures, task.lastRun, task.failedRun, task.done ? "" : task.checkpoint });
+                        task.lastRun, task.failedRuns, task.done ? "" : task.checkpoint });
             }
         }
     }
@@ -75,9 +81,8 @@
             continue;
         auto& task = step->tasks[static_cast<std::size_t>(row.index)];
         task.done = row.done;
-        task.failures = row.failures;
         task.lastRun = row.lastRun;
-        task.failedRun = row.failedRun;
+        task.failedRuns = row.failedRuns;
         task.checkpoint = row.checkpoint;
         if (row.done)
             ++step->done;
--- a/packages/fleet/src/job.h
+++ b/packages/fleet/src/job.h
@@ -10,9 +10,8 @@
 
 struct Task {
     bool done = false;
-    int failures = 0; ///< Of a gang: kept in task 0.
     Run lastRun; ///< Highest known start.
-    Run failedRun; ///< Highest run whose failure is counted.
+    std::set<Run> failedRuns; ///< Of a gang: kept in task 0.
     std::string checkpoint;
     WorkerId worker; ///< Where a run of it is, or may be; empty for none.
     std::set<WorkerId> failedOn;
@@ -63,6 +62,7 @@
     int occurrenceCount() const { return std::max(1, record.spec.repeatCount); }
     void addOccurrence(int number);
     Step* findStep(const TaskId& task); ///< Null for a task that the job does not have, or no longer.
+    const StepSpec* specOf(const TaskId& task) const; ///< Also after the task's end.
     ProgressRecord progress() const;
     void restore(const ProgressRecord& progress);
 };
--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -56,12 +56,13 @@
     run.percent = running.percent;
     if (known != worker.runs.end())
         release(worker, running.task);
-    if (step) {
-        run.room = step->spec->room;
-        run.serves = step->spec->tailTarget.count() > 0;
-        run.fills = step->spec->fills;
+    if (const auto* spec = job ? job->specOf(running.task) : nullptr) {
+        run.room = spec->room;
+        run.serves = spec->tailTarget.count() > 0;
+        run.fills = spec->fills;
         run.priority = termsOf(*job).priority;
-    }
+    } else
+        run.room = worker.report.capacity; // Nobody knows what it takes.
     auto* task = step ? &step->tasks[static_cast<std::size_t>(running.task.index)] : nullptr;
     const auto wanted = task && !task->done && task->worker.empty() && !isFinal(job->state)
         && running.run >= step->shared(running.task.index).lastRun;
@@ -128,8 +129,9 @@
         step->shared(end.task.index).checkpoint = end.checkpoint;
     if (task && end.run > step->shared(end.task.index).lastRun)
         step->shared(end.task.index).lastRun = end.run;
-    // A run that was given up as lost does not count beside the one that replaced it.
-    const auto replaced = task && !current && !task->worker.empty();
+    // A run that was given up as lost is not done beside the one that replaced it; its failure counts all the same.
+    const auto replaced
+        = task && !current && !task->worker.empty() && end.kind != EndKind::Failed;
     m_hooks.log("end",
         { { "task", toString(end.task) }, { "run", end.run.value }, { "worker", worker.id().str() },
             { "kind", nameOf(end.kind) }, { "ranMs", ranFor.count() }, { "counted", task && !replaced },
@@ -227,12 +229,10 @@
     auto& task = step.shared(id.index);
     worker.trust.taskFailed(now());
     step.tasks[static_cast<std::size_t>(id.index)].failedOn.insert(worker.id());
-    if (run <= task.failedRun)
+    if (!task.failedRuns.insert(run).second)
         return;
-    task.failedRun = run;
-    ++task.failures;
     changed(job);
-    if (!step.spec->longRunning && task.failures >= termsOf(job).maxAttempts)
+    if (!step.spec->longRunning && static_cast<int>(task.failedRuns.size()) >= termsOf(job).maxAttempts)
         finish(job, JobState::Failed, "a task has failed as often as its queue allows");
 }
 
--- a/packages/fleet/src/records.cpp
+++ b/packages/fleet/src/records.cpp
@@ -146,11 +146,11 @@
         task.step = static_cast<int>(at(1));
         task.index = static_cast<int>(at(2));
         task.done = at(3) != 0;
-        task.failures = static_cast<int>(at(4));
-        task.lastRun = { static_cast<std::uint64_t>(at(5)) };
-        task.failedRun = { static_cast<std::uint64_t>(at(6)) };
-        if (row.size() > 7)
-            task.checkpoint = std::string(row.at(7).as_string());
+        task.lastRun = { static_cast<std::uint64_t>(at(4)) };
+        for (const auto& run : row.at(5).as_array())
+            task.failedRuns.insert({ run.to_number<std::uint64_t>() });
+        if (row.size() > 6)
+            task.checkpoint = std::string(row.at(6).as_string());
         return task;
     }
 
@@ -197,8 +197,11 @@
     put(out, "occurrences", record.occurrencesDone);
     json::array tasks;
     for (const auto& task : record.tasks) {
-        json::array row { task.occurrence, task.step, task.index, task.done ? 1 : 0, task.failures,
-            task.lastRun.value, task.failedRun.value };
+        json::array failed;
+        for (const auto& run : task.failedRuns)
+            failed.push_back(run.value);
+        json::array row { task.occurrence, task.step, task.index, task.done ? 1 : 0, task.lastRun.value,
+            std::move(failed) };
         if (!task.checkpoint.empty())
             row.push_back(json::string(task.checkpoint));
         tasks.push_back(std::move(row));
