--- a/packages/entry/include/jujubereach/entry/entry-host.h
+++ b/packages/entry/include/jujubereach/entry/entry-host.h
@@ -90,6 +90,8 @@
 
     void start();
     void handle(CallerRequest request, CallerDone done);
+    /// Takes over the bounds of new settings; name and zone stay.
+    void applySettings(const HostSettings& settings);
     /// Whether new callers should be sent here.
     bool isReady() const;
     /// Hands ownership over and takes no more of it; requests are still answered.
--- a/packages/entry/src/entry-host.cpp
+++ b/packages/entry/src/entry-host.cpp
@@ -106,6 +106,16 @@
     m_impl->handle(std::move(request), std::move(done));
 }
 
+void EntryHost::applySettings(const HostSettings& settings)
+{
+    auto& own = m_impl->m_settings;
+    own.owner = settings.owner;
+    own.revokeBound = settings.revokeBound;
+    own.stopBound = settings.stopBound;
+    if (m_impl->m_owner)
+        m_impl->m_owner->setSettings(own.owner);
+}
+
 bool EntryHost::isReady() const
 {
     return !m_impl->m_draining && m_impl->newsIsFresh();
--- a/packages/entry/src/host-impl.h
+++ b/packages/entry/src/host-impl.h
@@ -82,7 +82,7 @@
 
     TimePoint now() const { return m_hooks.clock(); }
 
-    const HostSettings m_settings;
+    HostSettings m_settings;
     const HostHooks m_hooks;
     std::shared_ptr<Impl*> m_self; ///< Answers that come after this object is gone find null.
     std::mt19937_64 m_random;
--- a/packages/fleet/include/jujubereach/fleet/owner.h
+++ b/packages/fleet/include/jujubereach/fleet/owner.h
@@ -75,6 +75,7 @@
     Owner& operator=(const Owner&) = delete;
 
     void setConfig(std::shared_ptr<const FleetConfig> config);
+    void setSettings(const OwnerSettings& settings);
 
     /// The store has confirmed this owner, by an answer to a call sent at `sentAt`.
     void confirm(TimePoint sentAt);
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -84,7 +84,7 @@
     Job* findJob(const JobId& id);
     void soon(); ///< Asks for a pass.
 
-    const OwnerSettings m_settings;
+    OwnerSettings m_settings;
     const OwnerHooks m_hooks;
     const Fence m_fence;
     const Revision m_ownerKey;
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -273,6 +273,11 @@
     m_impl->m_config = std::move(config);
 }
 
+void Owner::setSettings(const OwnerSettings& settings)
+{
+    m_impl->m_settings = settings;
+}
+
 void Owner::confirm(TimePoint sentAt)
 {
     m_impl->m_confirmedAt = std::max(m_impl->m_confirmedAt, sentAt);
