--- a/packages/entry/include/jujubereach/entry/entry-host.h
+++ b/packages/entry/include/jujubereach/entry/entry-host.h
@@ -20,14 +20,17 @@
     RegionId region;
     std::map<ZoneId, RegionId> zones;
     fleet::OwnerSettings owner;
-    Duration revokeBound { 5000 }; ///< A key that was taken away is refused within it, in touch with the store or not.
+    Duration revokeBound {
+        5000
+    }; ///< A key that was taken away is refused within it, in touch with the store or not.
     Duration stopBound { 6000 }; ///< From a request to stop until the process is killed.
     std::uint64_t seed = 0; ///< Of jitter.
 };
 
 /// Where the operators' and the workers' entries stand in the store.
 struct StoreLayout {
-    std::string newsPrefix; ///< Covers the configuration and the owner's key, so that one watch tells of both.
+    std::string
+        newsPrefix; ///< Covers the configuration and the owner's key, so that one watch tells of both.
     std::string configKey;
     std::string workerPrefix;
 };
@@ -72,8 +75,10 @@
     Store store;
     fleet::WorkerCalls workers;
     StoreLayout layout;
-    std::function<std::shared_ptr<const FleetConfig>(const std::string& value)> decodeConfig; ///< Null if unreadable.
-    std::function<std::optional<fleet::WorkerReport>(const std::string& key, const std::string& value)> decodeWorker;
+    std::function<std::shared_ptr<const FleetConfig>(const std::string& value)>
+        decodeConfig; ///< Null if unreadable.
+    std::function<std::optional<fleet::WorkerReport>(const std::string& key, const std::string& value)>
+        decodeWorker;
     std::function<WorkerId(const std::string& key)> workerOfKey;
     decltype(fleet::OwnerHooks::advise) advise;
     std::function<void(Duration, std::function<void()>)> after; ///< Runs something later, on this thread.
--- a/packages/entry/include/jujubereach/entry/event-log.h
+++ b/packages/entry/include/jujubereach/entry/event-log.h
@@ -15,8 +15,8 @@
     int perSecond = 40; ///< Lines of one kind in the long run; a flood of refusals stays below 1 % of a core.
 };
 
-/// Used from one thread. Lines over the budget, or that standard output does not take at once, are left out and
-/// counted; a later line "left-out" tells how many.
+/// Used from one thread. Lines over the budget, or that standard output does not take at once, are left out
+/// and counted; a later line "left-out" tells how many.
 class EventLog {
 public:
     EventLog(std::string host, Clock clock, WallClock wall, int fd = 1, LogBudget budget = {});
--- a/packages/entry/src/calls.cpp
+++ b/packages/entry/src/calls.cpp
@@ -1,4 +1,5 @@
-// Callers' requests: each is decided by the store, under the configuration that this host knows to be in force.
+// Callers' requests: each is decided by the store, under the configuration that this host knows to be in
+// force.
 #include "host-impl.h"
 
 #include <algorithm>
@@ -9,7 +10,9 @@
 
 namespace {
 
-    constexpr Duration writeTimeout { 1200 }; // Three answers of a store that is a hundred times slower than usual.
+    constexpr Duration writeTimeout {
+        1200
+    }; // Three answers of a store that is a hundred times slower than usual.
     constexpr Duration readTimeout { 900 };
     constexpr Duration defaultDeadline { 3000 };
     constexpr Duration answerReserve { 150 }; // Of the caller's time, for the way back.
@@ -45,7 +48,10 @@
     if (call->request.kind != CallKind::Query || answer.outcome != CallOutcome::State)
         m_hooks.log("call",
             { { "id", call->id.str() },
-                { "kind", call->request.kind == CallKind::Submit ? "submit" : call->request.kind == CallKind::Query ? "query" : "cancel" },
+                { "kind",
+                    call->request.kind == CallKind::Submit      ? "submit"
+                        : call->request.kind == CallKind::Query ? "query"
+                                                                : "cancel" },
                 { "outcome", nameOf(answer.outcome) }, { "why", why }, { "route", call->route.str() },
                 { "workspace", call->workspace.str() }, { "configVersion", m_config ? m_config->version : 0 },
                 { "newsAgeMs", (now() - m_confirmedAt).count() }, { "attempts", call->attempts },
@@ -64,7 +70,8 @@
     const auto deadline = call->request.deadline.count() > 0 ? call->request.deadline : defaultDeadline;
     call->giveUp = call->arrived + std::max(answerReserve, deadline - answerReserve);
     if (!newsIsFresh())
-        return finish(call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the configuration is not confirmed");
+        return finish(call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter },
+            "the configuration is not confirmed");
     const auto* route = m_config->findRoute(call->request.hostName, call->request.path);
     if (!route)
         return finish(call, { CallOutcome::NoSuchRoute }, "no route");
@@ -76,11 +83,12 @@
         return finish(call, { CallOutcome::UnknownKey }, "no workspace has this key");
     if (idLength(call->request.path, route->prefix) == 0)
         return call->request.kind == CallKind::Query ? count(call)
-                                                      : finish(call, { CallOutcome::Malformed }, "no job id");
+                                                     : finish(call, { CallOutcome::Malformed }, "no job id");
     call->id = JobId(call->request.path.substr(route->prefix.size()));
     constexpr std::size_t maxIdBytes = 64;
     if (call->id.str().size() > maxIdBytes || call->id.str().find('/') != std::string::npos)
-        return finish(call, { call->request.kind == CallKind::Submit ? CallOutcome::Malformed : CallOutcome::NoSuchJob },
+        return finish(call,
+            { call->request.kind == CallKind::Submit ? CallOutcome::Malformed : CallOutcome::NoSuchJob },
             "not a job id");
     switch (call->request.kind) {
     case CallKind::Submit:
@@ -99,9 +107,11 @@
     // The configuration may have changed since the last attempt.
     const auto route = m_config->routes.find(call->route);
     if (route == m_config->routes.end())
-        return finish(call, { call->fateOpen ? CallOutcome::Undecided : CallOutcome::NoSuchRoute }, "no route");
+        return finish(
+            call, { call->fateOpen ? CallOutcome::Undecided : CallOutcome::NoSuchRoute }, "no route");
     if (!route->second.isPublic && !m_config->keys.contains(call->request.key))
-        return finish(call, { call->fateOpen ? CallOutcome::Undecided : CallOutcome::UnknownKey }, "no workspace has this key");
+        return finish(call, { call->fateOpen ? CallOutcome::Undecided : CallOutcome::UnknownKey },
+            "no workspace has this key");
     fleet::JobRecord record;
     record.id = call->id;
     record.route = call->route;
@@ -137,13 +147,15 @@
         }
         if (stale && call->attempts < maxAttempts && now() < call->giveUp)
             return submit(call);
-        return finish(call, { call->fateOpen ? CallOutcome::Undecided : CallOutcome::NotAccepted, {}, 0, outageRetryAfter },
+        return finish(call,
+            { call->fateOpen ? CallOutcome::Undecided : CallOutcome::NotAccepted, {}, 0, outageRetryAfter },
             "the configuration changes too fast");
     }
     if (answer.fate == StoreFate::Refused) {
         if (call->fateOpen)
             return finish(call, { CallOutcome::Undecided }, "the store gave no answer to the first write");
-        return finish(call, { CallOutcome::NotAccepted, {}, 0, outageRetryAfter }, "the store refuses writes");
+        return finish(
+            call, { CallOutcome::NotAccepted, {}, 0, outageRetryAfter }, "the store refuses writes");
     }
     // No answer: the same conditional write again tells, unless the first is still to come.
     call->fateOpen = true;
@@ -168,8 +180,8 @@
                 const auto progress = fleet::decodeProgress(answer.items[0].value);
                 if (!progress)
                     m_hooks.log("record-unreadable", { { "key", keys::progress(call->id) } });
-                return finish(
-                    call, { CallOutcome::State, progress ? progress->state : JobState::Running }, "in the store");
+                return finish(call, { CallOutcome::State, progress ? progress->state : JobState::Running },
+                    "in the store");
             }
             if (answer.fate != StoreFate::Missing)
                 return failed(call, answer);
@@ -211,7 +223,8 @@
 {
     auto record = fleet::decodeJob(call->id, item.value);
     if (!record)
-        return finish(call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the record cannot be read");
+        return finish(
+            call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the record cannot be read");
     if (record->cancelled)
         return finish(call, { CallOutcome::Cancelled }, "cancelled before");
     record->cancelled = true;
@@ -226,7 +239,8 @@
             if (answer.fate == StoreFate::Done)
                 return finish(call, { CallOutcome::Cancelled }, "stored");
             if (answer.fate == StoreFate::Refused)
-                return finish(call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the store refuses writes");
+                return finish(
+                    call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the store refuses writes");
             for (const auto& changed : answer.items) {
                 if (changed.key == m_hooks.layout.configKey)
                     configWritten(changed);
@@ -268,7 +282,8 @@
     auto begun = std::make_shared<std::vector<StoreItem>>();
     readPages(keys::progressPrefix, {}, begun, [this, call, begun](bool read) {
         if (!read)
-            return finish(call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the store does not answer");
+            return finish(
+                call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the store does not answer");
         auto accepted = std::make_shared<std::vector<StoreItem>>();
         readPages(keys::jobPrefix, {}, accepted, [this, call, begun, accepted](bool readJobs) {
             if (!readJobs)
@@ -280,7 +295,8 @@
             CallerAnswer counted { CallOutcome::Count };
             for (const auto& item : *accepted) {
                 const JobId id(item.key.substr(std::string_view(keys::jobPrefix).size()));
-                const auto record = started.contains(id.str()) ? std::nullopt : fleet::decodeJob(id, item.value);
+                const auto record
+                    = started.contains(id.str()) ? std::nullopt : fleet::decodeJob(id, item.value);
                 counted.pending += record && record->route == call->route && !record->cancelled;
             }
             finish(call, counted, "from the records");
--- a/packages/entry/src/entry-host.cpp
+++ b/packages/entry/src/entry-host.cpp
@@ -11,8 +11,8 @@
 
 const char* nameOf(CallOutcome outcome)
 {
-    constexpr const char* names[] = { "accepted", "state", "cancelled", "count", "no-such-route", "no-such-job",
-        "unknown-key", "malformed", "not-accepted", "unavailable", "undecided" };
+    constexpr const char* names[] = { "accepted", "state", "cancelled", "count", "no-such-route",
+        "no-such-job", "unknown-key", "malformed", "not-accepted", "unavailable", "undecided" };
     return names[static_cast<int>(outcome)];
 }
 
--- a/packages/entry/src/event-log.cpp
+++ b/packages/entry/src/event-log.cpp
@@ -45,8 +45,7 @@
         ++m_totalLeftOut;
         return;
     }
-    if (allowance.leftOut > 0
-        && writeLine("left-out", { { "kind", event }, { "lines", allowance.leftOut } }))
+    if (allowance.leftOut > 0 && writeLine("left-out", { { "kind", event }, { "lines", allowance.leftOut } }))
         allowance.leftOut = 0;
     if (!writeLine(event, std::move(fields))) {
         ++allowance.leftOut;
--- a/packages/entry/src/follower.cpp
+++ b/packages/entry/src/follower.cpp
@@ -7,7 +7,9 @@
 namespace {
 
     constexpr Duration watchWait { 1500 }; // A silent connection is noticed soon after.
-    constexpr Duration answerSlack { 1500 }; // A store that is a hundred times slower than usual still answers.
+    constexpr Duration answerSlack {
+        1500
+    }; // A store that is a hundred times slower than usual still answers.
     constexpr Duration readTimeout { 2000 };
     constexpr Duration firstRetry { 100 };
     constexpr int maxRetryDoublings = 3;
--- a/packages/entry/src/ownership.cpp
+++ b/packages/entry/src/ownership.cpp
@@ -43,7 +43,8 @@
     if (m_claiming || m_draining || m_owner || !m_config)
         return;
     m_claiming = true;
-    const Duration jitter(static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(claimJitter.count())));
+    const Duration jitter(
+        static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(claimJitter.count())));
     m_hooks.after(jitter, [this, self = m_self] {
         if (!*self)
             return;
@@ -60,8 +61,8 @@
             fleet::StoreWrite write;
             write.expected.push_back({ keys::owner, {} });
             write.puts.push_back({ keys::owner, m_settings.name, granted.lease });
-            m_hooks.store.write(
-                std::move(write), writeTimeout, [this, self, sentAt, lease = granted.lease](const StoreAnswer& answer) {
+            m_hooks.store.write(std::move(write), writeTimeout,
+                [this, self, sentAt, lease = granted.lease](const StoreAnswer& answer) {
                     if (*self)
                         claimAnswered(lease, sentAt, answer);
                 });
@@ -103,7 +104,8 @@
     hooks.write = [this](fleet::StoreWrite write, fleet::StoreDone done) {
         m_hooks.store.write(std::move(write), writeTimeout, std::move(done));
     };
-    m_owner = std::make_unique<Owner>(m_settings.owner, std::move(hooks), m_fence, Revision { m_fence.value });
+    m_owner
+        = std::make_unique<Owner>(m_settings.owner, std::move(hooks), m_fence, Revision { m_fence.value });
     m_owner->setConfig(m_config);
     m_owner->confirm(sentAt);
     m_jobsRead = m_workersRead = m_restored = false;
@@ -174,7 +176,8 @@
     Follower::Hooks jobs;
     jobs.all = [this](const std::vector<StoreItem>& items) { restore(items); };
     jobs.written = [this](const StoreItem& item) {
-        auto record = fleet::decodeJob(JobId(item.key.substr(std::string_view(keys::jobPrefix).size())), item.value);
+        auto record
+            = fleet::decodeJob(JobId(item.key.substr(std::string_view(keys::jobPrefix).size())), item.value);
         if (!record)
             return m_hooks.log("record-unreadable", { { "key", item.key } });
         if (m_owner)
@@ -206,8 +209,8 @@
             m_owner->workerUnlisted(id);
     };
     workers.confirmed = [](TimePoint) {};
-    m_workers
-        = std::make_shared<Follower>(m_hooks, m_hooks.layout.workerPrefix, workerNewsPause, std::move(workers));
+    m_workers = std::make_shared<Follower>(
+        m_hooks, m_hooks.layout.workerPrefix, workerNewsPause, std::move(workers));
 
     m_hooks.store.read(keys::roster, readTimeout, [this, self = m_self, term](const StoreAnswer& answer) {
         if (!*self || term != m_term || !m_owner)
--- a/packages/fleet/include/jujubereach/fleet/placement.h
+++ b/packages/fleet/include/jujubereach/fleet/placement.h
@@ -1,4 +1,5 @@
-// Chooses workers for the tasks of a step. Works on plain views, so that a load can be played without a network.
+// Chooses workers for the tasks of a step. Works on plain views, so that a load can be played without a
+// network.
 #pragma once
 
 #include "jujubereach/fleet/job-spec.h"
@@ -43,8 +44,8 @@
 /// Indices into the views, one for each task placed; fewer than asked when room is short.
 using Placement = std::vector<std::size_t>;
 
-/// Best fit: the worker on which the least is left, with processors and accelerators in balance, so that whole
-/// workers and whole racks stay free for gangs. Takes the room from the views.
+/// Best fit: the worker on which the least is left, with processors and accelerators in balance, so that
+/// whole workers and whole racks stay free for gangs. Takes the room from the views.
 Placement place(const PlaceRequest& request, std::vector<WorkerView>& views);
 
 struct Displacement {
--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-    /// A run whose percentage does not move for so long stands still. Above the time that a gang's members wait
-    /// for each other, and that a restored task takes to move.
+    /// A run whose percentage does not move for so long stands still. Above the time that a gang's members
+    /// wait for each other, and that a restored task takes to move.
     constexpr Duration stallBound { 3500 };
 
     double coreSeconds(const Room& room, Duration time)
@@ -115,7 +115,6 @@
     ++m_figures.endsByKind[static_cast<int>(end.kind)];
     auto* job = findJob(end.task.job);
     auto* step = job ? job->findStep(end.task) : nullptr;
-    const auto before = job ? job->changes : 0;
     auto* task = step ? &step->tasks[static_cast<std::size_t>(end.task.index)] : nullptr;
     const auto found = worker.runs.find(end.task);
     const auto current = found != worker.runs.end() && found->second.run == end.run;
@@ -129,9 +128,9 @@
         step->shared(end.task.index).checkpoint = end.checkpoint;
     if (task && end.run > step->shared(end.task.index).lastRun)
         step->shared(end.task.index).lastRun = end.run;
-    // A run that was given up as lost is not done beside the one that replaced it; its failure counts all the same.
-    const auto replaced
-        = task && !current && !task->worker.empty() && end.kind != EndKind::Failed;
+    // A run that was given up as lost is not done beside the one that replaced it; its failure counts all the
+    // same.
+    const auto replaced = task && !current && !task->worker.empty() && end.kind != EndKind::Failed;
     m_hooks.log("end",
         { { "task", toString(end.task) }, { "run", end.run.value }, { "worker", worker.id().str() },
             { "kind", nameOf(end.kind) }, { "ranMs", ranFor.count() }, { "counted", task && !replaced },
@@ -142,8 +141,8 @@
             if (current && !stopping && step->shared(end.task.index).checkpoint.empty()
                 && step->spec->estimate.count() > 0) {
                 auto& history = m_history[job->record.route];
-                const auto factor = static_cast<double>(ranFor.count())
-                    / static_cast<double>(step->spec->estimate.count());
+                const auto factor
+                    = static_cast<double>(ranFor.count()) / static_cast<double>(step->spec->estimate.count());
                 ++history.timed;
                 history.timeFactor += (factor - history.timeFactor) / std::min(history.timed + 1, 30);
             }
@@ -151,9 +150,9 @@
         } else if (end.kind == EndKind::Failed)
             taskFailed(*job, *step, end.task, end.run, worker);
     }
-    if (job && job->changes == before && job->saved < job->changes && end.kind == EndKind::Failed)
-        changed(*job);
-    worker.ends[end.number] = { end.task.job, job && job->changes != before ? job->changes : 0 };
+    // Also an end that changed nothing may repeat what another one changed a moment ago, as a gang's members
+    // do.
+    worker.ends[end.number] = { end.task.job, job ? job->changes : 0 };
     soon();
 }
 
@@ -197,14 +196,29 @@
 
 void Owner::Impl::loseRuns(Worker& worker, const char* why)
 {
-    std::vector<TaskId> tasks;
-    for (const auto& [task, run] : worker.runs)
-        tasks.push_back(task);
-    for (const auto& task : tasks)
-        loseRun(worker, task, why);
+    std::vector<ActiveRun> gone;
+    for (const auto& [task, run] : worker.runs) {
+        // A start that is under way reaches the next life, and its answer tells.
+        if (run.phase != RunPhase::Ordered || !run.callInFlight || run.unanswered)
+            gone.push_back(run);
+    }
+    for (auto& run : gone) {
+        loseRun(worker, run.task, why);
+        if (!run.unanswered)
+            continue;
+        // It may yet be carried out, though nobody waits for it: the worker is told not to.
+        run.foreign = true;
+        run.phase = RunPhase::Running;
+        worker.addRun(run);
+        stop(worker, run.task, "its start may come late");
+    }
     worker.ends.clear();
     worker.acknowledged = 0;
     worker.lastDeadline = {};
+    worker.clock = {};
+    worker.lookInFlight = false; // An open look waits for a life that has ended.
+    ++worker.lookCount;
+    worker.nextLook = now();
 }
 
 void Owner::Impl::taskDone(Job& job, Step& step, const TaskId& id)
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -29,8 +29,9 @@
         else if (run.phase == RunPhase::Stopping && !run.confirmed)
             stopCall(worker, run);
     }
-    const auto wanted = !worker.fenced ? worker.listed || !worker.runs.empty() || m_unresolved.contains(worker.id())
-                                       : !worker.runs.empty() || worker.acknowledged > 0 || !worker.ends.empty();
+    const auto wanted = !worker.fenced
+        ? worker.listed || !worker.runs.empty() || m_unresolved.contains(worker.id())
+        : !worker.runs.empty() || worker.acknowledged > 0 || !worker.ends.empty();
     if (wanted && !worker.lookInFlight && worker.nextLook <= time)
         look(worker);
 }
@@ -43,7 +44,8 @@
     // A worker that does not answer gets no further lease: what runs there must end in a known time.
     const auto extend = worker.fenced && worker.misses == 0 && !worker.runs.empty() && mayOrder();
     if (extend) {
-        order.deadline = WorkerTime { worker.clockNow(now()).value + static_cast<std::uint64_t>(m_settings.maxHold.count()) };
+        order.deadline = WorkerTime { worker.clockNow(now()).value
+            + static_cast<std::uint64_t>(m_settings.maxHold.count()) };
         worker.lastDeadline = std::max(worker.lastDeadline, *order.deadline);
     }
     if (worker.fenced && worker.misses == 0 && !worker.runs.empty())
@@ -51,8 +53,10 @@
     worker.lookInFlight = true;
     const auto sentAt = now();
     m_hooks.workers.hold(worker.report, order, order.wait + lookSlack,
-        [this, self = m_self, id = worker.id(), sentAt, extend](OrderAnswer answer) {
-            if (*self)
+        [this, self = m_self, id = worker.id(), count = ++worker.lookCount, sentAt, extend](
+            OrderAnswer answer) {
+            const auto* asked = *self ? findWorker(id) : nullptr;
+            if (asked && asked->lookCount == count)
                 lookAnswered(id, sentAt, extend, std::move(answer));
         });
 }
@@ -63,7 +67,8 @@
         superseded(worker.id().str().c_str());
         return false;
     }
-    if (answer.fate == OrderFate::OtherLife || (answer.born != 0 && worker.born != 0 && answer.born > worker.born)) {
+    if (answer.fate == OrderFate::OtherLife
+        || (answer.born != 0 && worker.born != 0 && answer.born > worker.born)) {
         loseRuns(worker, "its worker was born again");
         worker.fenced = false;
         worker.nextLook = now();
@@ -96,6 +101,7 @@
     if (worker->misses > 0) {
         m_hooks.log("worker-answers", { { "worker", id.str() }, { "misses", worker->misses } });
         worker->misses = 0;
+        worker->lapsed = false;
         soon();
     }
     if (!worker->fenced) {
@@ -141,7 +147,8 @@
     order.fence = m_fence;
     order.checkpoint = run.checkpoint;
     order.ticket = run.ticket;
-    order.deadline = { worker.clockNow(now()).value + static_cast<std::uint64_t>(m_settings.maxHold.count()) };
+    order.deadline
+        = { worker.clockNow(now()).value + static_cast<std::uint64_t>(m_settings.maxHold.count()) };
     worker.lastDeadline = std::max(worker.lastDeadline, order.deadline);
     run.callInFlight = true;
     ++run.startAttempts;
@@ -159,13 +166,11 @@
     auto* worker = findWorker(id);
     if (!worker || m_superseded)
         return;
-    const auto reborn = worker->born != 0 && answer.born > worker->born;
     if (!noteAnswer(*worker, sentAt, answer))
         return;
-    if (reborn && answer.fate == OrderFate::Done)
-        return adopt(*worker, { task, number, {}, 0, 0 }, sentAt); // The new life has begun it.
     const auto found = worker->runs.find(task);
-    if (found == worker->runs.end() || found->second.run != number || found->second.phase == RunPhase::Stopping)
+    if (found == worker->runs.end() || found->second.run != number
+        || found->second.phase == RunPhase::Stopping)
         return;
     auto& run = found->second;
     run.callInFlight = false;
@@ -187,6 +192,7 @@
             look(*worker);
         return;
     case OrderFate::Unknown:
+        run.unanswered = true;
         if (run.startAttempts < maxStartAttempts) {
             run.nextCall = now();
             return startCall(*worker, run);
@@ -219,7 +225,8 @@
     run.nextCall = now();
     ++m_figures.stops;
     m_hooks.log("stop",
-        { { "task", toString(task) }, { "run", run.run.value }, { "worker", worker.id().str() }, { "why", why } });
+        { { "task", toString(task) }, { "run", run.run.value }, { "worker", worker.id().str() },
+            { "why", why } });
     stopCall(worker, run);
 }
 
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -72,8 +72,8 @@
             const auto workspace = m_config->workspaces.find(job->record.workspace);
             auto& sum = claimed[job->record.workspace];
             sum += need;
-            guaranteed = workspace != m_config->workspaces.end()
-                && sum <= workspace->second.guaranteedAccelerators;
+            guaranteed
+                = workspace != m_config->workspaces.end() && sum <= workspace->second.guaranteedAccelerators;
         }
         double work = 0;
         Duration chain { 0 };
@@ -154,9 +154,22 @@
         request.count = static_cast<int>(ready.tasks.size());
         request.onWorker = &step.onWorker;
         std::set<WorkerId> avoid;
-        for (const auto& task : step.tasks)
-            avoid.insert(task.failedOn.begin(), task.failedOn.end());
-        request.avoid = &avoid;
+        for (const auto index : ready.tasks) {
+            const auto& failedOn = step.tasks[static_cast<std::size_t>(index)].failedOn;
+            avoid.insert(failedOn.begin(), failedOn.end());
+        }
+        for (const auto& view : fleet) {
+            const auto& runs = findWorker(view.id)->runs;
+            // An earlier run of the same task is still to be stopped there.
+            if (std::any_of(ready.tasks.begin(), ready.tasks.end(), [&](int index) {
+                    return runs.contains({ ready.job->id(), ready.occurrence, ready.index, index });
+                }))
+                avoid.insert(view.id);
+        }
+        const auto elsewhere = std::any_of(fleet.begin(), fleet.end(),
+            [&](const WorkerView& view) { return couldRun(request, view) && !avoid.contains(view.id); });
+        if (elsewhere)
+            request.avoid = &avoid;
         if (isBlocked(blocked, request) && !ready.guaranteed)
             continue;
         const auto placement = place(request, fleet);
@@ -184,9 +197,9 @@
                     if (!other || active.priority <= 0 || active.phase == RunPhase::Stopping
                         || other->spec->longRunning)
                         continue;
-                    const auto lost = other->spec->checkpointing
-                        ? 0
-                        : coresOf(active.room) * static_cast<double>((now() - active.orderedAt).count()) / 1000;
+                    const auto lost = other->spec->checkpointing ? 0
+                                                                 : coresOf(active.room)
+                            * static_cast<double>((now() - active.orderedAt).count()) / 1000;
                     view.displaceable.push_back({ task, active.room,
                         other->spec->gang ? lost * other->spec->count : lost, other->spec->gang });
                 }
@@ -240,8 +253,8 @@
                 stop(*worker, { task.job, task.occurrence, task.step, i }, "guaranteed room is reclaimed");
         }
     }
-    m_hooks.log("reclaim",
-        { { "id", ready.job->id().str() }, { "tasks", waiting.size() }, { "victims", victims } });
+    m_hooks.log(
+        "reclaim", { { "id", ready.job->id().str() }, { "tasks", waiting.size() }, { "victims", victims } });
     step.plan = std::move(plan);
     return true;
 }
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -153,8 +153,10 @@
     occurrencesDue();
     for (auto i = m_workers.begin(); i != m_workers.end();) {
         auto& worker = i->second;
-        if (worker.misses > 0 && !worker.runs.empty() && time >= worker.lapseTime())
+        if (worker.misses > 0 && !worker.lapsed && !worker.runs.empty() && time >= worker.lapseTime()) {
             loseRuns(worker, "its lease has lapsed");
+            worker.lapsed = true;
+        }
         const auto leaves = worker.drainingSince != TimePoint {}
             && time - worker.drainingSince > m_settings.drainBound - evacuationLead;
         if (worker.report.draining && leaves) {
@@ -193,7 +195,8 @@
             && time - job.ended > m_settings.keepFinished + m_settings.keepFinished / 4;
         i = old ? m_jobs.erase(i) : std::next(i);
     }
-    m_hooks.wakeIn(m_passDue ? std::max(Duration(1), std::min(tickInterval, m_nextPass - time)) : tickInterval);
+    m_hooks.wakeIn(
+        m_passDue ? std::max(Duration(1), std::min(tickInterval, m_nextPass - time)) : tickInterval);
 }
 
 void Owner::Impl::occurrencesDue()
@@ -202,7 +205,8 @@
     for (const auto& id : m_open) {
         auto& job = m_jobs.at(id);
         while (job.nextOccurrence < job.spec().repeatCount) {
-            const auto due = job.spec().firstRun.milliseconds + job.nextOccurrence * job.spec().interval.count();
+            const auto due
+                = job.spec().firstRun.milliseconds + job.nextOccurrence * job.spec().interval.count();
             if (wall.milliseconds < due)
                 break;
             job.addOccurrence(job.nextOccurrence);
@@ -252,7 +256,8 @@
     for (const auto& id : m_open) {
         for (const auto& [number, occurrence] : m_jobs.at(id).occurrences) {
             for (const auto& step : occurrence.steps)
-                figures.waitingTasks += static_cast<std::size_t>(std::max(0, step.spec->count - step.done - step.active));
+                figures.waitingTasks
+                    += static_cast<std::size_t>(std::max(0, step.spec->count - step.done - step.active));
         }
     }
     return figures;
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -15,7 +15,8 @@
     bool hasLabel(const WorkerView& view, const std::string& label)
     {
         return label.empty()
-            || (view.labels && std::find(view.labels->begin(), view.labels->end(), label) != view.labels->end());
+            || (view.labels
+                && std::find(view.labels->begin(), view.labels->end(), label) != view.labels->end());
     }
 
     double share(std::int64_t part, std::int64_t whole)
@@ -65,8 +66,8 @@
         return request.anyRack || request.spec->rack.empty() || view.rack == request.spec->rack;
     }
 
-    bool isWithinSpread(
-        const PlaceRequest& request, const std::vector<WorkerView>& views, const Counts& counts, std::size_t i)
+    bool isWithinSpread(const PlaceRequest& request, const std::vector<WorkerView>& views,
+        const Counts& counts, std::size_t i)
     {
         return request.spec->maxPerWorker == 0 || counts.on(request, views, i) < request.spec->maxPerWorker;
     }
--- a/packages/fleet/src/records.cpp
+++ b/packages/fleet/src/records.cpp
@@ -106,7 +106,8 @@
         if (const auto* advice = in.if_contains("advice")) {
             const auto& row = advice->as_array();
             terms.advice = AdviceTerms { Duration(row.at(0).to_number<std::int64_t>()),
-                Duration(row.at(1).to_number<std::int64_t>()), Duration(row.at(2).to_number<std::int64_t>()) };
+                Duration(row.at(1).to_number<std::int64_t>()),
+                Duration(row.at(2).to_number<std::int64_t>()) };
         }
         return terms;
     }
--- a/packages/fleet/src/worker.cpp
+++ b/packages/fleet/src/worker.cpp
@@ -5,7 +5,9 @@
 namespace {
 
     constexpr int strikesToSetAside = 2; // One failure may be the task's own.
-    constexpr Duration firstSetAside { 4000 }; // Shorter than most faults of a worker that the sites describe.
+    constexpr Duration firstSetAside {
+        4000
+    }; // Shorter than most faults of a worker that the sites describe.
     constexpr int maxDoublings = 3;
 
     void setAside(Trust& trust, TimePoint now)
--- a/packages/fleet/src/worker.h
+++ b/packages/fleet/src/worker.h
@@ -25,6 +25,7 @@
     bool foreign = false; ///< Belongs to no task that this owner wants; only to be stopped.
     bool callInFlight = false; ///< A start or stop is under way.
     int startAttempts = 0;
+    bool unanswered = false; ///< A start had no answer: it may still be carried out, in a later life too.
     TimePoint orderedAt;
     TimePoint confirmedAt; ///< A look that was sent later shows the run, or it has ended.
     bool confirmed = false;
@@ -68,7 +69,9 @@
     WorkerTime lastDeadline; ///< Highest that any order carried; nothing runs beyond it.
 
     bool lookInFlight = false;
+    std::uint64_t lookCount = 0; ///< Only the answer to the last look counts.
     int misses = 0; ///< Looks without an answer since the last one.
+    bool lapsed = false; ///< Its lease has ended since it answered last.
     TimePoint nextLook;
     std::uint64_t acknowledged = 0;
     std::map<std::uint64_t, UnacknowledgedEnd> ends;
--- /dev/null
+++ b/packages/fleet/test/fake-fleet.h
@@ -0,0 +1,557 @@
+// Workers, a store and time for tests of the owner: all in memory, in virtual time, with faults as switches.
+#pragma once
+
+#include "jujubereach/fleet/owner.h"
+
+#include <boost/json.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+namespace jujubereach::fleet {
+
+/// One life of a worker after the other, as the platform describes them.
+struct FakeWorker {
+    struct LiveRun {
+        Run run;
+        TimePoint endsAt;
+        Room room;
+        std::string checkpoint;
+    };
+
+    WorkerReport report;
+    TimePoint bornAt;
+    double clockRate = 1;
+    bool reachable = true; ///< Calls and answers pass.
+    bool answersLost = false; ///< Calls are carried out and not answered.
+    Duration lateBy { 0 }; ///< Calls are carried out so much later and not answered.
+    Fence fence;
+    WorkerTime deadline;
+    std::map<TaskId, LiveRun> live;
+    std::map<TaskId, Run> highestEnded;
+    struct End {
+        EndedTask told;
+        TimePoint at;
+        bool lapsedSince = false; ///< The lease ended before the end was acknowledged: it does not stand.
+    };
+    std::vector<End> ended;
+    std::uint64_t lastNumber = 0;
+};
+
+/// What the promises are checked on: every start and end that workers have seen.
+struct Seen {
+    std::vector<std::string> broken; ///< One line for each broken promise.
+    std::map<TaskId, int> starts;
+    std::map<TaskId, TimePoint> lastStart;
+    std::set<TaskId> done; ///< Acknowledged under a lease that held.
+    int startCalls = 0;
+};
+
+class FakeFleet {
+public:
+    static constexpr Duration latency { 5 };
+
+    FakeFleet()
+        : m_now(Duration(1'000'000))
+    {
+        config->version = 1;
+        for (int priority = 0; priority < 3; ++priority) {
+            Route route;
+            route.id = routeOf(priority);
+            route.service = ServiceId("service");
+            route.priority = priority;
+            route.maxAttempts = 3;
+            route.stretch = 3;
+            route.objective = Duration(1000);
+            config->routes[route.id] = route;
+        }
+        config->workspaces[WorkspaceId("w")] = { WorkspaceId("w"), 16 };
+    }
+
+    static RouteId routeOf(int priority) { return RouteId("route-" + std::to_string(priority)); }
+
+    FakeWorker& addWorker(const std::string& name, const std::string& rack = "r1")
+    {
+        auto& worker = workers[WorkerId(name)];
+        worker.report = { WorkerId(name), ServiceId("service"), "10.0.0.1:1", ZoneId("z"), bornNumber(),
+            false, rack, { "a", rack }, { 64'000, 262'144, 8 } };
+        worker.bornAt = m_now;
+        return worker;
+    }
+
+    void rebirth(const std::string& name)
+    {
+        auto& worker = workers.at(WorkerId(name));
+        const auto report = worker.report;
+        worker = {};
+        worker.report = report;
+        worker.report.born = bornNumber();
+        worker.bornAt = m_now;
+    }
+
+    static JobRecord job(const std::string& id, int count, Room room = { 1000, 1000, 1 }, int priority = 1)
+    {
+        JobRecord record;
+        record.id = JobId(id);
+        record.route = routeOf(priority);
+        record.workspace = WorkspaceId("w");
+        StepSpec step;
+        step.count = count;
+        step.room = room;
+        step.estimate = Duration(2000);
+        record.spec.steps.push_back(step);
+        return record;
+    }
+
+    /// Takes the fleet over, with what the store holds.
+    void takeOver()
+    {
+        owner.reset();
+        ++m_term;
+        m_wake = TimePoint::max();
+        lost = false;
+        fence = { fence.value + 100 };
+        ownerRevision = { ++storeRevision.value };
+        store[keys::owner] = { "owner", ownerRevision };
+        OwnerHooks hooks;
+        hooks.clock = [this] { return m_now; };
+        hooks.wall = [this] { return WallTime { m_now.time_since_epoch().count() + wallJump }; };
+        hooks.write = [this, term = m_term](StoreWrite write, StoreDone done) {
+            writeCall(term, std::move(write), std::move(done));
+        };
+        hooks.lost = [this] { lost = true; };
+        hooks.wakeIn = [this](Duration delay) { m_wake = std::min(m_wake, m_now + delay); };
+        hooks.log = [this](const char* event, boost::json::object fields) {
+            log.push_back(std::string(event) + ' '
+                + std::to_string(m_now.time_since_epoch().count() - 1'000'000) + ' '
+                + boost::json::serialize(fields));
+        };
+        hooks.workers.start = [this, term = m_term](const WorkerReport& to, StartOrder order,
+                                  Duration timeout, OrderDone done) {
+            ++seen.startCalls;
+            workerCall(term, to.id, timeout, std::move(done),
+                [this, order](FakeWorker& worker) { return start(worker, order); });
+        };
+        hooks.workers.stop = [this, term = m_term](
+                                 const WorkerReport& to, StopOrder order, Duration timeout, OrderDone done) {
+            workerCall(term, to.id, timeout, std::move(done),
+                [this, order](FakeWorker& worker) { return stop(worker, order); });
+        };
+        hooks.workers.hold = [this, term = m_term](const WorkerReport& to, HoldOrder order, Duration timeout,
+                                 OrderDone done) { holdCall(term, to.id, timeout, std::move(done), order); };
+        owner = std::make_unique<Owner>(settings, std::move(hooks), fence, ownerRevision);
+        owner->setConfig(config);
+        const auto roster = store.find(keys::roster);
+        if (roster != store.end())
+            owner->restoreRoster(*decodeRoster(roster->second.first), roster->second.second);
+        for (const auto& [id, worker] : workers) {
+            if (!unlisted.contains(id))
+                owner->workerReported(worker.report);
+        }
+        for (const auto& record : accepted) {
+            const auto progress = store.find(keys::progress(record.id));
+            progress == store.end()
+                ? owner->restoreJob(record, std::nullopt, {})
+                : owner->restoreJob(record, decodeProgress(progress->second.first), progress->second.second);
+        }
+        owner->recovered();
+    }
+
+    void submit(JobRecord record)
+    {
+        record.terms = config->routes.at(record.route);
+        accepted.push_back(record);
+        if (owner)
+            owner->jobWritten(record);
+    }
+
+    void cancel(const std::string& id)
+    {
+        for (auto& record : accepted) {
+            if (record.id.str() != id)
+                continue;
+            record.cancelled = true;
+            cancelledAt[record.id] = m_now;
+            if (owner)
+                owner->jobWritten(record);
+        }
+    }
+
+    void run(Duration time)
+    {
+        const auto until = m_now + time;
+        while (true) {
+            auto next = until;
+            if (!m_queue.empty())
+                next = std::min(next, m_queue.begin()->first);
+            if (owner)
+                next = std::min(next, m_wake);
+            next = std::min(next, nextEnd());
+            m_now = std::max(m_now, next);
+            if (confirms && owner)
+                owner->confirm(m_now);
+            endRuns();
+            if (owner && m_wake <= m_now) {
+                m_wake = TimePoint::max();
+                owner->tick();
+            }
+            while (!m_queue.empty() && m_queue.begin()->first <= m_now) {
+                const auto call = std::move(m_queue.begin()->second);
+                m_queue.erase(m_queue.begin());
+                call();
+            }
+            if (m_now >= until)
+                return;
+        }
+    }
+
+    JobState savedState(const std::string& id) const
+    {
+        const auto found = store.find(keys::progress(JobId(id)));
+        return found == store.end() ? JobState::Queued : decodeProgress(found->second.first)->state;
+    }
+
+    std::size_t liveRuns() const
+    {
+        std::size_t count = 0;
+        for (const auto& [id, worker] : workers)
+            count += worker.live.size();
+        return count;
+    }
+
+    std::string broken() const { return seen.broken.empty() ? std::string() : seen.broken.front(); }
+
+    TimePoint now() const { return m_now; }
+
+    std::shared_ptr<FleetConfig> config = std::make_shared<FleetConfig>();
+    OwnerSettings settings;
+    std::map<WorkerId, FakeWorker> workers;
+    std::set<WorkerId> unlisted;
+    std::map<std::string, std::pair<std::string, Revision>> store;
+    std::vector<JobRecord> accepted;
+    std::map<JobId, TimePoint> cancelledAt;
+    std::unique_ptr<Owner> owner;
+    Fence fence;
+    Revision ownerRevision;
+    Revision storeRevision;
+    bool storeDown = false; ///< Writes are refused.
+    bool storeAnswersLost = false; ///< Writes take effect and are not answered.
+    Duration storeWritesLate {
+        0
+    }; ///< Writes take effect so much later, if their conditions hold, and are not answered.
+    bool confirms = true;
+    bool lost = false;
+    std::int64_t wallJump = 0;
+    std::function<Duration(const TaskId&)> workTime = [](const TaskId&) { return Duration(2000); };
+    std::function<EndKind(const TaskId&, Run, const WorkerId&)> outcome
+        = [](const TaskId&, Run, const WorkerId&) { return EndKind::Done; };
+    Seen seen;
+    std::vector<std::string> log;
+
+private:
+    static std::int64_t bornNumber()
+    {
+        static std::int64_t number = 1'700'000'000'000;
+        return ++number;
+    }
+
+    void after(Duration delay, std::function<void()> call)
+    {
+        m_queue.emplace(m_now + delay, std::move(call));
+    }
+
+    void writeCall(int term, StoreWrite write, StoreDone done)
+    {
+        if (storeDown)
+            return after(latency, [this, term, done] { answer(term, done, withFate(StoreFate::Refused)); });
+        const auto late = storeWritesLate;
+        const auto lostAnswer = storeAnswersLost || late.count() > 0;
+        after(latency + late, [this, term, write, done, lostAnswer] {
+            auto result = apply(write);
+            if (!lostAnswer)
+                after(latency, [this, term, done, result] { answer(term, done, result); });
+        });
+        if (lostAnswer)
+            after(Duration(1500), [this, term, done] { answer(term, done, withFate(StoreFate::Unknown)); });
+    }
+
+    static StoreAnswer withFate(StoreFate fate)
+    {
+        StoreAnswer result;
+        result.fate = fate;
+        return result;
+    }
+
+    void answer(int term, const StoreDone& done, const StoreAnswer& result)
+    {
+        if (term == m_term)
+            done(result);
+    }
+
+    StoreAnswer apply(const StoreWrite& write)
+    {
+        StoreAnswer result;
+        result.fate = StoreFate::Done;
+        for (const auto& row : write.expected) {
+            const auto found = store.find(row.key);
+            const auto revision = found == store.end() ? Revision {} : found->second.second;
+            if (found != store.end())
+                result.items.push_back({ row.key, found->second.first, revision, revision, {} });
+            if (revision != row.revision)
+                result.fate = StoreFate::Conflict;
+        }
+        if (result.fate == StoreFate::Conflict)
+            return result;
+        result.items.clear();
+        ++storeRevision.value;
+        result.at = storeRevision;
+        for (const auto& put : write.puts)
+            store[put.key] = { put.value, storeRevision };
+        return result;
+    }
+
+    void workerCall(int term, const WorkerId& id, Duration timeout, OrderDone done,
+        std::function<OrderAnswer(FakeWorker&)> carryOut)
+    {
+        const auto found = workers.find(id);
+        const auto answered = std::make_shared<bool>(false);
+        const auto finish = [this, term, done, answered](const OrderAnswer& result) {
+            if (!std::exchange(*answered, true) && term == m_term)
+                done(result);
+        };
+        after(timeout, [finish] { finish(OrderAnswer {}); });
+        if (found == workers.end() || !found->second.reachable)
+            return;
+        const auto silent = found->second.answersLost || found->second.lateBy.count() > 0;
+        after(latency + found->second.lateBy,
+            [this, id, finish, carryOut, silent, born = found->second.report.born] {
+                auto& worker = workers.at(id);
+                // An order names the life that it is meant for.
+                if (!worker.reachable || worker.report.born != born)
+                    return;
+                const auto result = carryOut(worker);
+                if (!silent)
+                    after(latency, [finish, result] { finish(result); });
+            });
+    }
+
+    // A hold that waits answers with the first end.
+    void holdCall(int term, const WorkerId& id, Duration timeout, OrderDone done, HoldOrder order)
+    {
+        const auto answerWithin = order.wait;
+        order.wait = Duration(0);
+        if (answerWithin.count() == 0)
+            return workerCall(term, id, timeout, std::move(done),
+                [this, order](FakeWorker& worker) { return hold(worker, order); });
+        constexpr Duration check { 20 };
+        const auto sent = workers.find(id);
+        const auto silent = sent == workers.end() || !sent->second.reachable || sent->second.answersLost
+            || sent->second.lateBy.count() > 0;
+        if (silent)
+            return workerCall(term, id, timeout, std::move(done),
+                [this, order](FakeWorker& worker) { return hold(worker, order); });
+        auto result = hold(sent->second, order);
+        if (!result.ended.empty() || result.fate != OrderFate::Done || answerWithin <= check)
+            return after(latency, [this, term, done, result] {
+                if (term == m_term)
+                    done(result);
+            });
+        order.wait = answerWithin - check;
+        order.acknowledged = 0; // It was taken note of on arrival.
+        after(check, [this, term, id, timeout, done, order, check] {
+            if (term == m_term)
+                holdCall(term, id, timeout - check, done, order);
+        });
+    }
+
+    WorkerTime clockOf(const FakeWorker& worker) const
+    {
+        return { 1000
+            + static_cast<std::uint64_t>(
+                static_cast<double>((m_now - worker.bornAt).count()) * worker.clockRate) };
+    }
+
+    OrderAnswer base(const FakeWorker& worker, OrderFate fate) const
+    {
+        OrderAnswer result;
+        result.fate = fate;
+        result.clock = clockOf(worker);
+        result.born = worker.report.born;
+        return result;
+    }
+
+    bool isFenced(FakeWorker& worker, Fence order) const
+    {
+        if (order < worker.fence)
+            return true;
+        worker.fence = order;
+        return false;
+    }
+
+    void extend(FakeWorker& worker, WorkerTime deadline) const
+    {
+        noteLapse(worker);
+        const WorkerTime most { clockOf(worker).value
+            + static_cast<std::uint64_t>(settings.maxHold.count()) };
+        worker.deadline = std::max(worker.deadline, std::min(deadline, most));
+    }
+
+    OrderAnswer start(FakeWorker& worker, const StartOrder& order)
+    {
+        if (isFenced(worker, order.fence))
+            return base(worker, OrderFate::Fenced);
+        if (order.deadline <= clockOf(worker))
+            return base(worker, OrderFate::Late);
+        extend(worker, order.deadline);
+        const auto found = worker.live.find(order.task);
+        if (found != worker.live.end() && found->second.run == order.run)
+            return base(worker, OrderFate::Done);
+        if (worker.highestEnded[order.task] >= order.run || found != worker.live.end())
+            return base(worker, OrderFate::Old);
+        checkStart(worker, order);
+        worker.live[order.task] = { order.run, m_now + workTime(order.task), roomOf(order.task), {} };
+        return base(worker, OrderFate::Done);
+    }
+
+    void checkStart(const FakeWorker& worker, const StartOrder& order)
+    {
+        const auto name = toString(order.task);
+        ++seen.starts[order.task];
+        seen.lastStart[order.task] = m_now;
+        for (const auto& [id, other] : workers) {
+            if (other.live.contains(order.task))
+                seen.broken.push_back("two runs of " + name);
+        }
+        if (seen.done.contains(order.task))
+            seen.broken.push_back("a start of " + name + " after it was done");
+        Room used = roomOf(order.task);
+        for (const auto& [task, live] : worker.live)
+            used += live.room;
+        if (!worker.report.capacity.holds(used))
+            seen.broken.push_back("no room for " + name);
+        const auto cancelled = cancelledAt.find(order.task.job);
+        if (cancelled != cancelledAt.end() && m_now - cancelled->second > settings.cancelBound)
+            seen.broken.push_back("a start of " + name + " after its job was cancelled");
+    }
+
+    Room roomOf(const TaskId& task) const
+    {
+        for (const auto& record : accepted) {
+            if (record.id == task.job)
+                return record.spec.steps[static_cast<std::size_t>(task.step)].room;
+        }
+        return {};
+    }
+
+    OrderAnswer stop(FakeWorker& worker, const StopOrder& order)
+    {
+        if (isFenced(worker, order.fence))
+            return base(worker, OrderFate::Fenced);
+        auto& highest = worker.highestEnded[order.task];
+        highest = std::max(highest, order.run);
+        const auto found = worker.live.find(order.task);
+        if (found != worker.live.end() && found->second.run <= order.run)
+            end(worker, order.task, EndKind::Stopped);
+        return base(worker, OrderFate::Done);
+    }
+
+    OrderAnswer hold(FakeWorker& worker, const HoldOrder& order)
+    {
+        if (isFenced(worker, order.fence))
+            return base(worker, OrderFate::Fenced);
+        noteLapse(worker);
+        if (order.deadline)
+            extend(worker, *order.deadline);
+        for (const auto& ended : worker.ended) {
+            if (ended.told.number <= order.acknowledged && ended.told.kind == EndKind::Done)
+                checkAcknowledged(ended);
+        }
+        std::erase_if(worker.ended,
+            [&](const FakeWorker::End& ended) { return ended.told.number <= order.acknowledged; });
+        auto result = base(worker, OrderFate::Done);
+        for (const auto& ended : worker.ended)
+            result.ended.push_back(ended.told);
+        for (const auto& [task, live] : worker.live)
+            result.running.push_back({ task, live.run, live.checkpoint, percentOf(task, live), 0 });
+        return result;
+    }
+
+    void noteLapse(FakeWorker& worker) const
+    {
+        if (clockOf(worker) <= worker.deadline)
+            return;
+        for (auto& ended : worker.ended)
+            ended.lapsedSince = true;
+    }
+
+    void checkAcknowledged(const FakeWorker::End& ended)
+    {
+        const auto name = toString(ended.told.task);
+        if (ended.lapsedSince)
+            return;
+        const auto record = store.find(keys::progress(ended.told.task.job));
+        if (record == store.end() || !recordsDone(record->second.first, ended.told.task))
+            seen.broken.push_back("the end of " + name + " was acknowledged before it was saved");
+        if (seen.lastStart[ended.told.task] > ended.at)
+            seen.broken.push_back("a start of " + name + " after it was done");
+        seen.done.insert(ended.told.task);
+    }
+
+    int percentOf(const TaskId& task, const FakeWorker::LiveRun& live) const
+    {
+        const auto whole = static_cast<double>(workTime(task).count());
+        return static_cast<int>(100 * (1 - static_cast<double>((live.endsAt - m_now).count()) / whole));
+    }
+
+    static bool recordsDone(const std::string& value, const TaskId& task)
+    {
+        const auto record = decodeProgress(value);
+        if (!record || isFinal(record->state) || task.occurrence < record->occurrencesDone)
+            return record.has_value();
+        for (const auto& row : record->tasks) {
+            if (row.occurrence == task.occurrence && row.step == task.step && row.index == task.index)
+                return row.done;
+        }
+        return false;
+    }
+
+    void end(FakeWorker& worker, const TaskId& task, EndKind kind)
+    {
+        const auto run = worker.live.at(task).run;
+        worker.live.erase(task);
+        worker.highestEnded[task] = std::max(worker.highestEnded[task], run);
+        worker.ended.push_back({ { ++worker.lastNumber, task, run, kind, {} }, m_now });
+    }
+
+    TimePoint nextEnd() const
+    {
+        auto next = TimePoint::max();
+        for (const auto& [id, worker] : workers) {
+            for (const auto& [task, live] : worker.live)
+                next
+                    = std::min({ next, live.endsAt, m_now + Duration(50) }); // Leases are looked at so often.
+        }
+        return next;
+    }
+
+    void endRuns()
+    {
+        for (auto& [id, worker] : workers) {
+            std::vector<TaskId> due;
+            const auto lapsed = clockOf(worker) > worker.deadline;
+            for (const auto& [task, live] : worker.live) {
+                if (lapsed || live.endsAt <= m_now)
+                    due.push_back(task);
+            }
+            for (const auto& task : due)
+                end(worker, task, lapsed ? EndKind::Lapsed : outcome(task, worker.live.at(task).run, id));
+        }
+    }
+
+    TimePoint m_now;
+    TimePoint m_wake = TimePoint::max();
+    int m_term = 0;
+    std::multimap<TimePoint, std::function<void()>> m_queue;
+};
+
+} // namespace jujubereach::fleet
--- /dev/null
+++ b/packages/fleet/test/owner-test.cpp
@@ -0,0 +1,481 @@
+// The owner against fakes in virtual time: what it promises while workers, the store and owners fail.
+#include "fake-fleet.h"
+
+#include "jujubereach/base/random.h"
+
+using namespace jujubereach;
+using namespace jujubereach::fleet;
+
+class OwnerTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(OwnerTest);
+    CPPUNIT_TEST(runsAJob);
+    CPPUNIT_TEST(keepsTheOrderOfSteps);
+    CPPUNIT_TEST(startsAGangWhole);
+    CPPUNIT_TEST(failsAJobAfterItsAttempts);
+    CPPUNIT_TEST(stopsACancelledJob);
+    CPPUNIT_TEST(reclaimsGuaranteedRoom);
+    CPPUNIT_TEST(startsNoOccurrenceEarly);
+    CPPUNIT_TEST(restartsWhatLasts);
+    CPPUNIT_TEST(doublesNoStartWithoutAnswer);
+    CPPUNIT_TEST(doublesNoLateStart);
+    CPPUNIT_TEST(waitsForALapseOfASilentWorker);
+    CPPUNIT_TEST(restartsAtOnceAfterARebirth);
+    CPPUNIT_TEST(takeoverFindsRunningTasks);
+    CPPUNIT_TEST(takeoverWaitsForASilentWorker);
+    CPPUNIT_TEST(countsRoomOfRunsThatNobodyWaitsFor);
+    CPPUNIT_TEST(countsFailuresOfReplacedRuns);
+    CPPUNIT_TEST(lateWritesDoNotGoBack);
+    CPPUNIT_TEST(goesOnWhileTheStoreIsDown);
+    CPPUNIT_TEST(anUnconfirmedOwnerStartsNothing);
+    CPPUNIT_TEST(aSupersededOwnerStops);
+    CPPUNIT_TEST(leavesADrainingWorker);
+    CPPUNIT_TEST(keepsPromisesUnderRandomFaults);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr Room wholeWorker { 64'000, 262'144, 8 };
+
+    void runsAJob()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a");
+        fleet.takeOver();
+        fleet.submit(FakeFleet::job("j", 5));
+        fleet.run(Duration(1000));
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Running);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), fleet.liveRuns());
+        fleet.run(Duration(3000));
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+        CPPUNIT_ASSERT(fleet.workers.begin()->second.ended.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
+    }
+
+    void keepsTheOrderOfSteps()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a");
+        fleet.takeOver();
+        auto job = FakeFleet::job("j", 2);
+        job.spec.steps.push_back(job.spec.steps[0]);
+        job.spec.steps[1].after = { 0 };
+        fleet.workTime = [](const TaskId& task) { return Duration(task.index == 0 ? 1000 : 3000); };
+        fleet.submit(job);
+        fleet.run(Duration(2500));
+        CPPUNIT_ASSERT_EQUAL(0, fleet.seen.starts[(TaskId { JobId("j"), 0, 1, 0 })]);
+        fleet.run(Duration(5000));
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+    }
+
+    void startsAGangWhole()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a", "r1");
+        fleet.addWorker("b", "r2");
+        fleet.takeOver();
+        auto gang = FakeFleet::job("j", 2, wholeWorker);
+        gang.spec.steps[0].gang = true;
+        gang.spec.steps[0].sameRack = true;
+        fleet.submit(gang);
+        fleet.run(Duration(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet.liveRuns()); // No rack has room for both.
+        fleet.owner->workerReported(fleet.addWorker("c", "r2").report);
+        fleet.run(Duration(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), fleet.liveRuns());
+        CPPUNIT_ASSERT(fleet.workers.at(WorkerId("a")).live.empty());
+        fleet.run(Duration(3000));
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
+    }
+
+    void failsAJobAfterItsAttempts()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a");
+        fleet.addWorker("b");
+        fleet.addWorker("c");
+        fleet.addWorker("d");
+        fleet.takeOver();
+        fleet.outcome = [](const TaskId&, Run, const WorkerId&) { return EndKind::Failed; };
+        fleet.submit(FakeFleet::job("j", 1));
+        fleet.run(Duration(20'000));
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Failed);
+        CPPUNIT_ASSERT_EQUAL(3, fleet.seen.starts[(TaskId { JobId("j"), 0, 0, 0 })]);
+    }
+
+    void stopsACancelledJob()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a");
+        fleet.takeOver();
+        fleet.submit(FakeFleet::job("j", 8));
+        fleet.run(Duration(500));
+        fleet.cancel("j");
+        fleet.run(Duration(500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet.liveRuns());
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Cancelled);
+    }
+
+    void reclaimsGuaranteedRoom()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a");
+        fleet.addWorker("b");
+        fleet.takeOver();
+        fleet.workTime = [](const TaskId&) { return Duration(8000); };
+        fleet.submit(FakeFleet::job("bulk", 16, { 1000, 1000, 1 }, 2));
+        fleet.run(Duration(2000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(16), fleet.liveRuns());
+        auto urgent = FakeFleet::job("urgent", 2, { 1000, 1000, 8 }, 0);
+        urgent.spec.steps[0].gang = true;
+        urgent.spec.steps[0].sameRack = true;
+        fleet.submit(urgent);
+        fleet.run(Duration(2000));
+        CPPUNIT_ASSERT_EQUAL(1, fleet.seen.starts[(TaskId { JobId("urgent"), 0, 0, 0 })]);
+        CPPUNIT_ASSERT_EQUAL(1, fleet.seen.starts[(TaskId { JobId("urgent"), 0, 0, 1 })]);
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
+    }
+
+    void startsNoOccurrenceEarly()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a");
+        fleet.takeOver();
+        auto job = FakeFleet::job("j", 1);
+        job.spec.repeatCount = 3;
+        job.spec.firstRun = { fleet.now().time_since_epoch().count() + 1000 };
+        job.spec.interval = Duration(1500);
+        fleet.submit(job);
+        fleet.run(Duration(900));
+        CPPUNIT_ASSERT_EQUAL(0, fleet.seen.startCalls);
+        fleet.run(Duration(300));
+        CPPUNIT_ASSERT_EQUAL(1, fleet.seen.startCalls);
+        fleet.run(Duration(6000));
+        CPPUNIT_ASSERT_EQUAL(3, fleet.seen.startCalls);
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+    }
+
+    void restartsWhatLasts()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a");
+        fleet.addWorker("b");
+        fleet.takeOver();
+        auto job = FakeFleet::job("j", 2);
+        job.spec.steps[0].longRunning = true;
+        fleet.outcome = [](const TaskId&, Run run, const WorkerId&) {
+            return run.value % 2 ? EndKind::Failed : EndKind::Done;
+        };
+        fleet.submit(job);
+        fleet.run(Duration(15'000));
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Running);
+        CPPUNIT_ASSERT(fleet.seen.starts[(TaskId { JobId("j"), 0, 0, 1 })] >= 4);
+    }
+
+    void doublesNoStartWithoutAnswer()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a").answersLost = true;
+        fleet.addWorker("b").reachable = false;
+        fleet.takeOver();
+        fleet.workers.at(WorkerId("a")).answersLost = false;
+        fleet.run(Duration(3000));
+        fleet.workers.at(WorkerId("a")).answersLost = true;
+        fleet.submit(FakeFleet::job("j", 3));
+        fleet.run(Duration(600));
+        fleet.workers.at(WorkerId("a")).answersLost = false;
+        fleet.workers.at(WorkerId("b")).reachable = true;
+        fleet.run(Duration(8000));
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+    }
+
+    void doublesNoLateStart()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a");
+        fleet.addWorker("b");
+        fleet.takeOver();
+        fleet.run(Duration(500));
+        fleet.workers.at(WorkerId("a")).lateBy = Duration(6000);
+        fleet.workers.at(WorkerId("b")).lateBy = Duration(3000);
+        fleet.submit(FakeFleet::job("j", 2));
+        fleet.run(Duration(500));
+        fleet.workers.at(WorkerId("a")).lateBy = Duration(0);
+        fleet.workers.at(WorkerId("b")).lateBy = Duration(0);
+        fleet.run(Duration(20'000));
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+    }
+
+    void waitsForALapseOfASilentWorker()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a").clockRate = 0.98;
+        fleet.takeOver();
+        fleet.workTime = [](const TaskId&) { return Duration(60'000); };
+        fleet.submit(FakeFleet::job("j", 1));
+        fleet.run(Duration(3000));
+        fleet.workers.at(WorkerId("a")).reachable = false;
+        fleet.owner->workerReported(fleet.addWorker("b").report);
+        fleet.run(Duration(8000));
+        CPPUNIT_ASSERT_EQUAL(1, fleet.seen.starts[(TaskId { JobId("j"), 0, 0, 0 })]);
+        fleet.run(Duration(6000));
+        CPPUNIT_ASSERT_EQUAL(2, fleet.seen.starts[(TaskId { JobId("j"), 0, 0, 0 })]);
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
+    }
+
+    void restartsAtOnceAfterARebirth()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a");
+        fleet.takeOver();
+        fleet.workTime = [](const TaskId&) { return Duration(5000); };
+        fleet.submit(FakeFleet::job("j", 2));
+        fleet.run(Duration(1000));
+        fleet.rebirth("a");
+        fleet.owner->workerReported(fleet.workers.at(WorkerId("a")).report);
+        fleet.run(Duration(500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), fleet.liveRuns());
+        fleet.run(Duration(6000));
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
+    }
+
+    void takeoverFindsRunningTasks()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a");
+        fleet.addWorker("b");
+        fleet.takeOver();
+        fleet.submit(FakeFleet::job("j", 10));
+        fleet.run(Duration(1000));
+        fleet.takeOver();
+        fleet.run(Duration(3000));
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(1, fleet.seen.starts[(TaskId { JobId("j"), 0, 0, 7 })]);
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
+    }
+
+    // The last owner gave a lease just before it went; its worker is neither reachable nor listed.
+    void takeoverWaitsForASilentWorker()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a").clockRate = 0.98;
+        fleet.takeOver();
+        fleet.workTime = [](const TaskId&) { return Duration(60'000); };
+        fleet.submit(FakeFleet::job("j", 1));
+        fleet.run(Duration(3000));
+        fleet.workers.at(WorkerId("a")).reachable = false;
+        fleet.unlisted.insert(WorkerId("a"));
+        fleet.addWorker("b");
+        fleet.takeOver();
+        fleet.run(Duration(9000));
+        CPPUNIT_ASSERT_EQUAL(1, fleet.seen.starts[(TaskId { JobId("j"), 0, 0, 0 })]);
+        fleet.run(Duration(9000));
+        CPPUNIT_ASSERT_EQUAL(2, fleet.seen.starts[(TaskId { JobId("j"), 0, 0, 0 })]);
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
+    }
+
+    // Seen on trouble-3 of both sites: the runs of a cancelled job still filled a worker after a takeover.
+    void countsRoomOfRunsThatNobodyWaitsFor()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a");
+        fleet.takeOver();
+        fleet.workTime = [](const TaskId&) { return Duration(5000); };
+        fleet.submit(FakeFleet::job("old", 8));
+        fleet.run(Duration(1000));
+        fleet.owner.reset();
+        fleet.cancel("old");
+        fleet.takeOver();
+        fleet.submit(FakeFleet::job("new", 8));
+        fleet.run(Duration(3000));
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
+        CPPUNIT_ASSERT_EQUAL(1, fleet.seen.starts[(TaskId { JobId("new"), 0, 0, 7 })]);
+    }
+
+    // Seen on trouble-3 of cta-verif: the last owner had started a task again and not saved that it had
+    // failed.
+    void countsFailuresOfReplacedRuns()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a");
+        fleet.addWorker("b");
+        fleet.addWorker("c");
+        fleet.addWorker("d");
+        fleet.takeOver();
+        fleet.outcome = [](const TaskId&, Run, const WorkerId&) { return EndKind::Failed; };
+        fleet.submit(FakeFleet::job("j", 1));
+        fleet.run(Duration(1500));
+        fleet.storeDown = true;
+        fleet.run(Duration(1500)); // Fails, is not saved, and starts again.
+        CPPUNIT_ASSERT_EQUAL(2, fleet.seen.starts[(TaskId { JobId("j"), 0, 0, 0 })]);
+        fleet.storeDown = false;
+        fleet.takeOver();
+        fleet.run(Duration(15'000));
+        CPPUNIT_ASSERT_EQUAL(3, fleet.seen.starts[(TaskId { JobId("j"), 0, 0, 0 })]);
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Failed);
+    }
+
+    void lateWritesDoNotGoBack()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a");
+        fleet.takeOver();
+        fleet.submit(FakeFleet::job("j", 2));
+        fleet.run(Duration(200));
+        fleet.storeWritesLate = Duration(4000);
+        fleet.run(Duration(1900));
+        fleet.storeWritesLate = Duration(0);
+        fleet.run(Duration(8000));
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
+    }
+
+    void goesOnWhileTheStoreIsDown()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a");
+        fleet.takeOver();
+        fleet.submit(FakeFleet::job("j", 12));
+        fleet.run(Duration(500));
+        fleet.storeDown = true;
+        fleet.confirms = false;
+        fleet.run(Duration(4000));
+        CPPUNIT_ASSERT_EQUAL(1, fleet.seen.starts[(TaskId { JobId("j"), 0, 0, 11 })]);
+        fleet.storeDown = false;
+        fleet.confirms = true;
+        fleet.run(Duration(3000));
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
+    }
+
+    void anUnconfirmedOwnerStartsNothing()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a");
+        fleet.takeOver();
+        fleet.run(Duration(500));
+        fleet.confirms = false;
+        fleet.storeDown = true;
+        fleet.run(fleet.settings.confirmBound);
+        fleet.submit(FakeFleet::job("j", 1));
+        fleet.run(Duration(5000));
+        CPPUNIT_ASSERT_EQUAL(0, fleet.seen.startCalls);
+    }
+
+    void aSupersededOwnerStops()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a");
+        fleet.takeOver();
+        fleet.run(Duration(500));
+        fleet.workers.at(WorkerId("a")).fence = { 100'000 };
+        fleet.submit(FakeFleet::job("j", 1));
+        fleet.run(Duration(1000));
+        CPPUNIT_ASSERT(fleet.lost);
+        const auto calls = fleet.seen.startCalls;
+        fleet.run(Duration(5000));
+        CPPUNIT_ASSERT_EQUAL(calls, fleet.seen.startCalls);
+    }
+
+    void leavesADrainingWorker()
+    {
+        FakeFleet fleet;
+        auto& worker = fleet.addWorker("a");
+        fleet.takeOver();
+        fleet.run(Duration(500));
+        worker.report.draining = true;
+        fleet.owner->workerReported(worker.report);
+        fleet.submit(FakeFleet::job("j", 1));
+        fleet.run(Duration(2000));
+        CPPUNIT_ASSERT_EQUAL(0, fleet.seen.startCalls);
+    }
+
+    void randomFault(FakeFleet& fleet, Random& random)
+    {
+        auto& worker
+            = std::next(fleet.workers.begin(), static_cast<long>(random.below(fleet.workers.size())))->second;
+        switch (random.below(9)) {
+        case 0:
+            worker.reachable = !worker.reachable;
+            break;
+        case 1:
+            worker.answersLost = !worker.answersLost;
+            break;
+        case 2:
+            worker.lateBy = worker.lateBy.count() > 0
+                ? Duration(0)
+                : Duration(2000 + static_cast<int>(random.below(10'000)));
+            break;
+        case 3:
+            fleet.rebirth(worker.report.id.str());
+            break;
+        case 4:
+            fleet.takeOver();
+            break;
+        case 5:
+            fleet.storeDown = !fleet.storeDown;
+            break;
+        case 6:
+            fleet.storeAnswersLost = !fleet.storeAnswersLost;
+            break;
+        case 7:
+            fleet.storeWritesLate = fleet.storeWritesLate.count() > 0
+                ? Duration(0)
+                : Duration(1000 + static_cast<int>(random.below(5000)));
+            break;
+        default:
+            if (!fleet.accepted.empty())
+                fleet.cancel(fleet.accepted[random.below(fleet.accepted.size())].id.str());
+        }
+    }
+
+    void heal(FakeFleet& fleet)
+    {
+        for (auto& [id, worker] : fleet.workers) {
+            worker.reachable = true;
+            worker.answersLost = false;
+            worker.lateBy = Duration(0);
+        }
+        fleet.storeDown = fleet.storeAnswersLost = false;
+        fleet.storeWritesLate = Duration(0);
+    }
+
+    void keepsPromisesUnderRandomFaults()
+    {
+        constexpr std::uint64_t seeds = 120;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            Random random(seed);
+            FakeFleet fleet;
+            for (int i = 0; i < 6; ++i)
+                fleet.addWorker("w" + std::to_string(i), "r" + std::to_string(i / 3)).clockRate
+                    = 0.98 + 0.04 * random.unit();
+            fleet.workTime = [](const TaskId& task) {
+                return Duration(500 + static_cast<std::int64_t>(stableHash(toString(task)) % 4000));
+            };
+            fleet.outcome = [](const TaskId& task, Run run, const WorkerId&) {
+                return stableHash(toString(task), run.value) % 10 == 0 ? EndKind::Failed : EndKind::Done;
+            };
+            fleet.takeOver();
+            for (int i = 0; i < 40; ++i) {
+                auto job = FakeFleet::job("j" + std::to_string(i), 1 + static_cast<int>(random.below(6)),
+                    { 1000, 1000, static_cast<std::int64_t>(1 + random.below(4)) },
+                    static_cast<int>(random.below(3)));
+                job.spec.steps[0].checkpointing = random.below(2) == 0;
+                fleet.submit(job);
+                if (random.below(3) == 0)
+                    randomFault(fleet, random);
+                fleet.run(Duration(static_cast<std::int64_t>(random.below(1500))));
+            }
+            heal(fleet);
+            fleet.run(Duration(90'000));
+            const auto context = "seed " + std::to_string(seed);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(context, std::string(), fleet.broken());
+            for (const auto& record : fleet.accepted)
+                CPPUNIT_ASSERT_MESSAGE(
+                    context + ' ' + record.id.str(), isFinal(fleet.savedState(record.id.str())));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OwnerTest);
--- a/packages/net/include/jujubereach/net/http-client.h
+++ b/packages/net/include/jujubereach/net/http-client.h
@@ -25,7 +25,8 @@
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
 
-    /// Sends to `endpoint`, "ip:port"; `done` runs once, later, from the loop. A bad endpoint ends as NotSent.
+    /// Sends to `endpoint`, "ip:port"; `done` runs once, later, from the loop. A bad endpoint ends as
+    /// NotSent.
     void call(const std::string& endpoint, HttpRequest request, Duration timeout, CallDone done);
 
     /// Closes the idle connections to an endpoint.
--- a/packages/net/src/http-client.cpp
+++ b/packages/net/src/http-client.cpp
@@ -124,7 +124,8 @@
     // The kernel gives a peer up that acknowledges nothing; works also where keep-alive probes are off.
     void setPeerTimeout()
     {
-        setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &peerTimeoutMs, sizeof peerTimeoutMs);
+        setsockopt(
+            m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &peerTimeoutMs, sizeof peerTimeoutMs);
     }
 
     void write()
--- a/packages/net/src/message-codec.cpp
+++ b/packages/net/src/message-codec.cpp
@@ -36,7 +36,6 @@
         return true;
     }
 
-
     Headers copyHeaders(const Poco::Net::MessageHeader& message)
     {
         Headers headers;
