--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -13,6 +13,8 @@
     /// wait for each other, and that a restored task takes to move.
     constexpr Duration stallBound { 3500 };
 
+    constexpr Duration replacedPause { 1000 }; // Its entry in the store goes, or names the new life.
+
     double coreSeconds(const Room& room, Duration time)
     {
         const auto cores = static_cast<double>(room.milliCores) / 1000
@@ -194,17 +196,18 @@
     }
 }
 
-void Owner::Impl::loseRuns(Worker& worker, const char* why)
+// A life that may return, or a later one under its id, may still carry unanswered starts out.
+void Owner::Impl::loseRuns(Worker& worker, const char* why, bool mayReturn)
 {
     std::vector<ActiveRun> gone;
     for (const auto& [task, run] : worker.runs) {
         // A start that is under way reaches the next life, and its answer tells.
-        if (run.phase != RunPhase::Ordered || !run.callInFlight || run.unanswered)
+        if (!mayReturn || run.phase != RunPhase::Ordered || !run.callInFlight || run.unanswered)
             gone.push_back(run);
     }
     for (auto& run : gone) {
         loseRun(worker, run.task, why);
-        if (!run.unanswered)
+        if (!run.unanswered || !mayReturn)
             continue;
         // It may yet be carried out, though nobody waits for it: the worker is told not to.
         run.foreign = true;
@@ -218,7 +221,7 @@
     worker.clock = {};
     worker.lookInFlight = false; // An open look waits for a life that has ended.
     ++worker.lookCount;
-    worker.nextLook = now();
+    worker.nextLook = mayReturn ? now() : now() + replacedPause;
 }
 
 void Owner::Impl::taskDone(Job& job, Step& step, const TaskId& id)
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -67,8 +67,11 @@
         superseded(worker.id().str().c_str());
         return false;
     }
-    if (answer.fate == OrderFate::OtherLife
-        || (answer.born != 0 && worker.born != 0 && answer.born > worker.born)) {
+    if (answer.fate == OrderFate::OtherLife) {
+        loseRuns(worker, "another life answers at its address", false);
+        worker.fenced = false;
+        m_unresolved.erase(worker.id());
+    } else if (answer.born != 0 && worker.born != 0 && answer.born > worker.born) {
         loseRuns(worker, "its worker was born again");
         worker.fenced = false;
         worker.nextLook = now();
--- a/packages/fleet/test/fake-fleet.h
+++ b/packages/fleet/test/fake-fleet.h
@@ -23,6 +23,8 @@
     TimePoint bornAt;
     double clockRate = 1;
     bool reachable = true; ///< Calls and answers pass.
+    bool replaced = false; ///< Another life answers at its address.
+    int calls = 0;
     bool answersLost = false; ///< Calls are carried out and not answered.
     Duration lateBy { 0 }; ///< Calls are carried out so much later and not answered.
     Fence fence;
@@ -329,7 +331,11 @@
                 // An order names the life that it is meant for.
                 if (!worker.reachable || worker.report.born != born)
                     return;
-                const auto result = carryOut(worker);
+                ++worker.calls;
+                OrderAnswer result;
+                result.fate = OrderFate::OtherLife;
+                if (!worker.replaced)
+                    result = carryOut(worker);
                 if (!silent)
                     after(latency, [finish, result] { finish(result); });
             });
--- a/packages/fleet/test/owner-test.cpp
+++ b/packages/fleet/test/owner-test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(doublesNoLateStart);
     CPPUNIT_TEST(waitsForALapseOfASilentWorker);
     CPPUNIT_TEST(restartsAtOnceAfterARebirth);
+    CPPUNIT_TEST(givesUpALifeThatWasReplaced);
     CPPUNIT_TEST(takeoverFindsRunningTasks);
     CPPUNIT_TEST(takeoverWaitsForASilentWorker);
     CPPUNIT_TEST(countsRoomOfRunsThatNobodyWaitsFor);
@@ -240,6 +241,30 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
     }
 
+    // Seen on late-orders of ptlw-sched, seed 1: a stop that another life refused was sent again without a
+    // pause.
+    void givesUpALifeThatWasReplaced()
+    {
+        FakeFleet fleet;
+        auto& worker = fleet.addWorker("a");
+        fleet.takeOver();
+        fleet.run(Duration(500));
+        worker.answersLost = true;
+        fleet.submit(FakeFleet::job("j", 2));
+        fleet.run(Duration(1000)); // The starts have no answer.
+        worker.answersLost = false;
+        worker.replaced = true;
+        worker.live.clear();
+        const auto calls = worker.calls;
+        fleet.run(Duration(5000));
+        CPPUNIT_ASSERT(worker.calls - calls < 30);
+
+        fleet.owner->workerUnlisted(WorkerId("a"));
+        fleet.owner->workerReported(fleet.addWorker("b").report);
+        fleet.run(Duration(5000));
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+    }
+
     void takeoverFindsRunningTasks()
     {
         FakeFleet fleet;
