Let urgent work displace what costs little to stop; part costly work from it by rack

Change: priority 0 displaces within a quarter of its own work, guaranteed work without bound; what a stop throws away counts restores and gangs; work that is costly to stop goes to the last racks, urgent work to the first.

--- a/packages/fleet/include/jujubereach/fleet/owner.h
+++ b/packages/fleet/include/jujubereach/fleet/owner.h
@@ -22,6 +22,8 @@
     Duration cancelBound { 3000 }; ///< A cancelled job's tasks are stopped within it.
     Duration drainBound { 2500 }; ///< A worker that leaves serves so long at least.
     Duration keepFinished { 120'000 }; ///< A job's final state is told so long at least.
+    Duration checkpointInterval { 2000 }; ///< Of work, between two checkpoints of a task.
+    Duration restoreTime { 250 }; ///< Before a restored task moves.
     Duration early { 250 }; ///< An occurrence may start so much before its time.
     /// Without confirmation of its ownership for so long, an owner neither starts nor extends anything.
     /// A successor counts on it: see `recoveryDoubt`.
--- a/packages/fleet/include/jujubereach/fleet/placement.h
+++ b/packages/fleet/include/jujubereach/fleet/placement.h
@@ -13,6 +13,7 @@
 struct Displaceable {
     TaskId task;
     Room room;
+    int priority = 0;
     double loss = 0; ///< Work that its stop throws away, in core-seconds; of its whole gang where it has one.
     bool gang = false;
 };
@@ -24,6 +25,7 @@
     const std::vector<std::string>* labels = nullptr;
     Room capacity;
     Room free;
+    double rackOrder = 0; ///< Of its rack among all, from 0 to 1.
     double distrust = 0; ///< 0 for a worker without failures.
     bool serves = false; ///< Runs a task with a tail target.
     bool fills = false; ///< Runs a task that uses what others leave.
@@ -34,6 +36,10 @@
     const StepSpec* spec = nullptr;
     ServiceId service;
     int count = 1; ///< Tasks to place; a gang is placed whole or not at all.
+    int priority = 0; ///< Displaces only what has a larger number.
+    double maxLoss = 0; ///< Work that it may throw away by displacing, in core-seconds.
+    bool costlyToStop
+        = false; ///< Goes to the last racks, so that urgent gangs find cheap room on the first ones.
     bool anyRack = false; ///< Give up on the rack where the data is.
     bool anyRackForGang = false; ///< Give up on one rack for the whole gang.
     const std::map<WorkerId, int>* onWorker = nullptr; ///< Tasks of the step that run already.
--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -35,6 +35,7 @@
             run.phase = RunPhase::Running;
             run.confirmed = true;
             run.confirmedAt = now();
+            run.runningSince = now();
             run.progressAt = now();
             run.callInFlight = false;
             ++m_figures.starts;
@@ -53,6 +54,7 @@
     run.phase = RunPhase::Running;
     run.confirmed = true;
     run.confirmedAt = sentAt;
+    run.runningSince = now();
     run.orderedAt = now();
     run.progressAt = now();
     run.percent = running.percent;
@@ -120,9 +122,10 @@
     auto* task = step ? &step->tasks[static_cast<std::size_t>(end.task.index)] : nullptr;
     const auto found = worker.runs.find(end.task);
     const auto current = found != worker.runs.end() && found->second.run == end.run;
-    const auto ranFor = current ? now() - found->second.confirmedAt : Duration(0);
+    const auto ranFor = current ? now() - found->second.runningSince : Duration(0);
     if (current && end.kind != EndKind::Done && end.kind != EndKind::Failed && end.checkpoint.empty())
         m_figures.thrownAway += coreSeconds(found->second.room, ranFor);
+    const auto cores = current ? coreSeconds(found->second.room, Duration(1000)) : 0;
     const auto stopping = current && found->second.phase == RunPhase::Stopping;
     if (current)
         release(worker, end.task);
@@ -135,8 +138,8 @@
     const auto replaced = task && !current && !task->worker.empty() && end.kind != EndKind::Failed;
     m_hooks.log("end",
         { { "task", toString(end.task) }, { "run", end.run.value }, { "worker", worker.id().str() },
-            { "kind", nameOf(end.kind) }, { "ranMs", ranFor.count() }, { "counted", task && !replaced },
-            { "saved", !end.checkpoint.empty() } });
+            { "kind", nameOf(end.kind) }, { "ranMs", ranFor.count() }, { "cores", cores },
+            { "counted", task && !replaced }, { "saved", !end.checkpoint.empty() } });
     if (task && !replaced && !isFinal(job->state) && !task->done) {
         if (end.kind == EndKind::Done) {
             worker.trust.taskDone();
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -72,6 +72,7 @@
     void dropPlan(Step& step);
     void begin(Job& job, const TaskId& task, Worker& worker, Run run);
     bool displaceFor(const Ready& ready, std::vector<WorkerView>& views);
+    void addDisplaceable(std::vector<WorkerView>& fleet);
     void occurrencesDue();
     Duration expectedTime(const Job& job, const StepSpec& step) const;
     double workOf(const Job& job, const StepSpec& step) const;
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -189,6 +189,7 @@
         run.phase = RunPhase::Running;
         run.confirmed = true;
         run.confirmedAt = now();
+        run.runningSince = now();
         run.progressAt = now();
         ++m_figures.starts;
         if (!worker->lookInFlight)
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -4,6 +4,7 @@
 #include "jujubereach/fleet/queue-order.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace jujubereach::fleet {
 
@@ -14,6 +15,11 @@
     constexpr std::uint64_t runGapAfterTakeover = 16; // Above any start that the last owner did not save.
     constexpr double distrustOfUnproven = 0.02; // Breaks ties towards workers that have finished a task.
 
+    constexpr int maxDisplacementSearches = 8; // In one pass; bounds its time when much urgent work waits.
+    constexpr int lastDisplacingPriority = 0; // Displacing by less urgent work threw away more than it won.
+    constexpr double displacementShare
+        = 0.25; // Work thrown away for a step, against the work of the step itself.
+
     double coresOf(const Room& room)
     {
         return static_cast<double>(room.milliCores) / 1000
@@ -132,6 +138,14 @@
         }
         out.push_back(std::move(view));
     }
+    std::map<std::string, double> racks;
+    for (const auto& view : out)
+        racks[view.rack] = 0;
+    double order = 0;
+    for (auto& [rack, value] : racks)
+        value = order++ / static_cast<double>(racks.size());
+    for (auto& view : out)
+        view.rackOrder = racks[view.rack];
     return out;
 }
 
@@ -144,6 +158,7 @@
     auto fleet = views();
     std::vector<PlaceRequest> blocked;
     auto displaceable = false;
+    auto searches = 0;
     for (auto& ready : readySteps()) {
         auto& step = ready.step();
         if (step.plan && runPlan(*ready.job, ready.occurrence, ready.index))
@@ -153,6 +168,7 @@
         request.service = termsOf(*ready.job).service;
         request.count = static_cast<int>(ready.tasks.size());
         request.onWorker = &step.onWorker;
+        request.costlyToStop = termsOf(*ready.job).priority > 0 && !step.spec->checkpointing;
         std::set<WorkerId> avoid;
         for (const auto index : ready.tasks) {
             const auto& failedOn = step.tasks[static_cast<std::size_t>(index)].failedOn;
@@ -186,29 +202,41 @@
                 : Run { step.shared(index).lastRun.value + (ready.job->recovered ? runGapAfterTakeover : 1) };
             begin(*ready.job, task, *findWorker(fleet[placement[i]].id), number);
         }
-        if (placement.size() == ready.tasks.size() || !ready.guaranteed)
+        const auto priority = termsOf(*ready.job).priority;
+        if (placement.size() == ready.tasks.size() || priority > lastDisplacingPriority
+            || searches >= maxDisplacementSearches)
             continue;
+        ++searches;
         if (!displaceable) {
             displaceable = true;
-            for (auto& view : fleet) {
-                for (const auto& [task, active] : findWorker(view.id)->runs) {
-                    const auto* owner = findJob(task.job);
-                    auto* other = owner ? const_cast<Job*>(owner)->findStep(task) : nullptr;
-                    if (!other || active.priority <= 0 || active.phase == RunPhase::Stopping
-                        || other->spec->longRunning)
-                        continue;
-                    const auto lost = other->spec->checkpointing ? 0
-                                                                 : coresOf(active.room)
-                            * static_cast<double>((now() - active.orderedAt).count()) / 1000;
-                    view.displaceable.push_back({ task, active.room,
-                        other->spec->gang ? lost * other->spec->count : lost, other->spec->gang });
-                }
-            }
+            addDisplaceable(fleet);
         }
         displaceFor(ready, fleet);
     }
 }
 
+void Owner::Impl::addDisplaceable(std::vector<WorkerView>& fleet)
+{
+    for (auto& view : fleet) {
+        for (const auto& [task, active] : findWorker(view.id)->runs) {
+            auto* job = findJob(task.job);
+            const auto* step = job ? job->findStep(task) : nullptr;
+            if (!step || active.phase == RunPhase::Stopping || step->spec->longRunning)
+                continue;
+            // A stop saves a task that checkpoints; members of a gang that wait for each other fall back
+            // further.
+            auto lostTime = now() - active.orderedAt;
+            if (step->spec->checkpointing)
+                lostTime = std::min(lostTime,
+                    step->spec->gang ? m_settings.checkpointInterval / 2 + m_settings.restoreTime
+                                     : m_settings.restoreTime);
+            const auto lost = coresOf(active.room) * static_cast<double>(lostTime.count()) / 1000;
+            view.displaceable.push_back({ task, active.room, active.priority,
+                step->spec->gang ? lost * step->spec->count : lost, step->spec->gang });
+        }
+    }
+}
+
 bool Owner::Impl::displaceFor(const Ready& ready, std::vector<WorkerView>& fleet)
 {
     auto& step = ready.step();
@@ -216,6 +244,10 @@
     request.spec = step.spec;
     request.service = termsOf(*ready.job).service;
     request.onWorker = &step.onWorker;
+    request.priority = termsOf(*ready.job).priority;
+    request.maxLoss = ready.guaranteed
+        ? std::numeric_limits<double>::infinity()
+        : displacementShare * workOf(*ready.job, *step.spec) * static_cast<double>(ready.tasks.size());
     std::vector<int> waiting;
     for (const auto index : ready.tasks) {
         if (step.tasks[static_cast<std::size_t>(index)].worker.empty())
@@ -250,11 +282,11 @@
                 continue;
             const auto at = other->tasks[static_cast<std::size_t>(i)].worker;
             if (auto* worker = at.empty() ? nullptr : findWorker(at))
-                stop(*worker, { task.job, task.occurrence, task.step, i }, "guaranteed room is reclaimed");
+                stop(*worker, { task.job, task.occurrence, task.step, i }, "more urgent work needs its room");
         }
     }
     m_hooks.log(
-        "reclaim", { { "id", ready.job->id().str() }, { "tasks", waiting.size() }, { "victims", victims } });
+        "displace", { { "id", ready.job->id().str() }, { "tasks", waiting.size() }, { "victims", victims } });
     step.plan = std::move(plan);
     return true;
 }
@@ -318,6 +350,7 @@
     run.serves = step.spec->tailTarget.count() > 0;
     run.fills = step.spec->fills;
     run.orderedAt = now();
+    run.runningSince = now();
     run.progressAt = now();
     run.checkpoint = step.shared(id.index).checkpoint;
     worker.addRun(run);
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -10,6 +10,8 @@
 
     constexpr double distrustWeight = 10; // A failure counts for more than any difference of fit.
     constexpr double balanceWeight = 0.5; // Stranded processors or accelerators against plain room left.
+    constexpr double sideWeight
+        = 0.5; // Half of an empty worker: enough to part the two kinds, not to strand room.
     constexpr double unfit = std::numeric_limits<double>::infinity();
 
     bool hasLabel(const WorkerView& view, const std::string& label)
@@ -58,7 +60,9 @@
             return unfit;
         const auto cpuLeft = share(view.free.milliCores - need.milliCores, view.capacity.milliCores);
         const auto accLeft = share(view.free.accelerators - need.accelerators, view.capacity.accelerators);
-        return accLeft + balanceWeight * std::abs(cpuLeft - accLeft) + distrustWeight * view.distrust;
+        const auto side = request.costlyToStop ? 1 - view.rackOrder : view.rackOrder;
+        return accLeft + sideWeight * side + balanceWeight * std::abs(cpuLeft - accLeft)
+            + distrustWeight * view.distrust;
     }
 
     bool isOnWantedRack(const PlaceRequest& request, const WorkerView& view)
@@ -224,7 +228,7 @@
             auto free = m_free.at(i);
             std::vector<const Displaceable*> options;
             for (const auto& option : m_views[i].displaceable) {
-                if (!m_gone.contains(option.task))
+                if (option.priority > m_request.priority && !m_gone.contains(option.task))
                     options.push_back(&option);
             }
             const auto costPerRoom = [&](const Displaceable* option) {
@@ -283,7 +287,7 @@
     auto bestLoss = unfit;
     const auto search = [&](const std::vector<std::size_t>& members) {
         Displacer displacer(request, views);
-        if (!displacer.run(members) || displacer.loss() >= bestLoss)
+        if (!displacer.run(members) || displacer.loss() >= bestLoss || displacer.loss() > request.maxLoss)
             return;
         bestLoss = displacer.loss();
         best = displacer.take();
