--- a/packages/entry/src/calls.cpp
+++ b/packages/entry/src/calls.cpp
@@ -100,7 +100,7 @@
     }
 }
 
-void EntryHost::Impl::submit(std::shared_ptr<OpenCall> call)
+void EntryHost::Impl::submit(const std::shared_ptr<OpenCall>& call)
 {
     if (!call->request.spec)
         return finish(call, { CallOutcome::Malformed }, "the body is no job");
@@ -125,13 +125,13 @@
     write.puts.push_back({ keys::job(call->id), encode(record), {} });
     ++call->attempts;
     m_hooks.store.write(std::move(write), call->timeLeft(now(), writeTimeout),
-        [this, self = m_self, call](StoreAnswer answer) {
+        [this, self = m_self, call](const StoreAnswer& answer) {
             if (*self)
-                submitAnswered(call, std::move(answer));
+                submitAnswered(call, answer);
         });
 }
 
-void EntryHost::Impl::submitAnswered(std::shared_ptr<OpenCall> call, StoreAnswer answer)
+void EntryHost::Impl::submitAnswered(const std::shared_ptr<OpenCall>& call, const StoreAnswer& answer)
 {
     if (answer.fate == StoreFate::Done)
         return finish(call, { CallOutcome::Accepted }, "stored");
@@ -164,7 +164,7 @@
     finish(call, { CallOutcome::Undecided }, "the store does not answer");
 }
 
-void EntryHost::Impl::query(std::shared_ptr<OpenCall> call)
+void EntryHost::Impl::query(const std::shared_ptr<OpenCall>& call)
 {
     const auto failed = [this](const std::shared_ptr<OpenCall>& open, const StoreAnswer& answer) {
         if (++open->attempts < maxAttempts && answer.fate == StoreFate::Unknown
@@ -201,7 +201,7 @@
         });
 }
 
-void EntryHost::Impl::cancel(std::shared_ptr<OpenCall> call)
+void EntryHost::Impl::cancel(const std::shared_ptr<OpenCall>& call)
 {
     ++call->attempts;
     m_hooks.store.read(keys::job(call->id), call->timeLeft(now(), readTimeout),
@@ -219,7 +219,7 @@
         });
 }
 
-void EntryHost::Impl::writeCancel(std::shared_ptr<OpenCall> call, const StoreItem& item)
+void EntryHost::Impl::writeCancel(const std::shared_ptr<OpenCall>& call, const StoreItem& item)
 {
     auto record = fleet::decodeJob(call->id, item.value);
     if (!record)
@@ -253,7 +253,7 @@
         });
 }
 
-void EntryHost::Impl::count(std::shared_ptr<OpenCall> call)
+void EntryHost::Impl::count(const std::shared_ptr<OpenCall>& call)
 {
     m_hooks.store.read(keys::summary, call->timeLeft(now(), readTimeout),
         [this, self = m_self, call](const StoreAnswer& answer) {
@@ -277,7 +277,7 @@
         });
 }
 
-void EntryHost::Impl::countFromRecords(std::shared_ptr<OpenCall> call)
+void EntryHost::Impl::countFromRecords(const std::shared_ptr<OpenCall>& call)
 {
     auto begun = std::make_shared<std::vector<StoreItem>>();
     readPages(keys::progressPrefix, {}, begun, [this, call, begun](bool read) {
--- a/packages/entry/src/follower.cpp
+++ b/packages/entry/src/follower.cpp
@@ -40,25 +40,24 @@
     readPage({});
 }
 
-void Follower::readPage(std::string after)
+void Follower::readPage(const std::string& after)
 {
     const auto sentAt = m_host.clock();
-    m_host.store.range(
-        m_prefix, std::move(after), readTimeout, [self = shared_from_this(), sentAt](StoreAnswer answer) {
-            if (self->m_stopped)
-                return;
-            if (answer.fate != StoreFate::Done)
-                return self->retry(&Follower::readAll);
-            self->m_failures = 0;
-            if (std::exchange(self->m_firstPage, false))
-                self->m_at = answer.at; // Pages are no snapshot: watch from the first one on.
-            std::move(answer.items.begin(), answer.items.end(), std::back_inserter(self->m_items));
-            if (answer.more && !self->m_items.empty())
-                return self->readPage(self->m_items.back().key);
-            self->m_hooks.all(std::exchange(self->m_items, {}));
-            self->m_hooks.confirmed(sentAt);
-            self->watch();
-        });
+    m_host.store.range(m_prefix, after, readTimeout, [self = shared_from_this(), sentAt](StoreAnswer answer) {
+        if (self->m_stopped)
+            return;
+        if (answer.fate != StoreFate::Done)
+            return self->retry(&Follower::readAll);
+        self->m_failures = 0;
+        if (std::exchange(self->m_firstPage, false))
+            self->m_at = answer.at; // Pages are no snapshot: watch from the first one on.
+        std::move(answer.items.begin(), answer.items.end(), std::back_inserter(self->m_items));
+        if (answer.more && !self->m_items.empty())
+            return self->readPage(self->m_items.back().key);
+        self->m_hooks.all(std::exchange(self->m_items, {}));
+        self->m_hooks.confirmed(sentAt);
+        self->watch();
+    });
 }
 
 void Follower::watch()
--- a/packages/entry/src/host-impl.h
+++ b/packages/entry/src/host-impl.h
@@ -28,7 +28,7 @@
 
 private:
     void readAll();
-    void readPage(std::string after);
+    void readPage(const std::string& after);
     void watch();
     void retry(void (Follower::*step)());
 
@@ -55,13 +55,13 @@
 
     // calls.cpp
     void handle(CallerRequest request, CallerDone done);
-    void submit(std::shared_ptr<struct OpenCall> call);
-    void submitAnswered(std::shared_ptr<struct OpenCall> call, StoreAnswer answer);
-    void query(std::shared_ptr<struct OpenCall> call);
-    void cancel(std::shared_ptr<struct OpenCall> call);
-    void writeCancel(std::shared_ptr<struct OpenCall> call, const StoreItem& item);
-    void count(std::shared_ptr<struct OpenCall> call);
-    void countFromRecords(std::shared_ptr<struct OpenCall> call);
+    void submit(const std::shared_ptr<struct OpenCall>& call);
+    void submitAnswered(const std::shared_ptr<struct OpenCall>& call, const StoreAnswer& answer);
+    void query(const std::shared_ptr<struct OpenCall>& call);
+    void cancel(const std::shared_ptr<struct OpenCall>& call);
+    void writeCancel(const std::shared_ptr<struct OpenCall>& call, const StoreItem& item);
+    void count(const std::shared_ptr<struct OpenCall>& call);
+    void countFromRecords(const std::shared_ptr<struct OpenCall>& call);
     void finish(const std::shared_ptr<struct OpenCall>& call, CallerAnswer answer, const char* why);
 
     // ownership.cpp
@@ -77,8 +77,8 @@
     void workersRead(const std::vector<StoreItem>& items);
     void stepDown(const char* why);
     void wakeIn(Duration delay);
-    void readPages(std::string prefix, std::string after, std::shared_ptr<std::vector<StoreItem>> items,
-        std::function<void(bool)> done);
+    void readPages(const std::string& prefix, const std::string& after,
+        const std::shared_ptr<std::vector<StoreItem>>& items, std::function<void(bool)> done);
 
     TimePoint now() const { return m_hooks.clock(); }
 
--- a/packages/entry/src/ownership.cpp
+++ b/packages/entry/src/ownership.cpp
@@ -134,8 +134,8 @@
     });
 }
 
-void EntryHost::Impl::readPages(std::string prefix, std::string after,
-    std::shared_ptr<std::vector<StoreItem>> items, std::function<void(bool)> done)
+void EntryHost::Impl::readPages(const std::string& prefix, const std::string& after,
+    const std::shared_ptr<std::vector<StoreItem>>& items, std::function<void(bool)> done)
 {
     m_hooks.store.range(prefix, after, readTimeout,
         [this, self = m_self, prefix, items, done = std::move(done)](StoreAnswer answer) {
--- a/packages/fleet/src/job.h
+++ b/packages/fleet/src/job.h
@@ -23,11 +23,22 @@
     TimePoint expires;
 };
 
+/// What the adviser of a queue has said of a step.
+struct StepAdvice {
+    std::map<WorkerId, std::string> tickets;
+    std::set<WorkerId> good; ///< Does not change, though tickets expire.
+    std::set<WorkerId> named; ///< Workers that it was asked about.
+    TimePoint expires;
+    TimePoint retryAt;
+    bool asking = false;
+};
+
 struct Step {
     const StepSpec* spec = nullptr;
     std::vector<Task> tasks;
     int done = 0;
     int active = 0; ///< Tasks with a worker.
+    StepAdvice advice;
     std::optional<Plan> plan;
     std::map<WorkerId, int> onWorker; ///< Active tasks by worker.
 
--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -30,20 +30,7 @@
     auto* step = job ? job->findStep(running.task) : nullptr;
     const auto known = worker.runs.find(running.task);
     if (known != worker.runs.end() && known->second.run == running.run) {
-        auto& run = known->second;
-        if (run.phase == RunPhase::Ordered) {
-            run.phase = RunPhase::Running;
-            run.confirmed = true;
-            run.confirmedAt = now();
-            run.runningSince = now();
-            run.progressAt = now();
-            run.callInFlight = false;
-            ++m_figures.starts;
-        }
-        if (step && !running.checkpoint.empty())
-            step->shared(running.task.index).checkpoint = running.checkpoint;
-        if (run.phase == RunPhase::Running && step)
-            watchProgress(worker, run, running);
+        seenRunning(worker, known->second, step, running);
         return;
     }
     if (known != worker.runs.end() && known->second.run > running.run)
@@ -60,13 +47,7 @@
     run.percent = running.percent;
     if (known != worker.runs.end())
         release(worker, running.task);
-    if (const auto* spec = job ? job->specOf(running.task) : nullptr) {
-        run.room = spec->room;
-        run.serves = spec->tailTarget.count() > 0;
-        run.fills = spec->fills;
-        run.priority = termsOf(*job).priority;
-    } else
-        run.room = worker.report.capacity; // Nobody knows what it takes.
+    describe(job, worker, run);
     auto* task = step ? &step->tasks[static_cast<std::size_t>(running.task.index)] : nullptr;
     const auto wanted = task && !task->done && task->worker.empty() && !isFinal(job->state)
         && running.run >= step->shared(running.task.index).lastRun;
@@ -89,6 +70,36 @@
     }
 }
 
+// What a run takes of its worker, by its job's record.
+void Owner::Impl::describe(const Job* job, const Worker& worker, ActiveRun& run) const
+{
+    if (const auto* spec = job ? job->specOf(run.task) : nullptr) {
+        run.room = spec->room;
+        run.serves = spec->tailTarget.count() > 0;
+        run.fills = spec->fills;
+        run.priority = termsOf(*job).priority;
+    } else
+        run.room = worker.report.capacity; // Nobody knows what it takes.
+}
+
+// A look shows a run that was ordered, or goes on.
+void Owner::Impl::seenRunning(Worker& worker, ActiveRun& run, Step* step, const RunningTask& seen)
+{
+    if (run.phase == RunPhase::Ordered) {
+        run.phase = RunPhase::Running;
+        run.confirmed = true;
+        run.confirmedAt = now();
+        run.runningSince = now();
+        run.progressAt = now();
+        run.callInFlight = false;
+        ++m_figures.starts;
+    }
+    if (step && !seen.checkpoint.empty())
+        step->shared(seen.task.index).checkpoint = seen.checkpoint;
+    if (run.phase == RunPhase::Running && step)
+        watchProgress(worker, run, seen);
+}
+
 void Owner::Impl::watchProgress(Worker& worker, ActiveRun& run, const RunningTask& seen)
 {
     if (seen.percent != run.percent) {
@@ -192,11 +203,7 @@
     auto* step = job ? job->findStep(id) : nullptr;
     if (!step || !step->spec->gang || step->finished())
         return;
-    for (int i = 0; i < step->spec->count; ++i) {
-        const auto at = step->tasks[static_cast<std::size_t>(i)].worker;
-        if (auto* other = at.empty() ? nullptr : findWorker(at))
-            stop(*other, { id.job, id.occurrence, id.step, i }, "a member of its gang is lost");
-    }
+    stopWhole(id, "a member of its gang is lost");
 }
 
 // A life that may return, or a later one under its id, may still carry unanswered starts out.
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -18,6 +18,13 @@
     int timed = 0;
 };
 
+/// What one write to the store holds.
+struct SavedParts {
+    TimePoint sentAt;
+    std::vector<std::pair<JobId, std::uint64_t>> jobs; ///< With the count of changes that is written.
+    std::vector<WorkerId> roster; ///< Empty when it is not written.
+};
+
 class Owner::Impl {
 public:
     Impl(OwnerSettings settings, OwnerHooks hooks, Fence fence, Revision ownerKey);
@@ -35,6 +42,8 @@
     // owner-save.cpp: what goes to the store.
     void changed(Job& job);
     void saveDue();
+    void saveDone(const SavedParts& parts, Revision revision);
+    void saveFailed(const SavedParts& parts, const StoreAnswer& answer);
     void noteSaved();
     void saveSummary(StoreWrite& write);
 
@@ -43,9 +52,10 @@
     void look(Worker& worker);
     void startCall(Worker& worker, ActiveRun& run);
     void stopCall(Worker& worker, ActiveRun& run);
-    void startAnswered(const WorkerId& id, const TaskId& task, Run run, TimePoint sentAt, OrderAnswer answer);
-    void stopAnswered(const WorkerId& id, const TaskId& task, Run run, OrderAnswer answer);
-    void lookAnswered(const WorkerId& id, TimePoint sentAt, bool extended, OrderAnswer answer);
+    void startAnswered(
+        const WorkerId& id, const TaskId& task, Run run, TimePoint sentAt, const OrderAnswer& answer);
+    void stopAnswered(const WorkerId& id, const TaskId& task, Run run, const OrderAnswer& answer);
+    void lookAnswered(const WorkerId& id, TimePoint sentAt, bool extended, const OrderAnswer& answer);
     bool noteAnswer(Worker& worker, TimePoint sentAt, const OrderAnswer& answer);
     void stop(Worker& worker, const TaskId& task, const char* why);
     void superseded(const char* by);
@@ -61,12 +71,24 @@
     void stepAdvanced(Job& job, int occurrence);
     void finish(Job& job, JobState state, const char* why);
     void stopTasks(Job& job, const char* why);
+    void describe(const Job* job, const Worker& worker, ActiveRun& run) const;
+    void seenRunning(Worker& worker, ActiveRun& run, Step* step, const RunningTask& seen);
     void watchProgress(Worker& worker, ActiveRun& run, const RunningTask& seen);
 
     // owner-pass.cpp: placing.
     void pass();
     struct Ready;
+    struct Pass;
+    bool claims(const Job& job, std::map<WorkspaceId, std::int64_t>& claimed) const;
+    std::optional<Ready> readyStep(Job& job, Occurrence& occurrence, std::size_t index) const;
     std::vector<Ready> readySteps();
+    PlaceRequest requestFor(const Ready& ready) const;
+    std::size_t placeReady(const Ready& ready, Pass& pass);
+    void startPlaced(const Ready& ready, const Placement& placement, const std::vector<WorkerView>& fleet);
+    bool isAdvised(const Ready& ready, const PlaceRequest& request, const std::vector<WorkerView>& fleet);
+    void advised(
+        const TaskId& id, Step& step, const std::vector<WorkerId>& asked, const AdviceAnswer& answer);
+    void stopWhole(const TaskId& task, const char* why);
     std::vector<WorkerView> views() const;
     bool runPlan(Job& job, int occurrence, int stepIndex);
     void dropPlan(Step& step);
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -54,10 +54,10 @@
     const auto sentAt = now();
     m_hooks.workers.hold(worker.report, order, order.wait + lookSlack,
         [this, self = m_self, id = worker.id(), count = ++worker.lookCount, sentAt, extend](
-            OrderAnswer answer) {
+            const OrderAnswer& answer) {
             const auto* asked = *self ? findWorker(id) : nullptr;
             if (asked && asked->lookCount == count)
-                lookAnswered(id, sentAt, extend, std::move(answer));
+                lookAnswered(id, sentAt, extend, answer);
         });
 }
 
@@ -85,7 +85,7 @@
     return true;
 }
 
-void Owner::Impl::lookAnswered(const WorkerId& id, TimePoint sentAt, bool extended, OrderAnswer answer)
+void Owner::Impl::lookAnswered(const WorkerId& id, TimePoint sentAt, bool extended, const OrderAnswer& answer)
 {
     auto* worker = findWorker(id);
     if (!worker || m_superseded)
@@ -157,14 +157,14 @@
     ++run.startAttempts;
     m_hooks.workers.start(worker.report, std::move(order), orderTimeout,
         [this, self = m_self, id = worker.id(), task = run.task, number = run.run, sentAt = now()](
-            OrderAnswer answer) {
+            const OrderAnswer& answer) {
             if (*self)
-                startAnswered(id, task, number, sentAt, std::move(answer));
+                startAnswered(id, task, number, sentAt, answer);
         });
 }
 
 void Owner::Impl::startAnswered(
-    const WorkerId& id, const TaskId& task, Run number, TimePoint sentAt, OrderAnswer answer)
+    const WorkerId& id, const TaskId& task, Run number, TimePoint sentAt, const OrderAnswer& answer)
 {
     auto* worker = findWorker(id);
     if (!worker || m_superseded)
@@ -205,6 +205,12 @@
     case OrderFate::Refused:
         worker->trust.taskFailed(now());
         break;
+    case OrderFate::NoTicket:
+        if (auto* job = findJob(task.job)) {
+            if (auto* step = job->findStep(task))
+                step->advice.tickets.clear();
+        }
+        break;
     case OrderFate::NotSent:
         ++worker->misses;
         worker->nextLook = std::min(worker->nextLook, now());
@@ -238,13 +244,14 @@
 {
     run.callInFlight = true;
     m_hooks.workers.stop(worker.report, { run.task, run.run, m_fence }, orderTimeout,
-        [this, self = m_self, id = worker.id(), task = run.task, number = run.run](OrderAnswer answer) {
+        [this, self = m_self, id = worker.id(), task = run.task, number = run.run](
+            const OrderAnswer& answer) {
             if (*self)
-                stopAnswered(id, task, number, std::move(answer));
+                stopAnswered(id, task, number, answer);
         });
 }
 
-void Owner::Impl::stopAnswered(const WorkerId& id, const TaskId& task, Run number, OrderAnswer answer)
+void Owner::Impl::stopAnswered(const WorkerId& id, const TaskId& task, Run number, const OrderAnswer& answer)
 {
     auto* worker = findWorker(id);
     if (!worker || m_superseded || !noteAnswer(*worker, now(), answer))
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -20,6 +20,11 @@
     constexpr double displacementShare
         = 0.25; // Work thrown away for a step, against the work of the step itself.
 
+    constexpr std::size_t maxAdvised
+        = 30; // Workers in one question; the objectives count one question of 30.
+    constexpr Duration advicePause { 300 }; // After a question without an answer, or with nobody to name.
+    constexpr Duration adviceReserve { 300 }; // Of a ticket's validity, for the start and its way.
+
     double coresOf(const Room& room)
     {
         return static_cast<double>(room.milliCores) / 1000
@@ -43,7 +48,6 @@
     std::vector<int> tasks; ///< That wait.
     double rank = 0;
     bool guaranteed = false;
-    Duration age { 0 };
 
     Step& step() const { return job->occurrences.at(occurrence).steps[static_cast<std::size_t>(index)]; }
 };
@@ -60,6 +64,38 @@
     return coresOf(step.room) * static_cast<double>(expectedTime(job, step).count()) / 1000;
 }
 
+// Whether the job fits in what its workspace can always claim, beside the earlier ones of it.
+bool Owner::Impl::claims(const Job& job, std::map<WorkspaceId, std::int64_t>& claimed) const
+{
+    if (termsOf(job).priority != 0)
+        return false;
+    std::int64_t need = 0;
+    for (const auto& step : job.spec().steps)
+        need = std::max(need, step.count * step.room.accelerators);
+    auto& sum = claimed[job.record.workspace];
+    sum += need;
+    const auto workspace = m_config->workspaces.find(job.record.workspace);
+    return workspace != m_config->workspaces.end() && sum <= workspace->second.guaranteedAccelerators;
+}
+
+// The step's place in the queue, and its tasks that may start; none when it has to wait.
+std::optional<Owner::Impl::Ready> Owner::Impl::readyStep(
+    Job& job, Occurrence& occurrence, std::size_t index) const
+{
+    auto& step = occurrence.steps[index];
+    if (step.finished() || !occurrence.isReady(step) || (step.spec->gang && step.active > 0))
+        return std::nullopt;
+    Ready ready { &job, occurrence.number, static_cast<int>(index), {}, 0, false };
+    for (int i = 0; i < step.spec->count; ++i) {
+        const auto& task = step.tasks[static_cast<std::size_t>(i)];
+        if (!task.done && task.worker.empty())
+            ready.tasks.push_back(i);
+    }
+    if (ready.tasks.empty())
+        return std::nullopt;
+    return ready;
+}
+
 std::vector<Owner::Impl::Ready> Owner::Impl::readySteps()
 {
     std::vector<Ready> out;
@@ -69,46 +105,28 @@
         jobs.push_back(&m_jobs.at(id));
     std::sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) { return a->arrived < b->arrived; });
     for (auto* job : jobs) {
+        const auto guaranteed = claims(*job, claimed);
+        if (job->recovered && inDoubt())
+            continue;
         const auto& terms = termsOf(*job);
-        auto guaranteed = false;
-        if (terms.priority == 0) {
-            std::int64_t need = 0;
-            for (const auto& step : job->spec().steps)
-                need = std::max(need, step.count * step.room.accelerators);
-            const auto workspace = m_config->workspaces.find(job->record.workspace);
-            auto& sum = claimed[job->record.workspace];
-            sum += need;
-            guaranteed
-                = workspace != m_config->workspaces.end() && sum <= workspace->second.guaranteedAccelerators;
-        }
-        double work = 0;
-        Duration chain { 0 };
+        WaitingStep waiting { terms.priority, guaranteed, now() - job->arrived, {}, {}, terms.stretch,
+            terms.objective, 0, m_history[job->record.route].meanWork, 0 };
         for (const auto& step : job->spec().steps) {
-            work += workOf(*job, step) * step.count;
-            chain += expectedTime(*job, step);
+            waiting.work += workOf(*job, step) * step.count;
+            waiting.chain += expectedTime(*job, step);
         }
-        const auto& history = m_history[job->record.route];
+        waiting.remaining = waiting.chain;
         for (auto& [number, occurrence] : job->occurrences) {
-            double left = 0;
+            waiting.remainingWork = 0;
             for (const auto& step : occurrence.steps)
-                left += workOf(*job, *step.spec) * (step.spec->count - step.done);
+                waiting.remainingWork += workOf(*job, *step.spec) * (step.spec->count - step.done);
             for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-                auto& step = occurrence.steps[s];
-                if (step.finished() || !occurrence.isReady(step))
-                    continue;
-                Ready ready { job, number, static_cast<int>(s), {}, 0, guaranteed, now() - job->arrived };
-                if (step.spec->gang && step.active > 0)
+                auto ready = readyStep(*job, occurrence, s);
+                if (!ready)
                     continue;
-                for (int i = 0; i < step.spec->count; ++i) {
-                    const auto& task = step.tasks[static_cast<std::size_t>(i)];
-                    if (!task.done && task.worker.empty())
-                        ready.tasks.push_back(i);
-                }
-                if (ready.tasks.empty() || (job->recovered && inDoubt()))
-                    continue;
-                ready.rank = rankOf({ terms.priority, guaranteed, ready.age, chain, chain, terms.stretch,
-                    terms.objective, work, history.meanWork, left });
-                out.push_back(std::move(ready));
+                ready->guaranteed = guaranteed;
+                ready->rank = rankOf(waiting);
+                out.push_back(std::move(*ready));
             }
         }
     }
@@ -149,72 +167,160 @@
     return out;
 }
 
+/// What one pass has found out.
+struct Owner::Impl::Pass {
+    std::vector<WorkerView> fleet;
+    std::vector<PlaceRequest> blocked; ///< Nothing as large fits anywhere.
+    bool displaceable = false; ///< The views tell what may be displaced.
+    int searches = 0;
+};
+
 void Owner::Impl::pass()
 {
     m_passDue = false;
     m_nextPass = now() + passPause;
     if (!mayOrder())
         return;
-    auto fleet = views();
-    std::vector<PlaceRequest> blocked;
-    auto displaceable = false;
-    auto searches = 0;
-    for (auto& ready : readySteps()) {
-        auto& step = ready.step();
-        if (step.plan && runPlan(*ready.job, ready.occurrence, ready.index))
-            continue;
-        PlaceRequest request;
-        request.spec = step.spec;
-        request.service = termsOf(*ready.job).service;
-        request.count = static_cast<int>(ready.tasks.size());
-        request.onWorker = &step.onWorker;
-        request.costlyToStop = termsOf(*ready.job).priority > 0 && !step.spec->checkpointing;
-        std::set<WorkerId> avoid;
-        for (const auto index : ready.tasks) {
-            const auto& failedOn = step.tasks[static_cast<std::size_t>(index)].failedOn;
-            avoid.insert(failedOn.begin(), failedOn.end());
-        }
-        for (const auto& view : fleet) {
-            const auto& runs = findWorker(view.id)->runs;
-            // An earlier run of the same task is still to be stopped there.
-            if (std::any_of(ready.tasks.begin(), ready.tasks.end(), [&](int index) {
-                    return runs.contains({ ready.job->id(), ready.occurrence, ready.index, index });
-                }))
-                avoid.insert(view.id);
-        }
-        const auto elsewhere = std::any_of(fleet.begin(), fleet.end(),
-            [&](const WorkerView& view) { return couldRun(request, view) && !avoid.contains(view.id); });
-        if (elsewhere)
-            request.avoid = &avoid;
-        if (isBlocked(blocked, request) && !ready.guaranteed)
+    Pass pass;
+    pass.fleet = views();
+    for (const auto& ready : readySteps()) {
+        if (ready.step().plan && runPlan(*ready.job, ready.occurrence, ready.index))
             continue;
-        const auto placement = place(request, fleet);
-        if (placement.empty() && step.spec->label.empty() && step.spec->rack.empty() && !step.spec->gang
-            && avoid.empty() && step.spec->maxPerWorker == 0)
-            blocked.push_back(request);
-        const auto run = Run { step.shared(ready.tasks[0]).lastRun.value
-            + (ready.job->recovered ? runGapAfterTakeover : 1) };
-        for (std::size_t i = 0; i < placement.size(); ++i) {
-            const auto index = ready.tasks[i];
-            const TaskId task { ready.job->id(), ready.occurrence, ready.index, index };
-            const auto number = step.spec->gang
-                ? run
-                : Run { step.shared(index).lastRun.value + (ready.job->recovered ? runGapAfterTakeover : 1) };
-            begin(*ready.job, task, *findWorker(fleet[placement[i]].id), number);
-        }
-        const auto priority = termsOf(*ready.job).priority;
-        if (placement.size() == ready.tasks.size() || priority > lastDisplacingPriority
-            || searches >= maxDisplacementSearches)
+        const auto placed = placeReady(ready, pass);
+        if (placed == ready.tasks.size() || termsOf(*ready.job).priority > lastDisplacingPriority
+            || pass.searches >= maxDisplacementSearches || termsOf(*ready.job).advice)
             continue;
-        ++searches;
-        if (!displaceable) {
-            displaceable = true;
-            addDisplaceable(fleet);
-        }
-        displaceFor(ready, fleet);
+        ++pass.searches;
+        if (!std::exchange(pass.displaceable, true))
+            addDisplaceable(pass.fleet);
+        displaceFor(ready, pass.fleet);
     }
 }
 
+PlaceRequest Owner::Impl::requestFor(const Ready& ready) const
+{
+    const auto& step = ready.step();
+    const auto& terms = termsOf(*ready.job);
+    PlaceRequest request;
+    request.spec = step.spec;
+    request.service = terms.service;
+    request.priority = terms.priority;
+    request.count = static_cast<int>(ready.tasks.size());
+    request.onWorker = &step.onWorker;
+    request.costlyToStop = terms.priority > 0 && !step.spec->checkpointing;
+    return request;
+}
+
+// Starts what fits now. Returns the number of tasks that were started.
+std::size_t Owner::Impl::placeReady(const Ready& ready, Pass& pass)
+{
+    auto& step = ready.step();
+    auto request = requestFor(ready);
+    // An earlier run of a task may still have to be stopped on a worker.
+    std::set<WorkerId> occupied;
+    for (const auto& view : pass.fleet) {
+        const auto& runs = findWorker(view.id)->runs;
+        if (std::any_of(ready.tasks.begin(), ready.tasks.end(), [&](int index) {
+                return runs.contains({ ready.job->id(), ready.occurrence, ready.index, index });
+            }))
+            occupied.insert(view.id);
+    }
+    auto avoid = occupied;
+    for (const auto index : ready.tasks) {
+        const auto& failedOn = step.tasks[static_cast<std::size_t>(index)].failedOn;
+        avoid.insert(failedOn.begin(), failedOn.end());
+    }
+    const auto elsewhere = std::any_of(pass.fleet.begin(), pass.fleet.end(),
+        [&](const WorkerView& view) { return couldRun(request, view) && !avoid.contains(view.id); });
+    request.avoid = elsewhere ? &avoid : &occupied;
+    std::set<WorkerId> advised;
+    if (termsOf(*ready.job).advice) {
+        if (!isAdvised(ready, request, pass.fleet))
+            return 0;
+        for (const auto& [id, ticket] : step.advice.tickets)
+            advised.insert(id);
+        request.allowed = &advised;
+    }
+    if (isBlocked(pass.blocked, request) && !ready.guaranteed)
+        return 0;
+    const auto placement = place(request, pass.fleet);
+    const auto& spec = *step.spec;
+    if (placement.empty() && spec.label.empty() && spec.rack.empty() && !spec.gang && spec.maxPerWorker == 0
+        && avoid.empty() && !request.allowed)
+        pass.blocked.push_back(request);
+    startPlaced(ready, placement, pass.fleet);
+    return placement.size();
+}
+
+void Owner::Impl::startPlaced(
+    const Ready& ready, const Placement& placement, const std::vector<WorkerView>& fleet)
+{
+    auto& step = ready.step();
+    const auto gap = ready.job->recovered ? runGapAfterTakeover : 1;
+    const auto gangRun = Run { step.shared(0).lastRun.value + gap };
+    for (std::size_t i = 0; i < placement.size(); ++i) {
+        const auto index = ready.tasks[i];
+        begin(*ready.job, { ready.job->id(), ready.occurrence, ready.index, index },
+            *findWorker(fleet[placement[i]].id),
+            step.spec->gang ? gangRun : Run { step.shared(index).lastRun.value + gap });
+    }
+}
+
+// Whether the adviser has named workers for the step whose tickets are valid; asks it where not.
+bool Owner::Impl::isAdvised(
+    const Ready& ready, const PlaceRequest& request, const std::vector<WorkerView>& fleet)
+{
+    auto& advice = ready.step().advice;
+    if (!advice.tickets.empty() && now() < advice.expires)
+        return true;
+    if (advice.asking || now() < advice.retryAt || !m_hooks.advise)
+        return false;
+    std::vector<WorkerId> asked;
+    for (const auto& view : fleet) {
+        const auto useful
+            = advice.good.empty() ? !advice.named.contains(view.id) : advice.good.contains(view.id);
+        if (useful && couldRun(request, view) && view.free.holds(request.spec->room)
+            && asked.size() < maxAdvised)
+            asked.push_back(view.id);
+    }
+    if (asked.empty()) {
+        advice.named.clear(); // Room comes and goes: begin again with all.
+        advice.good.clear();
+        advice.retryAt = now() + advicePause;
+        return false;
+    }
+    advice.asking = true;
+    const TaskId step { ready.job->id(), ready.occurrence, ready.index, 0 };
+    m_hooks.advise(step, asked, [this, self = m_self, step, asked](const AdviceAnswer& answer) {
+        auto* job = *self ? findJob(step.job) : nullptr;
+        auto* asking = job ? job->findStep(step) : nullptr;
+        if (asking)
+            advised(step, *asking, asked, answer);
+    });
+    return false;
+}
+
+void Owner::Impl::advised(
+    const TaskId& id, Step& step, const std::vector<WorkerId>& asked, const AdviceAnswer& answer)
+{
+    auto& advice = step.advice;
+    advice.asking = false;
+    advice.retryAt = answer.answered ? now() : now() + advicePause;
+    advice.expires = now() + answer.validity - adviceReserve;
+    advice.tickets.clear();
+    if (answer.answered)
+        advice.named.insert(asked.begin(), asked.end());
+    for (const auto& good : answer.good) {
+        advice.tickets[good.worker] = good.ticket;
+        advice.good.insert(good.worker);
+    }
+    m_hooks.log("advice",
+        { { "id", id.job.str() }, { "step", id.step }, { "asked", asked.size() },
+            { "good", answer.good.size() }, { "answered", answer.answered },
+            { "validMs", answer.validity.count() } });
+    soon();
+}
+
 void Owner::Impl::addDisplaceable(std::vector<WorkerView>& fleet)
 {
     for (auto& view : fleet) {
@@ -240,11 +346,7 @@
 bool Owner::Impl::displaceFor(const Ready& ready, std::vector<WorkerView>& fleet)
 {
     auto& step = ready.step();
-    PlaceRequest request;
-    request.spec = step.spec;
-    request.service = termsOf(*ready.job).service;
-    request.onWorker = &step.onWorker;
-    request.priority = termsOf(*ready.job).priority;
+    auto request = requestFor(ready);
     request.maxLoss = ready.guaranteed
         ? std::numeric_limits<double>::infinity()
         : displacementShare * workOf(*ready.job, *step.spec) * static_cast<double>(ready.tasks.size());
@@ -272,18 +374,7 @@
         victims.push_back(boost::json::string(toString(task)));
         for (auto& view : fleet)
             std::erase_if(view.displaceable, [&](const Displaceable& option) { return option.task == task; });
-        auto* victim = findJob(task.job);
-        auto* other = victim ? victim->findStep(task) : nullptr;
-        if (!other)
-            continue;
-        // A gang stops as a whole, so that each member is saved.
-        for (int i = 0; i < other->spec->count; ++i) {
-            if (!other->spec->gang && i != task.index)
-                continue;
-            const auto at = other->tasks[static_cast<std::size_t>(i)].worker;
-            if (auto* worker = at.empty() ? nullptr : findWorker(at))
-                stop(*worker, { task.job, task.occurrence, task.step, i }, "more urgent work needs its room");
-        }
+        stopWhole(task, "more urgent work needs its room");
     }
     m_hooks.log(
         "displace", { { "id", ready.job->id().str() }, { "tasks", waiting.size() }, { "victims", victims } });
@@ -291,6 +382,22 @@
     return true;
 }
 
+// A gang stops as a whole, so that each member is saved.
+void Owner::Impl::stopWhole(const TaskId& task, const char* why)
+{
+    auto* job = findJob(task.job);
+    auto* step = job ? job->findStep(task) : nullptr;
+    if (!step)
+        return;
+    for (int i = 0; i < step->spec->count; ++i) {
+        if (!step->spec->gang && i != task.index)
+            continue;
+        const auto at = step->tasks[static_cast<std::size_t>(i)].worker;
+        if (auto* worker = at.empty() ? nullptr : findWorker(at))
+            stop(*worker, { task.job, task.occurrence, task.step, i }, why);
+    }
+}
+
 bool Owner::Impl::runPlan(Job& job, int occurrence, int stepIndex)
 {
     auto& step = job.occurrences.at(occurrence).steps[static_cast<std::size_t>(stepIndex)];
@@ -353,6 +460,8 @@
     run.runningSince = now();
     run.progressAt = now();
     run.checkpoint = step.shared(id.index).checkpoint;
+    if (const auto ticket = step.advice.tickets.find(worker.id()); ticket != step.advice.tickets.end())
+        run.ticket = ticket->second;
     worker.addRun(run);
     m_hooks.log("start",
         { { "task", toString(id) }, { "run", number.value }, { "worker", worker.id().str() },
--- a/packages/fleet/src/owner-save.cpp
+++ b/packages/fleet/src/owner-save.cpp
@@ -38,21 +38,21 @@
         return;
     StoreWrite write;
     write.expected.push_back({ keys::owner, m_ownerKey });
-    std::vector<std::pair<JobId, std::uint64_t>> jobs;
+    SavedParts parts;
+    parts.sentAt = now();
     for (const auto& id : m_dirty) {
-        if (jobs.size() == jobsPerWrite)
+        if (parts.jobs.size() == jobsPerWrite)
             break;
         auto& job = m_jobs.at(id);
         write.expected.push_back({ keys::progress(id), job.progressRevision });
         write.puts.push_back({ keys::progress(id), encode(job.progress()), {} });
-        jobs.emplace_back(id, job.changes);
+        parts.jobs.emplace_back(id, job.changes);
     }
-    std::vector<WorkerId> roster;
-    if (m_rosterDue && jobs.size() < jobsPerWrite) {
+    if (m_rosterDue && parts.jobs.size() < jobsPerWrite) {
         std::vector<WorkerReport> reports;
         for (const auto& [id, worker] : m_workers) {
             reports.push_back(worker.report);
-            roster.push_back(id);
+            parts.roster.push_back(id);
         }
         write.expected.push_back({ keys::roster, m_rosterRevision });
         write.puts.push_back({ keys::roster, encodeRoster(reports), {} });
@@ -61,53 +61,58 @@
     if (write.puts.empty())
         return;
     m_saving = true;
-    const auto sentAt = now();
-    m_hooks.write(std::move(write), [this, self = m_self, jobs, roster, sentAt](StoreAnswer answer) {
-        if (!*self)
-            return;
-        m_saving = false;
-        m_nextSave = now() + savePause;
-        if (answer.fate == StoreFate::Conflict) {
-            if (revisionOf(answer.items, keys::owner) != m_ownerKey)
-                return superseded("the store");
-            // An earlier write without an answer was carried out after all.
-            for (const auto& [id, changes] : jobs) {
-                if (auto* job = findJob(id))
-                    job->progressRevision = revisionOf(answer.items, keys::progress(id));
-            }
-            if (!roster.empty())
-                m_rosterRevision = revisionOf(answer.items, keys::roster);
-            m_nextSave = now();
-        }
-        if (answer.fate != StoreFate::Done) {
-            m_summary.clear();
-            m_saveFailures = std::min(m_saveFailures + 1, maxRetryDoublings);
-            if (answer.fate != StoreFate::Conflict)
-                m_nextSave = now() + firstRetry * (1 << m_saveFailures);
-            m_hooks.log("save-failed", { { "fate", nameOf(answer.fate) }, { "jobs", m_dirty.size() } });
-            return;
-        }
-        m_saveFailures = 0;
-        m_confirmedAt = std::max(m_confirmedAt, sentAt);
-        for (const auto& [id, changes] : jobs) {
-            auto* job = findJob(id);
-            if (!job)
-                continue;
-            job->progressRevision = answer.at;
-            job->saved = changes;
-            if (job->saved == job->changes)
-                m_dirty.erase(id);
-        }
-        if (!roster.empty()) {
-            m_roster = { roster.begin(), roster.end() };
-            m_rosterRevision = answer.at;
-            m_rosterDue = roster.size() != m_workers.size();
-            soon();
+    m_hooks.write(
+        std::move(write), [this, self = m_self, parts = std::move(parts)](const StoreAnswer& answer) {
+            if (!*self)
+                return;
+            m_saving = false;
+            answer.fate == StoreFate::Done ? saveDone(parts, answer.at) : saveFailed(parts, answer);
+        });
+}
+
+void Owner::Impl::saveFailed(const SavedParts& parts, const StoreAnswer& answer)
+{
+    m_summary.clear();
+    m_saveFailures = std::min(m_saveFailures + 1, maxRetryDoublings);
+    m_nextSave = now() + firstRetry * (1 << m_saveFailures);
+    if (answer.fate == StoreFate::Conflict) {
+        if (revisionOf(answer.items, keys::owner) != m_ownerKey)
+            return superseded("the store");
+        // An earlier write without an answer was carried out after all.
+        for (const auto& [id, changes] : parts.jobs) {
+            if (auto* job = findJob(id))
+                job->progressRevision = revisionOf(answer.items, keys::progress(id));
         }
-        noteSaved();
-        if (!m_dirty.empty())
-            m_hooks.wakeIn(savePause);
-    });
+        if (!parts.roster.empty())
+            m_rosterRevision = revisionOf(answer.items, keys::roster);
+        m_nextSave = now();
+    }
+    m_hooks.log("save-failed", { { "fate", nameOf(answer.fate) }, { "jobs", m_dirty.size() } });
+}
+
+void Owner::Impl::saveDone(const SavedParts& parts, Revision revision)
+{
+    m_nextSave = now() + savePause;
+    m_saveFailures = 0;
+    m_confirmedAt = std::max(m_confirmedAt, parts.sentAt);
+    for (const auto& [id, changes] : parts.jobs) {
+        auto* job = findJob(id);
+        if (!job)
+            continue;
+        job->progressRevision = revision;
+        job->saved = changes;
+        if (job->saved == job->changes)
+            m_dirty.erase(id);
+    }
+    if (!parts.roster.empty()) {
+        m_roster = { parts.roster.begin(), parts.roster.end() };
+        m_rosterRevision = revision;
+        m_rosterDue = m_roster.size() != m_workers.size();
+        soon();
+    }
+    noteSaved();
+    if (!m_dirty.empty())
+        m_hooks.wakeIn(savePause);
 }
 
 void Owner::Impl::noteSaved()
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -9,7 +9,6 @@
 namespace {
 
     constexpr Duration tickInterval { 50 }; // Far below each bound that the owner keeps.
-    constexpr Duration rosterPause { 200 };
     constexpr Duration evacuationLead { 900 }; // A stop, its answer and a look, before a worker may exit.
 
 } // namespace
--- a/packages/fleet/test/fake-fleet.h
+++ b/packages/fleet/test/fake-fleet.h
@@ -128,9 +128,25 @@
                 + std::to_string(m_now.time_since_epoch().count() - 1'000'000) + ' '
                 + boost::json::serialize(fields));
         };
+        hooks.advise = [this, term = m_term](const TaskId&, const std::vector<WorkerId>& asked,
+                           std::function<void(AdviceAnswer)> done) {
+            ++adviceCalls;
+            AdviceAnswer answer;
+            answer.answered = true;
+            answer.validity = Duration(3000);
+            for (const auto& id : asked) {
+                if (adviserLikes.contains(id))
+                    answer.good.push_back({ id, "ticket-" + id.str() });
+            }
+            after(Duration(50), [this, term, done, answer] {
+                if (term == m_term)
+                    done(answer);
+            });
+        };
         hooks.workers.start = [this, term = m_term](const WorkerReport& to, StartOrder order,
                                   Duration timeout, OrderDone done) {
             ++seen.startCalls;
+            lastTicket = order.ticket;
             workerCall(term, to.id, timeout, std::move(done),
                 [this, order, sentAt = m_now](FakeWorker& worker) { return start(worker, order, sentAt); });
         };
@@ -247,6 +263,9 @@
     std::function<Duration(const TaskId&)> workTime = [](const TaskId&) { return Duration(2000); };
     std::function<EndKind(const TaskId&, Run, const WorkerId&)> outcome
         = [](const TaskId&, Run, const WorkerId&) { return EndKind::Done; };
+    std::set<WorkerId> adviserLikes;
+    int adviceCalls = 0;
+    std::string lastTicket;
     Seen seen;
     std::vector<std::string> log;
 
--- a/packages/fleet/test/owner-test.cpp
+++ b/packages/fleet/test/owner-test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(failsAJobAfterItsAttempts);
     CPPUNIT_TEST(stopsACancelledJob);
     CPPUNIT_TEST(reclaimsGuaranteedRoom);
+    CPPUNIT_TEST(asksTheAdviserFirst);
     CPPUNIT_TEST(startsNoOccurrenceEarly);
     CPPUNIT_TEST(restartsWhatLasts);
     CPPUNIT_TEST(doublesNoStartWithoutAnswer);
@@ -135,6 +136,25 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
     }
 
+    void asksTheAdviserFirst()
+    {
+        FakeFleet fleet;
+        fleet.config->routes[FakeFleet::routeOf(1)].advice
+            = AdviceTerms { Duration(50), Duration(1), Duration(3000) };
+        fleet.addWorker("a");
+        fleet.addWorker("b");
+        fleet.adviserLikes = { WorkerId("b") };
+        fleet.takeOver();
+        fleet.submit(FakeFleet::job("j", 3));
+        fleet.run(Duration(1500));
+        CPPUNIT_ASSERT(fleet.workers.at(WorkerId("a")).live.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), fleet.workers.at(WorkerId("b")).live.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("ticket-b"), fleet.lastTicket);
+        fleet.run(Duration(3000));
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(1, fleet.adviceCalls);
+    }
+
     void startsNoOccurrenceEarly()
     {
         FakeFleet fleet;
--- /dev/null
+++ b/packages/fleet/test/queue-test.cpp
@@ -0,0 +1,215 @@
+// Placing and order of the queue, by the loads that they answer.
+#include "jujubereach/fleet/placement.h"
+#include "jujubereach/fleet/queue-order.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace jujubereach;
+using namespace jujubereach::fleet;
+
+class QueueTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(QueueTest);
+    CPPUNIT_TEST(smallTasksLeaveWholeWorkersFree);
+    CPPUNIT_TEST(aGangTakesOneRackOrNothing);
+    CPPUNIT_TEST(labelsRacksAndSpreadBind);
+    CPPUNIT_TEST(fillersKeepAwayFromTailTargets);
+    CPPUNIT_TEST(failedWorkersComeLast);
+    CPPUNIT_TEST(costlyWorkGoesToTheLastRacks);
+    CPPUNIT_TEST(displacesTheLeastWork);
+    CPPUNIT_TEST(displacesNothingMoreUrgent);
+    CPPUNIT_TEST(displacesWithinItsBound);
+    CPPUNIT_TEST(ordersByGainForRoom);
+    CPPUNIT_TEST(guaranteedWorkComesFirst);
+    CPPUNIT_TEST_SUITE_END();
+
+    static WorkerView worker(const std::string& name, const std::string& rack, std::int64_t accelerators = 8)
+    {
+        WorkerView view;
+        view.id = WorkerId(name);
+        view.service = ServiceId("s");
+        view.rack = rack;
+        view.capacity = { 64'000, 262'144, 8 };
+        view.free = { 8000 * accelerators, 32'768 * accelerators, accelerators };
+        return view;
+    }
+
+    static PlaceRequest ask(const StepSpec& spec, int count)
+    {
+        PlaceRequest request;
+        request.spec = &spec;
+        request.service = ServiceId("s");
+        request.count = count;
+        return request;
+    }
+
+    static StepSpec step(std::int64_t accelerators)
+    {
+        StepSpec spec;
+        spec.room = { 1000 * accelerators, 1000, accelerators };
+        return spec;
+    }
+
+    void smallTasksLeaveWholeWorkersFree()
+    {
+        std::vector<WorkerView> fleet { worker("a", "r"), worker("b", "r", 3), worker("c", "r") };
+        const auto small = step(1);
+        for (const auto i : place(ask(small, 3), fleet))
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), i);
+        const auto whole = step(8);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), place(ask(whole, 2), fleet).size());
+    }
+
+    void aGangTakesOneRackOrNothing()
+    {
+        std::vector<WorkerView> fleet { worker("a", "r1"), worker("b", "r2"), worker("c", "r2", 4) };
+        auto gang = step(8);
+        gang.gang = gang.sameRack = true;
+        CPPUNIT_ASSERT(place(ask(gang, 2), fleet).empty());
+        CPPUNIT_ASSERT_EQUAL(
+            std::int64_t(8), fleet[0].free.accelerators); // Nothing is taken by the failed try.
+        auto smaller = step(4);
+        smaller.gang = smaller.sameRack = true;
+        const auto placement = place(ask(smaller, 3), fleet);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), placement.size());
+        for (const auto i : placement)
+            CPPUNIT_ASSERT_EQUAL(std::string("r2"), fleet[i].rack);
+    }
+
+    void labelsRacksAndSpreadBind()
+    {
+        const std::vector<std::string> labels { "fast" };
+        std::vector<WorkerView> fleet { worker("a", "r1"), worker("b", "r2") };
+        fleet[1].labels = &labels;
+        auto labelled = step(1);
+        labelled.label = "fast";
+        CPPUNIT_ASSERT(place(ask(labelled, 1), fleet) == Placement { 1 });
+        auto near = step(1);
+        near.rack = "r1";
+        CPPUNIT_ASSERT(place(ask(near, 1), fleet) == Placement { 0 });
+        auto spread = step(1);
+        spread.maxPerWorker = 1;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), place(ask(spread, 5), fleet).size());
+        auto again = ask(spread, 5);
+        const std::map<WorkerId, int> running { { WorkerId("a"), 1 } };
+        again.onWorker = &running;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), place(again, fleet).size());
+    }
+
+    void fillersKeepAwayFromTailTargets()
+    {
+        std::vector<WorkerView> fleet { worker("a", "r1") };
+        fleet[0].serves = true;
+        auto filler = step(1);
+        filler.fills = true;
+        CPPUNIT_ASSERT(place(ask(filler, 1), fleet).empty());
+        fleet[0].serves = false;
+        fleet[0].fills = true;
+        auto serving = step(1);
+        serving.tailTarget = Duration(50);
+        CPPUNIT_ASSERT(place(ask(serving, 1), fleet).empty());
+    }
+
+    void failedWorkersComeLast()
+    {
+        std::vector<WorkerView> fleet { worker("a", "r1", 1), worker("b", "r1") };
+        fleet[0].distrust = 1;
+        const auto small = step(1);
+        CPPUNIT_ASSERT(place(ask(small, 1), fleet) == Placement { 1 });
+        auto request = ask(small, 1);
+        const std::set<WorkerId> failed { WorkerId("b") };
+        request.avoid = &failed;
+        CPPUNIT_ASSERT(place(request, fleet) == Placement { 0 });
+    }
+
+    // Answers a flood of bulk work under urgent gangs: these find room on the first racks, among what stops
+    // cheaply, and displace nothing that cannot be saved.
+    void costlyWorkGoesToTheLastRacks()
+    {
+        std::vector<WorkerView> fleet { worker("a", "r1"), worker("b", "r2") };
+        fleet[1].rackOrder = 0.5;
+        const auto bulk = step(1);
+        auto costly = ask(bulk, 1);
+        costly.costlyToStop = true;
+        CPPUNIT_ASSERT(place(costly, fleet) == Placement { 1 });
+        CPPUNIT_ASSERT(place(ask(bulk, 1), fleet) == Placement { 0 });
+    }
+
+    static void fill(WorkerView& view, int priority, double loss, bool gang = false)
+    {
+        for (int i = 0; i < 8; ++i)
+            view.displaceable.push_back(
+                { TaskId { JobId(view.id.str()), 0, 0, i }, { 8000, 1000, 1 }, priority, loss, gang });
+        view.free = {};
+    }
+
+    void displacesTheLeastWork()
+    {
+        std::vector<WorkerView> fleet { worker("a", "r1"), worker("b", "r2") };
+        fill(fleet[0], 2, 40);
+        fill(fleet[1], 2, 5);
+        auto urgent = step(4);
+        urgent.gang = urgent.sameRack = true;
+        auto request = ask(urgent, 1);
+        request.maxLoss = 1000;
+        const auto found = placeByDisplacing(request, fleet);
+        CPPUNIT_ASSERT(found.placement == Placement { 1 });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), found.victims.size());
+    }
+
+    void displacesNothingMoreUrgent()
+    {
+        std::vector<WorkerView> fleet { worker("a", "r1") };
+        fill(fleet[0], 0, 1);
+        const auto urgent = step(1);
+        auto request = ask(urgent, 1);
+        request.maxLoss = 1000;
+        CPPUNIT_ASSERT(placeByDisplacing(request, fleet).placement.empty());
+    }
+
+    void displacesWithinItsBound()
+    {
+        std::vector<WorkerView> fleet { worker("a", "r1") };
+        fill(fleet[0], 2, 30);
+        const auto urgent = step(2);
+        auto request = ask(urgent, 1);
+        request.maxLoss = 59;
+        CPPUNIT_ASSERT(placeByDisplacing(request, fleet).placement.empty());
+        request.maxLoss = 60;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), placeByDisplacing(request, fleet).victims.size());
+    }
+
+    static WaitingStep waiting(int priority, double work)
+    {
+        WaitingStep step;
+        step.priority = priority;
+        step.chain = step.remaining = Duration(5000);
+        step.stretch = 3;
+        step.work = step.remainingWork = work;
+        step.meanWork = 100;
+        return step;
+    }
+
+    // Answers a burst far beyond the fleet: small jobs and urgent ones first, then what can still be in time.
+    void ordersByGainForRoom()
+    {
+        CPPUNIT_ASSERT(rankOf(waiting(0, 100)) > rankOf(waiting(1, 100)));
+        CPPUNIT_ASSERT(rankOf(waiting(1, 100)) > rankOf(waiting(2, 100)));
+        CPPUNIT_ASSERT(rankOf(waiting(2, 20)) > rankOf(waiting(2, 200)));
+        auto late = waiting(1, 100);
+        late.age = Duration(20'000);
+        CPPUNIT_ASSERT(rankOf(waiting(1, 100)) > rankOf(late));
+        auto hopeless = late;
+        hopeless.age = Duration(60'000);
+        CPPUNIT_ASSERT(rankOf(late) > rankOf(hopeless));
+    }
+
+    void guaranteedWorkComesFirst()
+    {
+        auto guaranteed = waiting(0, 400);
+        guaranteed.guaranteed = true;
+        guaranteed.age = Duration(60'000);
+        CPPUNIT_ASSERT(rankOf(guaranteed) > rankOf(waiting(0, 1)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QueueTest);
--- a/packages/net/include/jujubereach/net/http-client.h
+++ b/packages/net/include/jujubereach/net/http-client.h
@@ -27,7 +27,7 @@
 
     /// Sends to `endpoint`, "ip:port"; `done` runs once, later, from the loop. A bad endpoint ends as
     /// NotSent.
-    void call(const std::string& endpoint, HttpRequest request, Duration timeout, CallDone done);
+    void call(const std::string& endpoint, const HttpRequest& request, Duration timeout, CallDone done);
 
     /// Closes the idle connections to an endpoint.
     void forget(const std::string& endpoint);
--- a/packages/net/src/http-client.cpp
+++ b/packages/net/src/http-client.cpp
@@ -232,7 +232,8 @@
     }
 }
 
-void HttpClient::call(const std::string& endpoint, HttpRequest request, Duration timeout, CallDone done)
+void HttpClient::call(
+    const std::string& endpoint, const HttpRequest& request, Duration timeout, CallDone done)
 {
     auto bytes = detail::encode(request, endpoint);
     auto& idle = m_idle[endpoint];
--- a/packages/net/src/http-server.cpp
+++ b/packages/net/src/http-server.cpp
@@ -162,7 +162,7 @@
         m_handling = true;
         auto request = std::move(m_request);
         m_request = {};
-        m_shared->handler(request, [self = shared_from_this()](HttpResponse response) {
+        m_shared->handler(request, [self = shared_from_this()](const HttpResponse& response) {
             if (self->m_handling)
                 self->write(response);
         });
--- /dev/null
+++ b/packages/net/test/net-test.cpp
@@ -0,0 +1,205 @@
+// Client and server over loopback, with peers that misbehave.
+#include "jujubereach/net/http-client.h"
+#include "jujubereach/net/http-server.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace jujubereach;
+using namespace jujubereach::net;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+class NetTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(NetTest);
+    CPPUNIT_TEST(answersOnOneConnection);
+    CPPUNIT_TEST(tellsACallThatNeverLeft);
+    CPPUNIT_TEST(tellsAnUnansweredCall);
+    CPPUNIT_TEST(usesANewConnectionAfterSilence);
+    CPPUNIT_TEST(noticesThatAnIdlePeerClosed);
+    CPPUNIT_TEST(joinsChunks);
+    CPPUNIT_TEST(refusesWhatIsTooLargeOrMalformed);
+    CPPUNIT_TEST(drainsWithAnswers);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr auto address = "127.0.0.1:42317";
+
+    struct Loop {
+        asio::io_context context { 1 };
+        HttpClient client { context };
+
+        CallResult call(const std::string& body = {}, Duration timeout = Duration(1000))
+        {
+            CallResult out;
+            auto done = false;
+            client.call(address, { "POST", "/x", { { "K", "v" } }, body }, timeout, [&](CallResult result) {
+                out = std::move(result);
+                done = true;
+            });
+            while (!done) {
+                context.restart();
+                context.run_one();
+            }
+            return out;
+        }
+    };
+
+    static RequestHandler echo()
+    {
+        return [](const HttpRequest& request, const Respond& respond) {
+            respond({ 200, { { "Seen", request.header("k") } }, request.body });
+        };
+    }
+
+    void answersOnOneConnection()
+    {
+        Loop loop;
+        HttpServer server(loop.context, echo());
+        CPPUNIT_ASSERT(server.listen(address));
+        for (int i = 0; i < 3; ++i) {
+            const auto result = loop.call("body" + std::to_string(i));
+            CPPUNIT_ASSERT(result.fate == CallFate::Answered);
+            CPPUNIT_ASSERT_EQUAL("body" + std::to_string(i), result.response.body);
+            CPPUNIT_ASSERT_EQUAL(std::string("v"), result.response.header("seen"));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), loop.client.connectionsOpened());
+    }
+
+    void tellsACallThatNeverLeft()
+    {
+        Loop loop;
+        CPPUNIT_ASSERT(loop.call().fate == CallFate::NotSent);
+    }
+
+    void tellsAnUnansweredCall()
+    {
+        Loop loop;
+        HttpServer server(loop.context, [](const HttpRequest&, const Respond&) {});
+        CPPUNIT_ASSERT(server.listen(address));
+        CPPUNIT_ASSERT(loop.call({}, Duration(50)).fate == CallFate::Unknown);
+    }
+
+    void usesANewConnectionAfterSilence()
+    {
+        Loop loop;
+        auto silent = false;
+        HttpServer server(loop.context, [&](const HttpRequest&, const Respond& respond) {
+            if (!silent)
+                respond({ 200, {}, {} });
+        });
+        CPPUNIT_ASSERT(server.listen(address));
+        CPPUNIT_ASSERT(loop.call().fate == CallFate::Answered);
+        silent = true;
+        CPPUNIT_ASSERT(loop.call({}, Duration(50)).fate == CallFate::Unknown);
+        silent = false;
+        CPPUNIT_ASSERT(loop.call().fate == CallFate::Answered);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), loop.client.connectionsOpened());
+    }
+
+    void noticesThatAnIdlePeerClosed()
+    {
+        Loop loop;
+        {
+            HttpServer server(loop.context, echo());
+            CPPUNIT_ASSERT(server.listen(address));
+            CPPUNIT_ASSERT(loop.call().fate == CallFate::Answered);
+        }
+        loop.context.run_for(std::chrono::milliseconds(30));
+        HttpServer server(loop.context, echo());
+        CPPUNIT_ASSERT(server.listen(address));
+        CPPUNIT_ASSERT(loop.call("again").fate == CallFate::Answered);
+    }
+
+    // Sends fixed bytes to the first peer that connects.
+    static std::string exchange(Loop& loop, const std::string& bytes)
+    {
+        tcp::socket socket(loop.context);
+        socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), 42317));
+        asio::write(socket, asio::buffer(bytes));
+        std::string answer;
+        std::array<char, 4096> chunk {};
+        auto ended = false;
+        std::function<void()> read = [&] {
+            socket.async_read_some(
+                asio::buffer(chunk), [&](const boost::system::error_code& failed, std::size_t size) {
+                    answer.append(chunk.data(), size);
+                    if (failed)
+                        ended = true;
+                    else
+                        read();
+                });
+        };
+        read();
+        const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(300);
+        loop.context.restart();
+        while (!ended && std::chrono::steady_clock::now() < until)
+            loop.context.run_one_for(std::chrono::milliseconds(20));
+        boost::system::error_code ignored;
+        socket.close(ignored);
+        loop.context.poll();
+        return answer;
+    }
+
+    void joinsChunks()
+    {
+        Loop loop;
+        HttpServer server(loop.context, echo());
+        CPPUNIT_ASSERT(server.listen(address));
+        const auto answer = exchange(loop,
+            "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+            "chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+        CPPUNIT_ASSERT(answer.ends_with("abcde"));
+    }
+
+    void refusesWhatIsTooLargeOrMalformed()
+    {
+        Loop loop;
+        HttpServer server(loop.context, echo());
+        server.setLimits({ 200, 10, Duration(3000), Duration(3000) });
+        CPPUNIT_ASSERT(server.listen(address));
+        CPPUNIT_ASSERT(
+            exchange(loop, "POST /x HTTP/1.1\r\nContent-Length: 11\r\n\r\n").starts_with("HTTP/1.1 413"));
+        CPPUNIT_ASSERT(
+            exchange(loop, "GET /x HTTP/1.1\r\nA: " + std::string(300, 'a')).starts_with("HTTP/1.1 431"));
+        CPPUNIT_ASSERT(exchange(loop, "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n")
+                           .starts_with("HTTP/1.1 400"));
+        // Two requests in one packet are both answered.
+        const auto both
+            = exchange(loop, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\nConnection: close\r\n\r\n");
+        CPPUNIT_ASSERT(both.find("HTTP/1.1 200") != both.rfind("HTTP/1.1 200"));
+    }
+
+    void drainsWithAnswers()
+    {
+        Loop loop;
+        Respond later;
+        HttpServer server(
+            loop.context, [&](const HttpRequest&, Respond respond) { later = std::move(respond); });
+        CPPUNIT_ASSERT(server.listen(address));
+        CallResult out;
+        auto done = false;
+        loop.client.call(address, { "GET", "/x", {}, {} }, Duration(1000), [&](CallResult result) {
+            out = std::move(result);
+            done = true;
+        });
+        while (!later) {
+            loop.context.restart();
+            loop.context.run_one();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), server.inProgress());
+        server.drain();
+        later({ 200, {}, "whole" });
+        while (!done) {
+            loop.context.restart();
+            loop.context.run_one();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("whole"), out.response.body);
+        CPPUNIT_ASSERT_EQUAL(std::string("close"), out.response.header("Connection"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.inProgress());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NetTest);
