Add stand-ins of the users' store and workers, and a soak of real processes

Ruled out: in-process wiring only (it leaves sockets, signals and starts out). The first run accepted nothing and passed: it now fails where no job is accepted; the client sent a second Host header.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: packages build demo test scenarios bench capacity format lint sanitize
+.PHONY: packages build demo test scenarios bench capacity format lint sanitize soak
 
 packages:
 	@support/install-packages
@@ -33,6 +33,11 @@
 	@support/lint
 
 # Sanitizers, one build folder each: make sanitize SANITIZER=address
+SEED ?= 1
+MINUTES ?= 1
+soak: build
+	@$(BUILD)/bin/soak --binary $(BUILD)/bin/jujubereachd --seed $(SEED) --seconds $$(($(MINUTES) * 60))
+
 sanitize: packages
 	@cmake -S . -B $(BUILD)-$(SANITIZER) -G Ninja -DJUJUBEREACH_SANITIZE=$(SANITIZER) > /dev/null
 	@cmake --build $(BUILD)-$(SANITIZER) -j $(JOBS)
--- a/packages/net/src/message-codec.cpp
+++ b/packages/net/src/message-codec.cpp
@@ -123,9 +123,12 @@
         out += request.method;
         out += ' ';
         out += request.target;
-        out += " HTTP/1.1\r\nHost: ";
-        out += host;
-        out += "\r\n";
+        out += " HTTP/1.1\r\n";
+        if (request.header("Host").empty()) {
+            out += "Host: ";
+            out += host;
+            out += "\r\n";
+        }
         for (const auto& [name, value] : request.headers) {
             out += name;
             out += ": ";
--- /dev/null
+++ b/soak/daemons.h
@@ -0,0 +1,43 @@
+// Real daemons as child processes, ended by their ids only.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+namespace jujubereach::soak {
+
+struct DaemonPorts {
+    unsigned short callers = 0;
+    unsigned short ready = 0;
+    unsigned short store = 0; ///< Of the proxy before the store.
+    unsigned short metrics = 0;
+};
+
+class Daemon {
+public:
+    /// `folder` holds its settings file and its log.
+    Daemon(std::string binary, std::string folder, std::string name, DaemonPorts ports);
+    ~Daemon();
+    Daemon(const Daemon&) = delete;
+    Daemon& operator=(const Daemon&) = delete;
+
+    void start();
+    void signal(int number);
+    /// Collects an ended process. Returns whether it has ended; `badly` tells an end that nobody asked for.
+    bool reap(bool& badly);
+    bool isRunning() const { return m_pid > 0; }
+    const std::string& name() const { return m_name; }
+    const DaemonPorts& ports() const { return m_ports; }
+
+private:
+    const std::string m_binary;
+    const std::string m_folder;
+    const std::string m_name;
+    const DaemonPorts m_ports;
+    pid_t m_pid = 0;
+    bool m_asked = false;
+};
+
+} // namespace jujubereach::soak
--- /dev/null
+++ b/soak/soak.cpp
@@ -0,0 +1,358 @@
+// Runs real daemons against stand-ins and injects faults from outside; checks what workers and callers see.
+#include "daemons.h"
+#include "proxy.h"
+#include "users-worker.h"
+
+#include "jujubereach/net/http-client.h"
+
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+
+namespace {
+
+using namespace jujubereach;
+using namespace jujubereach::soak;
+using standins::StoreMood;
+
+constexpr Duration faultEvery { 700 };
+constexpr Duration submitEvery { 120 };
+constexpr Duration retryPause { 400 };
+constexpr Duration callTimeout { 3500 };
+constexpr Duration healTime { 60'000 }; // Two leases of a lost worker, and the queue that has formed.
+constexpr Duration askEvery { 1000 };
+constexpr int maxTries = 30;
+
+struct Options {
+    std::string binary;
+    std::uint64_t seed = 1;
+    int seconds = 60;
+    int daemons = 4;
+    int workers = 12;
+    unsigned short basePort = 30'000; ///< Of the ports that it takes on the loopback address.
+    std::string folder;
+};
+
+/// A job as its caller knows it.
+struct Submitted {
+    std::string id;
+    std::string body;
+    std::set<std::string> tasks;
+    bool accepted = false;
+    bool refusedOnly = true; ///< Every answer so far said that it was not accepted.
+    bool cancelled = false;
+    std::string state;
+    int tries = 0;
+};
+
+class Soak {
+public:
+    explicit Soak(Options options)
+        : m_options(std::move(options))
+        , m_random(m_options.seed)
+        , m_store(m_loop, address(storePort()))
+    {
+        m_store.put("op/config",
+            R"({"Version":1,"Routes":[{"Name":"r","Host":"h","Prefix":"/j/","Kind":"unsafe","TimeoutMs":3000,"SloMs":1000,)"
+            R"("Priority":1,"Service":"service","MaxAttempts":5,"Stretch":3.0,"Public":false}],"Services":[{"Name":"service"}],)"
+            R"("Tenants":[{"Name":"w","ApiKeys":["key"],"Priority":1,"Guaranteed":{"Gpu":8}}]})");
+        for (int i = 0; i < m_options.workers; ++i) {
+            const auto port = port_(400 + 2 * i);
+            m_workerProxies.push_back(std::make_unique<Proxy>(m_loop, port + 1, port));
+            m_workers.push_back(std::make_unique<standins::UsersWorker>(m_loop, m_store, m_record,
+                "i-" + std::to_string(i), address(port), address(port + 1), "r" + std::to_string(i / 4)));
+        }
+        for (int i = 0; i < m_options.daemons; ++i) {
+            const DaemonPorts ports { port_(10 + 8 * i), port_(11 + 8 * i), port_(12 + 8 * i),
+                port_(13 + 8 * i) };
+            m_storeProxies.push_back(std::make_unique<Proxy>(m_loop, ports.store, storePort()));
+            m_daemons.push_back(std::make_unique<Daemon>(
+                m_options.binary, m_options.folder, "host-" + std::to_string(i), ports));
+            m_daemons.back()->start();
+        }
+    }
+
+    int run()
+    {
+        every(submitEvery, [this] { submit(); });
+        every(faultEvery, [this] { fault(); });
+        every(askEvery, [this] { watchDaemons(); });
+        spend(Duration(m_options.seconds * 1000));
+        m_healing = true;
+        heal();
+        const auto healed = steadyClock()() + healTime;
+        while (steadyClock()() < healed && !allEnded()) {
+            askAll();
+            spend(askEvery);
+        }
+        return report();
+    }
+
+private:
+    unsigned short port_(int offset) const
+    {
+        return static_cast<unsigned short>(m_options.basePort + offset);
+    }
+    unsigned short storePort() const { return port_(0); }
+    static std::string address(unsigned short port) { return "127.0.0.1:" + std::to_string(port); }
+    std::uint64_t below(std::uint64_t bound) { return m_random() % bound; }
+
+    void spend(Duration time)
+    {
+        const auto until = steadyClock()() + time;
+        while (steadyClock()() < until)
+            m_loop.run_one_for(std::chrono::milliseconds(20));
+    }
+
+    void every(Duration interval, std::function<void()> act)
+    {
+        after(interval, [this, interval, act] {
+            if (!m_healing || interval == askEvery)
+                act();
+            every(interval, act);
+        });
+    }
+
+    void after(Duration delay, std::function<void()> act)
+    {
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, delay);
+        timer->async_wait([timer, act = std::move(act)](const boost::system::error_code& failed) {
+            if (!failed)
+                act();
+        });
+    }
+
+    void submit()
+    {
+        const auto id = std::to_string(m_jobs.size()) + "x" + std::to_string(m_options.seed);
+        auto& job = m_jobs[id];
+        job.id = id;
+        const auto count = 1 + below(4);
+        const auto size = 1 + below(3);
+        const auto spec = "{\"cpu\":1000,\"mem\":1000,\"gpu\":" + std::to_string(size) + "}";
+        boost::json::object step { { "Count", count }, { "Cpu", 1000 }, { "MemMb", 1000 }, { "Gpu", size },
+            { "EstimateMs", 1500 } };
+        boost::json::array steps { step };
+        if (below(3) == 0) {
+            step["After"] = { 0 };
+            steps.push_back(step);
+        }
+        for (std::size_t s = 0; s < steps.size(); ++s) {
+            for (std::uint64_t i = 0; i < count; ++i)
+                job.tasks.insert(id + ".0." + std::to_string(s) + '.' + std::to_string(i));
+        }
+        job.body = boost::json::serialize(boost::json::object { { "Spec", spec }, { "Steps", steps } });
+        send(job);
+        if (below(12) == 0)
+            after(Duration(static_cast<std::int64_t>(below(3000))), [this, id] { cancel(m_jobs.at(id)); });
+    }
+
+    void call(const std::string& method, const Submitted& job, const std::string& body,
+        std::function<void(const net::CallResult&)> done)
+    {
+        const auto& daemon = *m_daemons[below(m_daemons.size())];
+        m_client.call(address(daemon.ports().callers),
+            { method, "/j/" + job.id,
+                { { "Host", "h" }, { "Authorization", "Token key" }, { "Deadline-Ms", "3000" } }, body },
+            callTimeout, std::move(done));
+    }
+
+    // Clients keep open connections until the process is gone, and try again as the platform's do.
+    void send(Submitted& job)
+    {
+        ++job.tries;
+        call("POST", job, job.body, [this, &job](const net::CallResult& result) {
+            const auto status = result.fate == net::CallFate::Answered ? result.response.status : 0;
+            if (status == 200) {
+                job.accepted = true;
+                job.refusedOnly = false;
+                return;
+            }
+            if (status != 429 && status != 503 && result.fate != net::CallFate::NotSent)
+                job.refusedOnly = false;
+            if (job.tries < maxTries && !m_healing)
+                after(retryPause, [this, &job] { send(job); });
+        });
+    }
+
+    void cancel(Submitted& job)
+    {
+        if (!job.accepted)
+            return;
+        job.cancelled = true;
+        call("DELETE", job, {}, [](const net::CallResult&) {});
+    }
+
+    void askAll()
+    {
+        for (auto& [id, job] : m_jobs) {
+            if (!job.accepted || isFinal(job.state))
+                continue;
+            call("GET", job, {}, [this, &job](const net::CallResult& result) {
+                if (result.fate != net::CallFate::Answered)
+                    return;
+                if (result.response.status == 410)
+                    m_record.broken.push_back("LOST: " + job.id + " was accepted and is not known");
+                if (result.response.status == 200)
+                    learn(job, std::string(boost::json::parse(result.response.body).at("State").as_string()));
+            });
+        }
+    }
+
+    static bool isFinal(const std::string& state)
+    {
+        return state == "completed" || state == "failed" || state == "cancelled";
+    }
+
+    void learn(Submitted& job, const std::string& state)
+    {
+        job.state = state;
+        if (state == "completed" && m_record.doneOfJob[job.id].size() != job.tasks.size())
+            m_record.broken.push_back(
+                "MIXED: " + job.id + " is told as completed, and not all its tasks are");
+        if (state == "cancelled" && !job.cancelled)
+            m_record.broken.push_back("LOST: " + job.id + " is told as cancelled, and nobody cancelled it");
+    }
+
+    bool allEnded() const
+    {
+        return std::all_of(m_jobs.begin(), m_jobs.end(),
+            [](const auto& entry) { return !entry.second.accepted || isFinal(entry.second.state); });
+    }
+
+    void fault()
+    {
+        auto& daemon = *m_daemons[below(m_daemons.size())];
+        auto& storeProxy = *m_storeProxies[below(m_storeProxies.size())];
+        auto& workerProxy = *m_workerProxies[below(m_workerProxies.size())];
+        const Duration length(static_cast<std::int64_t>(500 + below(6000)));
+        const auto harm = static_cast<Harm>(1 + below(4));
+        ++m_faults;
+        switch (below(12)) {
+        case 0:
+            return daemon.signal(SIGKILL);
+        case 1:
+            return daemon.signal(SIGTERM);
+        case 2:
+            daemon.signal(SIGSTOP);
+            return after(length, [&daemon] { daemon.signal(SIGCONT); });
+        case 3:
+            return daemon.signal(SIGHUP);
+        case 4:
+            storeProxy.setHarm(harm);
+            return after(length, [&storeProxy] { storeProxy.setHarm(Harm::None); });
+        case 5:
+            workerProxy.setHarm(harm);
+            return after(length, [&workerProxy] { workerProxy.setHarm(Harm::None); });
+        case 6:
+            storeProxy.reset();
+            return workerProxy.reset();
+        case 7:
+            storeProxy.silenceOpen();
+            return workerProxy.silenceOpen();
+        case 8:
+            m_store.setMood(static_cast<StoreMood>(1 + below(3)));
+            return after(length, [this] { m_store.setMood(StoreMood::Well); });
+        case 9:
+            return m_store.forgetHistory();
+        case 10:
+            return m_workers[below(m_workers.size())]->rebirth();
+        default:
+            for (auto& each : m_daemons) // All at once, now and then.
+                below(3) == 0 ? each->signal(SIGKILL) : void();
+        }
+    }
+
+    void heal()
+    {
+        m_store.setMood(StoreMood::Well);
+        for (auto& proxy : m_storeProxies)
+            proxy->setHarm(Harm::None);
+        for (auto& proxy : m_workerProxies)
+            proxy->setHarm(Harm::None);
+        for (auto& daemon : m_daemons)
+            daemon->signal(SIGCONT);
+    }
+
+    void watchDaemons()
+    {
+        for (auto& daemon : m_daemons) {
+            auto badly = false;
+            if (!daemon->reap(badly))
+                continue;
+            if (badly)
+                m_record.broken.push_back("EXIT: " + daemon->name() + " ended by itself");
+            daemon->start();
+        }
+        if (++m_ticks % 10 == 0)
+            std::cout << "soak: " << m_ticks << " s, " << m_jobs.size() << " jobs, " << m_record.starts
+                      << " starts, " << m_faults << " faults, " << m_record.broken.size() << " broken"
+                      << std::endl;
+    }
+
+    int report()
+    {
+        std::size_t accepted = 0;
+        std::map<std::string, int> states;
+        for (const auto& [id, job] : m_jobs) {
+            accepted += job.accepted;
+            if (!job.accepted && job.refusedOnly && !m_record.doneOfJob[id].empty())
+                m_record.broken.push_back("REFUSED: " + id + " ran, and every answer said that it did not");
+            if (!job.accepted)
+                continue;
+            ++states[job.state.empty() ? "never told" : job.state];
+            if (!isFinal(job.state))
+                m_record.broken.push_back("LOST: " + id + " has not ended: " + job.state);
+        }
+        if (accepted == 0)
+            m_record.broken.push_back("SERVED: no job was accepted");
+        std::cout << "soak: seed " << m_options.seed << ": " << m_jobs.size() << " jobs, " << accepted
+                  << " accepted;";
+        for (const auto& [state, count] : states)
+            std::cout << ' ' << count << ' ' << state << ';';
+        std::cout << ' ' << m_record.starts << " starts, " << m_faults << " faults, " << m_store.calls()
+                  << " calls to the store\n";
+        for (const auto& line : m_record.broken)
+            std::cout << "soak: broken: " << line << '\n';
+        std::cout << (m_record.broken.empty() ? "soak: all promises kept" : "soak: FAILED") << std::endl;
+        return m_record.broken.empty() ? 0 : 1;
+    }
+
+    const Options m_options;
+    boost::asio::io_context m_loop { 1 };
+    std::mt19937_64 m_random;
+    standins::UsersStore m_store;
+    standins::WorkerRecord m_record;
+    std::vector<std::unique_ptr<Proxy>> m_workerProxies;
+    std::vector<std::unique_ptr<standins::UsersWorker>> m_workers;
+    std::vector<std::unique_ptr<Proxy>> m_storeProxies;
+    std::vector<std::unique_ptr<Daemon>> m_daemons;
+    net::HttpClient m_client { m_loop };
+    std::map<std::string, Submitted> m_jobs;
+    std::uint64_t m_faults = 0;
+    int m_ticks = 0;
+    bool m_healing = false;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    Options options;
+    CLI::App app("Soak of the entry hosts on stand-ins of the users' platform");
+    app.add_option("--binary", options.binary, "Path of jujubereachd")->required()->check(CLI::ExistingFile);
+    app.add_option("--seed", options.seed, "Seed of jobs and faults");
+    app.add_option("--seconds", options.seconds, "Time under faults")->check(CLI::Range(1, 36'000));
+    app.add_option("--daemons", options.daemons, "Entry hosts")->check(CLI::Range(1, 40));
+    app.add_option("--workers", options.workers, "Workers")->check(CLI::Range(1, 200));
+    app.add_option("--port", options.basePort, "First of the ports that it takes")
+        ->check(CLI::Range(1024, 60'000));
+    app.add_option("--folder", options.folder, "For settings and logs; kept");
+    CLI11_PARSE(app, argc, argv);
+    if (options.folder.empty())
+        options.folder = std::filesystem::temp_directory_path() / ("soak-" + std::to_string(options.seed));
+    std::filesystem::create_directories(options.folder);
+    return Soak(options).run();
+}
--- /dev/null
+++ b/standins/users/users-worker.cpp
@@ -0,0 +1,259 @@
+#include "users-worker.h"
+
+namespace jujubereach::standins {
+
+namespace json = boost::json;
+
+namespace {
+
+    constexpr Duration beatInterval { 1000 };
+    constexpr std::int64_t maxHoldMs = 10'000;
+    constexpr Duration minWork { 200 };
+    constexpr std::int64_t workSpreadMs = 2500;
+    constexpr int failurePercent = 5;
+
+    std::uint64_t number(const json::object& in, const char* name)
+    {
+        const auto* found = in.if_contains(name);
+        return found ? found->to_number<std::uint64_t>() : 0;
+    }
+
+    std::string jobOf(const std::string& task)
+    {
+        return task.substr(0, task.find('.'));
+    }
+
+} // namespace
+
+UsersWorker::UsersWorker(boost::asio::io_context& loop, UsersStore& store, WorkerRecord& record,
+    std::string id, const std::string& address, std::string shownAddress, std::string rack)
+    : m_loop(loop)
+    , m_store(store)
+    , m_record(record)
+    , m_id(std::move(id))
+    , m_shownAddress(std::move(shownAddress))
+    , m_rack(std::move(rack))
+    , m_server(loop, [this](const auto& request, auto respond) { handle(request, std::move(respond)); })
+    , m_beat(loop)
+    , m_lease(loop)
+    , m_random(std::hash<std::string> {}(m_id))
+{
+    if (!m_server.listen(address))
+        throw std::runtime_error("the stand-in worker cannot listen on " + address);
+    rebirth();
+    beat();
+}
+
+UsersWorker::~UsersWorker()
+{
+    for (auto& [task, live] : m_live)
+        live.timer->cancel();
+}
+
+void UsersWorker::rebirth()
+{
+    for (auto& [task, live] : m_live) {
+        live.timer->cancel();
+        --m_record.live[task];
+    }
+    m_live.clear();
+    m_highestEnded.clear();
+    m_ended.clear();
+    m_lastNumber = m_fence = 0;
+    m_deadline = 0;
+    m_bornAt = steadyClock()();
+    m_born = std::max(m_born + 1, systemWallClock()().milliseconds);
+}
+
+std::int64_t UsersWorker::clock() const
+{
+    return 1 + (steadyClock()() - m_bornAt).count();
+}
+
+void UsersWorker::beat()
+{
+    m_store.put("servers/" + m_id,
+        json::serialize(json::object { { "Service", "service" }, { "Address", m_shownAddress },
+            { "Zone", "z" }, { "Version", "v1" }, { "Slots", 8 }, { "State", "ready" }, { "ColdLeftMs", 0 },
+            { "Seq", ++m_seq }, { "born", m_born }, { "Labels", { "a", m_rack } },
+            { "Capacity",
+                { { "Cpu", Size {}.milliCores }, { "MemMb", Size {}.memoryMb },
+                    { "Gpu", Size {}.accelerators } } } }));
+    m_beat.expires_after(beatInterval);
+    m_beat.async_wait([this](const boost::system::error_code& failed) {
+        if (!failed)
+            beat();
+    });
+}
+
+void UsersWorker::handle(const net::HttpRequest& request, net::Respond respond)
+{
+    if (!request.header("Expected-Instance").empty() && request.header("Expected-Instance") != m_id)
+        return respond({ 421, {}, {} });
+    const auto order = json::parse(request.body).as_object();
+    if (request.target == "/v1/hold")
+        return hold(order, std::move(respond));
+    respond(request.target == "/v1/run-start" ? start(order) : stop(order));
+}
+
+bool UsersWorker::isFenced(const json::object& order)
+{
+    const auto fence = number(order, "FencingToken");
+    if (fence < m_fence)
+        return true;
+    m_fence = fence;
+    return false;
+}
+
+net::HttpResponse UsersWorker::refuse(const char* reason)
+{
+    return { 409, {},
+        json::serialize(json::object { { "ClockMs", clock() }, { "Reason", reason }, { "born", m_born } }) };
+}
+
+void UsersWorker::extend(const json::object& order)
+{
+    const auto deadline = static_cast<std::int64_t>(number(order, "DeadlineMs"));
+    m_deadline = std::max(m_deadline, std::min(deadline, clock() + maxHoldMs));
+    m_lease.expires_after(Duration(std::max<std::int64_t>(1, m_deadline - clock())));
+    m_lease.async_wait([this](const boost::system::error_code& failed) {
+        if (!failed)
+            lapse();
+    });
+}
+
+void UsersWorker::lapse()
+{
+    for (auto& ended : m_ended)
+        ended.startCount = UINT64_MAX; // The end does not stand any more.
+    while (!m_live.empty())
+        end(m_live.begin()->first, "lapsed");
+}
+
+net::HttpResponse UsersWorker::start(const json::object& order)
+{
+    if (isFenced(order))
+        return refuse("fence");
+    if (static_cast<std::int64_t>(number(order, "DeadlineMs")) <= clock())
+        return refuse("late");
+    extend(order);
+    const std::string task(order.at("Task").as_string());
+    const auto run = number(order, "RunId");
+    const auto found = m_live.find(task);
+    if (found == m_live.end() || found->second.run != run) {
+        if (found != m_live.end() || m_highestEnded[task] >= run)
+            return refuse("old");
+        Live live;
+        live.run = run;
+        const auto spec = json::parse(std::string(order.at("Spec").as_string())).as_object();
+        live.size = { static_cast<std::int64_t>(number(spec, "cpu")),
+            static_cast<std::int64_t>(number(spec, "mem")), static_cast<std::int64_t>(number(spec, "gpu")) };
+        auto used = live.size.accelerators;
+        for (const auto& [name, other] : m_live)
+            used += other.size.accelerators;
+        if (used > Size {}.accelerators)
+            m_record.broken.push_back("LIMIT: no room for " + task + " on " + m_id);
+        if (m_record.live[task]++ > 0)
+            m_record.broken.push_back("TWICE: two runs of " + task);
+        if (m_record.done.contains(task))
+            m_record.broken.push_back("TWICE: " + task + " was done and acknowledged");
+        m_record.lastStart[task] = ++m_record.starts;
+        live.startedAt = steadyClock()();
+        live.work = minWork + Duration(static_cast<std::int64_t>(m_random() % workSpreadMs));
+        live.timer = std::make_shared<boost::asio::steady_timer>(m_loop, live.work);
+        const auto* how = m_random() % 100 < failurePercent ? "failed" : "done";
+        live.timer->async_wait(
+            [this, task, how, timer = live.timer](const boost::system::error_code& failed) {
+                if (!failed)
+                    end(task, how);
+            });
+        m_live[task] = std::move(live);
+    }
+    return { 200, {}, json::serialize(json::object { { "ClockMs", clock() }, { "born", m_born } }) };
+}
+
+net::HttpResponse UsersWorker::stop(const json::object& order)
+{
+    if (isFenced(order))
+        return refuse("fence");
+    const std::string task(order.at("Task").as_string());
+    const auto run = number(order, "RunId");
+    m_highestEnded[task] = std::max(m_highestEnded[task], run);
+    const auto found = m_live.find(task);
+    if (found != m_live.end() && found->second.run <= run)
+        end(task, "stopped");
+    return { 200, {}, json::serialize(json::object { { "ClockMs", clock() }, { "born", m_born } }) };
+}
+
+void UsersWorker::end(const std::string& task, const std::string& how)
+{
+    const auto found = m_live.find(task);
+    if (found == m_live.end())
+        return;
+    found->second.timer->cancel();
+    m_highestEnded[task] = std::max(m_highestEnded[task], found->second.run);
+    m_ended.push_back({ ++m_lastNumber, task, found->second.run, how, m_record.lastStart[task] });
+    --m_record.live[task];
+    m_live.erase(found);
+    if (how == "done")
+        m_record.doneOfJob[jobOf(task)].insert(task);
+    for (auto& waiting : m_waiting) {
+        waiting.timer->cancel();
+        waiting.respond(lists());
+    }
+    m_waiting.clear();
+}
+
+void UsersWorker::acknowledge(std::uint64_t upTo)
+{
+    std::erase_if(m_ended, [&](const End& ended) {
+        if (ended.number > upTo)
+            return false;
+        const auto stands = ended.how == "done" && ended.startCount != UINT64_MAX;
+        if (stands && m_record.lastStart[ended.task] > ended.startCount)
+            m_record.broken.push_back("TWICE: " + ended.task + " was started after it was done");
+        if (stands)
+            m_record.done.insert(ended.task);
+        return true;
+    });
+}
+
+void UsersWorker::hold(const json::object& order, net::Respond respond)
+{
+    if (isFenced(order))
+        return respond(refuse("fence"));
+    if (clock() > m_deadline)
+        lapse();
+    if (order.contains("DeadlineMs"))
+        extend(order);
+    acknowledge(number(order, "LastSeen"));
+    const auto wait = number(order, "WaitMs");
+    if (wait == 0 || !m_ended.empty())
+        return respond(lists());
+    m_waiting.push_back(
+        { std::move(respond), std::make_shared<boost::asio::steady_timer>(m_loop, Duration(wait)) });
+    const auto place = std::prev(m_waiting.end());
+    place->timer->async_wait([this, place](const boost::system::error_code& failed) {
+        if (failed)
+            return;
+        place->respond(lists());
+        m_waiting.erase(place);
+    });
+}
+
+net::HttpResponse UsersWorker::lists()
+{
+    json::array running;
+    for (const auto& [task, live] : m_live) {
+        const auto percent = 100 * (steadyClock()() - live.startedAt).count() / live.work.count();
+        running.push_back({ json::string(task), live.run, "", std::min<std::int64_t>(99, percent), 0 });
+    }
+    json::array ended;
+    for (const auto& row : m_ended)
+        ended.push_back({ row.number, json::string(row.task), row.run, json::string(row.how), "" });
+    return { 200, {},
+        json::serialize(json::object {
+            { "ClockMs", clock() }, { "born", m_born }, { "Running", running }, { "Finished", ended } }) };
+}
+
+} // namespace jujubereach::standins
--- /dev/null
+++ b/standins/users/users-worker.h
@@ -0,0 +1,93 @@
+// One worker of the users' platform over its published protocol, and a record of what workers saw.
+#pragma once
+
+#include "users-store.h"
+
+#include <random>
+#include <set>
+
+namespace jujubereach::standins {
+
+/// Promises are checked on what workers see, whoever sent it.
+struct WorkerRecord {
+    std::map<std::string, int> live; ///< Runs of each task, on all workers that are up.
+    std::set<std::string> done; ///< Acknowledged as done under a lease that held.
+    std::map<std::string, std::uint64_t> lastStart; ///< A count that rises with each start.
+    std::uint64_t starts = 0;
+    std::map<std::string, std::set<std::string>> doneOfJob; ///< Tasks that ended as done, by job.
+    std::vector<std::string> broken;
+};
+
+class UsersWorker {
+public:
+    struct Size {
+        std::int64_t milliCores = 64'000;
+        std::int64_t memoryMb = 262'144;
+        std::int64_t accelerators = 8;
+    };
+
+    /// Listens on `address`; tells others `shownAddress`, behind which a proxy may stand.
+    UsersWorker(boost::asio::io_context& loop, UsersStore& store, WorkerRecord& record, std::string id,
+        const std::string& address, std::string shownAddress, std::string rack);
+    ~UsersWorker();
+
+    /// Ends all that runs and begins a new life under the same id.
+    void rebirth();
+
+private:
+    struct Live {
+        std::uint64_t run = 0;
+        Size size;
+        TimePoint startedAt;
+        Duration work { 0 };
+        std::shared_ptr<boost::asio::steady_timer> timer;
+    };
+    struct End {
+        std::uint64_t number = 0;
+        std::string task;
+        std::uint64_t run = 0;
+        std::string how;
+        std::uint64_t startCount = 0;
+    };
+    struct Waiting {
+        net::Respond respond;
+        std::shared_ptr<boost::asio::steady_timer> timer;
+    };
+
+    void beat();
+    void handle(const net::HttpRequest& request, net::Respond respond);
+    net::HttpResponse start(const boost::json::object& order);
+    net::HttpResponse stop(const boost::json::object& order);
+    void hold(const boost::json::object& order, net::Respond respond);
+    net::HttpResponse lists();
+    bool isFenced(const boost::json::object& order);
+    void extend(const boost::json::object& order);
+    void lapse();
+    void end(const std::string& task, const std::string& how);
+    void acknowledge(std::uint64_t upTo);
+    net::HttpResponse refuse(const char* reason);
+    std::int64_t clock() const;
+
+    boost::asio::io_context& m_loop;
+    UsersStore& m_store;
+    WorkerRecord& m_record;
+    const std::string m_id;
+    const std::string m_shownAddress;
+    const std::string m_rack;
+    net::HttpServer m_server;
+    boost::asio::steady_timer m_beat;
+    boost::asio::steady_timer m_lease;
+    std::mt19937_64 m_random;
+    std::int64_t m_born = 0;
+    TimePoint m_bornAt;
+    std::uint64_t m_fence = 0;
+    std::int64_t m_deadline = 0;
+    std::map<std::string, Live> m_live;
+    std::map<std::string, std::uint64_t> m_highestEnded;
+    std::vector<End> m_ended;
+    std::uint64_t m_lastNumber = 0;
+    std::uint64_t m_seq = 0;
+    std::list<Waiting> m_waiting;
+};
+
+} // namespace jujubereach::standins
