--- a/packages/entry/include/jujubereach/entry/entry-host.h
+++ b/packages/entry/include/jujubereach/entry/entry-host.h
@@ -24,7 +24,6 @@
         5000
     }; ///< A key that was taken away is refused within it, in touch with the store or not.
     Duration stopBound { 6000 }; ///< From a request to stop until the process is killed.
-    std::uint64_t seed = 0; ///< Of jitter.
 };
 
 /// Where the operators' and the workers' entries stand in the store.
@@ -36,6 +35,7 @@
 };
 
 enum class CallKind { Submit, Query, Cancel };
+const char* nameOf(CallKind kind);
 
 struct CallerRequest {
     CallKind kind = CallKind::Query;
@@ -106,7 +106,6 @@
     fleet::OwnerFigures ownerFigures() const; ///< Zeros when it owns nothing.
     std::uint64_t configVersion() const;
     Duration newsAge() const; ///< Since the store confirmed what this host knows.
-    const std::map<std::string, std::uint64_t>& counters() const;
 
 private:
     class Impl;
--- a/packages/entry/src/calls.cpp
+++ b/packages/entry/src/calls.cpp
@@ -37,21 +37,15 @@
     JobId id;
     int attempts = 0;
     bool fateOpen = false; ///< An unanswered write of ours may still take effect.
-    std::string record; ///< Encoded, of a submission.
 
     Duration timeLeft(TimePoint now, Duration bound) const { return std::min(bound, giveUp - now); }
 };
 
 void EntryHost::Impl::finish(const std::shared_ptr<OpenCall>& call, CallerAnswer answer, const char* why)
 {
-    ++m_counters[nameOf(answer.outcome)];
     if (call->request.kind != CallKind::Query || answer.outcome != CallOutcome::State)
         m_hooks.log("call",
-            { { "id", call->id.str() },
-                { "kind",
-                    call->request.kind == CallKind::Submit      ? "submit"
-                        : call->request.kind == CallKind::Query ? "query"
-                                                                : "cancel" },
+            { { "id", call->id.str() }, { "kind", nameOf(call->request.kind) },
                 { "outcome", nameOf(answer.outcome) }, { "why", why }, { "route", call->route.str() },
                 { "workspace", call->workspace.str() }, { "configVersion", m_config ? m_config->version : 0 },
                 { "newsAgeMs", (now() - m_confirmedAt).count() }, { "attempts", call->attempts },
--- a/packages/entry/src/entry-host.cpp
+++ b/packages/entry/src/entry-host.cpp
@@ -7,8 +7,21 @@
     // A watch may miss changes for a second before its history is dropped, and requests take time.
     constexpr Duration revokeSlack { 1500 };
 
+    // Hosts that learn of the same thing at the same moment must not act on it at the same moment.
+    std::mt19937_64 randomOf(const std::string& name)
+    {
+        std::seed_seq seed(name.begin(), name.end());
+        return std::mt19937_64(seed);
+    }
+
 } // namespace
 
+const char* nameOf(CallKind kind)
+{
+    constexpr const char* names[] = { "submit", "query", "cancel" };
+    return names[static_cast<int>(kind)];
+}
+
 const char* nameOf(CallOutcome outcome)
 {
     constexpr const char* names[] = { "accepted", "state", "cancelled", "count", "no-such-route",
@@ -20,7 +33,7 @@
     : m_settings(std::move(settings))
     , m_hooks(std::move(hooks))
     , m_self(std::make_shared<Impl*>(this))
-    , m_random(m_settings.seed)
+    , m_random(randomOf(m_settings.name))
 {
 }
 
@@ -63,20 +76,26 @@
 
 void EntryHost::Impl::configWritten(const StoreItem& item)
 {
+    if (m_config && item.revision.value <= m_configRevision.value)
+        return; // An older answer may come after a newer one.
     auto config = m_hooks.decodeConfig(item.value);
     if (!config) {
         m_hooks.log("config-unreadable", { { "revision", item.revision.value } });
         return;
     }
-    // An older answer may come after a newer one; a version in force never goes back.
-    if (m_config && config->version <= m_config->version)
+    // A version in force never goes back, but writes must name the revision that the store has.
+    m_configRevision = item.revision;
+    if (m_config && config->version < m_config->version) {
+        m_hooks.log("config-older",
+            { { "version", config->version }, { "revision", item.revision.value },
+                { "inForce", m_config->version } });
         return;
+    }
     m_hooks.log("config",
         { { "version", config->version }, { "revision", item.revision.value },
             { "before", m_config ? m_config->version : 0 }, { "routes", config->routes.size() },
             { "keys", config->keys.size() } });
     m_config = std::move(config);
-    m_configRevision = item.revision;
     m_hooks.configChanged(*m_config);
     if (m_owner)
         m_owner->setConfig(m_config);
@@ -152,9 +171,4 @@
     return m_impl->now() - m_impl->m_confirmedAt;
 }
 
-const std::map<std::string, std::uint64_t>& EntryHost::counters() const
-{
-    return m_impl->m_counters;
-}
-
 } // namespace jujubereach::entry
--- a/packages/entry/src/follower.cpp
+++ b/packages/entry/src/follower.cpp
@@ -13,6 +13,7 @@
     constexpr Duration readTimeout { 2000 };
     constexpr Duration firstRetry { 100 };
     constexpr int maxRetryDoublings = 3;
+    constexpr std::size_t manyEvents = 200; // In one answer: a pause would only make the next one larger.
 
 } // namespace
 
@@ -81,7 +82,7 @@
                 event.deleted ? self->m_hooks.removed(event.item.key) : self->m_hooks.written(event.item);
             }
             self->m_hooks.confirmed(sentAt);
-            if (self->m_pause.count() == 0 || answer.events.empty())
+            if (self->m_pause.count() == 0 || answer.events.empty() || answer.events.size() >= manyEvents)
                 return self->watch();
             self->m_host.after(self->m_pause, [self] { self->watch(); });
         });
--- a/packages/entry/src/host-impl.h
+++ b/packages/entry/src/host-impl.h
@@ -91,7 +91,6 @@
     Revision m_configRevision;
     TimePoint m_confirmedAt; ///< What this host knows of the news was true then or later.
     bool m_draining = false;
-    std::map<std::string, std::uint64_t> m_counters;
 
     Fence m_knownOwner; ///< 0 for none.
     bool m_claiming = false;
--- /dev/null
+++ b/packages/entry/test/fake-host.h
@@ -0,0 +1,292 @@
+// An entry host with a store in memory and virtual time, for tests of what it decides on the store's answers.
+#pragma once
+
+#include "jujubereach/entry/entry-host.h"
+
+#include <boost/json.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+namespace jujubereach::entry {
+
+using fleet::RouteId;
+using fleet::ServiceId;
+using fleet::StoreAnswer;
+using fleet::StoreDone;
+using fleet::StoreEvent;
+using fleet::StoreFate;
+using fleet::StoreItem;
+using fleet::StoreLease;
+using fleet::StoreWrite;
+
+/// Time and what is due at which moment, shared by the hosts of a test.
+class FakeTime {
+public:
+    TimePoint now() const { return m_now; }
+
+    void after(Duration delay, std::function<void()> call)
+    {
+        m_queue.emplace(m_now + delay, std::move(call));
+    }
+
+    void run(Duration time)
+    {
+        const auto until = m_now + time;
+        while (!m_queue.empty() && m_queue.begin()->first <= until) {
+            m_now = std::max(m_now, m_queue.begin()->first);
+            const auto call = std::move(m_queue.begin()->second);
+            m_queue.erase(m_queue.begin());
+            call();
+        }
+        m_now = until;
+    }
+
+private:
+    TimePoint m_now { Duration(1'000'000) };
+    std::multimap<TimePoint, std::function<void()>> m_queue;
+};
+
+/// Keys, conditions and watches as the store of the design keeps them; its leases never lapse.
+class FakeStore {
+public:
+    static constexpr Duration latency { 5 };
+
+    explicit FakeStore(FakeTime& time)
+        : m_time(time)
+    {
+    }
+
+    Revision put(const std::string& key, const std::string& value, StoreLease lease = {})
+    {
+        ++m_at.value;
+        auto& item = m_items[key];
+        item = { key, value, m_at, item.created.value ? item.created : m_at, lease };
+        m_events.push_back({ item, false });
+        return m_at;
+    }
+
+    void remove(const std::string& key)
+    {
+        ++m_at.value;
+        m_items.erase(key);
+        m_events.push_back({ { key, {}, m_at, {}, {} }, true });
+    }
+
+    bool contains(const std::string& key) const { return m_items.contains(key); }
+
+    Store calls()
+    {
+        Store store;
+        store.read = [this](std::string key, Duration timeout, StoreDone done) {
+            reply(timeout, std::move(done), [this, key] {
+                auto answer = withFate(m_items.contains(key) ? StoreFate::Done : StoreFate::Missing);
+                if (m_items.contains(key))
+                    answer.items.push_back(m_items.at(key));
+                return answer;
+            });
+        };
+        store.range = [this](std::string prefix, std::string after, Duration timeout, StoreDone done) {
+            ++ranges[prefix];
+            reply(timeout, std::move(done), [this, prefix, after] { return page(prefix, after); });
+        };
+        store.watch = [this](std::string prefix, Revision after, Duration wait, Duration, StoreDone done) {
+            ++watches[prefix];
+            watch(prefix, after, m_time.now() + wait, std::move(done));
+        };
+        store.write = [this](StoreWrite write, Duration timeout, StoreDone done) {
+            reply(timeout, std::move(done), [this, write] { return apply(write); });
+        };
+        store.grantLease = [this](Duration, Duration timeout, StoreDone done) {
+            reply(timeout, std::move(done), [this] {
+                auto answer = withFate(StoreFate::Done);
+                answer.lease = { ++m_lastLease };
+                return answer;
+            });
+        };
+        store.renewLease = [this](StoreLease, Duration timeout, StoreDone done) {
+            reply(timeout, std::move(done), [this] { return withFate(StoreFate::Done); });
+        };
+        store.endLease = [this](StoreLease lease, Duration timeout, StoreDone done) {
+            reply(timeout, std::move(done), [this, lease] {
+                std::vector<std::string> ended;
+                for (const auto& [key, item] : m_items) {
+                    if (item.lease == lease)
+                        ended.push_back(key);
+                }
+                for (const auto& key : ended)
+                    remove(key);
+                return withFate(StoreFate::Done);
+            });
+        };
+        return store;
+    }
+
+    std::size_t pageSize = 100;
+    bool writesRefused = false;
+    bool answersLost = false; ///< Calls are carried out; their answers do not come.
+    std::map<std::string, int> watches; ///< By prefix.
+    std::map<std::string, int> ranges;
+
+private:
+    StoreAnswer withFate(StoreFate fate) const
+    {
+        StoreAnswer answer;
+        answer.fate = fate;
+        answer.at = m_at;
+        return answer;
+    }
+
+    void reply(Duration timeout, StoreDone done, std::function<StoreAnswer()> carryOut)
+    {
+        m_time.after(latency, [this, timeout, done = std::move(done), carryOut = std::move(carryOut)] {
+            auto answer = carryOut();
+            if (answersLost)
+                return m_time.after(timeout, [done] { done(StoreAnswer {}); });
+            m_time.after(latency, [done, answer] { done(answer); });
+        });
+    }
+
+    StoreAnswer page(const std::string& prefix, const std::string& after) const
+    {
+        auto answer = withFate(StoreFate::Done);
+        for (auto it = m_items.upper_bound(std::max(prefix, after));
+             it != m_items.end() && it->first.starts_with(prefix); ++it) {
+            answer.more = answer.items.size() == pageSize;
+            if (answer.more)
+                break;
+            answer.items.push_back(it->second);
+        }
+        return answer;
+    }
+
+    void watch(const std::string& prefix, Revision after, TimePoint until, StoreDone done)
+    {
+        constexpr Duration check { 10 };
+        auto answer = withFate(StoreFate::Done);
+        for (const auto& event : m_events) {
+            if (event.item.revision.value > after.value && event.item.key.starts_with(prefix))
+                answer.events.push_back(event);
+        }
+        if (!answer.events.empty() || m_time.now() >= until)
+            return m_time.after(latency, [done, answer] { done(answer); });
+        m_time.after(check, [this, prefix, after, until, done] { watch(prefix, after, until, done); });
+    }
+
+    StoreAnswer apply(const StoreWrite& write)
+    {
+        if (writesRefused)
+            return withFate(StoreFate::Refused);
+        auto answer = withFate(StoreFate::Done);
+        for (const auto& row : write.expected) {
+            const auto found = m_items.find(row.key);
+            if (found != m_items.end())
+                answer.items.push_back(found->second);
+            if ((found == m_items.end() ? Revision {} : found->second.revision) != row.revision)
+                answer.fate = StoreFate::Conflict;
+        }
+        if (answer.fate == StoreFate::Conflict)
+            return answer;
+        answer.items.clear();
+        for (const auto& entry : write.puts)
+            put(entry.key, entry.value, entry.lease);
+        for (const auto& key : write.removes)
+            remove(key);
+        answer.at = m_at;
+        return answer;
+    }
+
+    FakeTime& m_time;
+    Revision m_at { 100 };
+    std::map<std::string, StoreItem> m_items;
+    std::vector<StoreEvent> m_events;
+    std::uint64_t m_lastLease = 0;
+};
+
+/// One host whose workers never answer. A configuration's value is its version and the caller's key.
+class FakeHost {
+public:
+    FakeHost(FakeTime& time, FakeStore& store, const std::string& name = "h1")
+        : m_time(time)
+    {
+        HostSettings settings;
+        settings.name = name;
+        settings.zone = ZoneId("z");
+        HostHooks hooks;
+        hooks.clock = [this] { return m_time.now(); };
+        hooks.wall = [this] { return WallTime { m_time.now().time_since_epoch().count() }; };
+        hooks.store = store.calls();
+        hooks.workers.start = [](const auto&, const auto&, Duration, const auto&) {};
+        hooks.workers.stop = [](const auto&, const auto&, Duration, const auto&) {};
+        hooks.workers.hold = [](const auto&, const auto&, Duration, const auto&) {};
+        hooks.layout = { "", configKey, "workers/" }; // Everything is news: the owner's key is there too.
+        hooks.decodeConfig = decodeConfig;
+        hooks.decodeWorker = [](const std::string& key, const std::string& value) {
+            std::optional<fleet::WorkerReport> report(std::in_place);
+            report->id = workerOf(key);
+            report->service = ServiceId("service");
+            report->draining = value == "draining";
+            return report;
+        };
+        hooks.workerOfKey = workerOf;
+        hooks.after = [this](Duration delay, std::function<void()> call) {
+            delays.push_back(delay);
+            m_time.after(delay, std::move(call));
+        };
+        hooks.configChanged = [](const FleetConfig&) {};
+        hooks.log = [this](const char* event, boost::json::object fields) {
+            log.push_back(std::string(event) + ' ' + boost::json::serialize(fields));
+        };
+        host = std::make_unique<EntryHost>(settings, std::move(hooks));
+        host->start();
+    }
+
+    static constexpr const char* configKey = "news/config";
+
+    static WorkerId workerOf(const std::string& key)
+    {
+        return WorkerId(key.substr(std::string_view("workers/").size()));
+    }
+
+    static std::shared_ptr<const FleetConfig> decodeConfig(const std::string& value)
+    {
+        const auto space = value.find(' ');
+        auto config = std::make_shared<FleetConfig>();
+        config->version = std::stoull(value.substr(0, space));
+        fleet::Route route;
+        route.id = RouteId("queue");
+        route.hostName = "queue";
+        route.prefix = "/jobs/";
+        route.service = ServiceId("service");
+        config->routes[route.id] = route;
+        config->keys[value.substr(space + 1)] = WorkspaceId("w");
+        return config;
+    }
+
+    /// The answer to a request, after at most so long; nothing when there is none by then.
+    std::optional<CallerAnswer> call(
+        CallKind kind, const std::string& id, const std::string& key, Duration deadline = Duration(3000))
+    {
+        CallerRequest request;
+        request.kind = kind;
+        request.hostName = "queue";
+        request.path = "/jobs/" + id;
+        request.key = key;
+        request.deadline = deadline;
+        request.spec = fleet::JobSpec {};
+        request.spec->steps.emplace_back();
+        auto got = std::make_shared<std::optional<CallerAnswer>>();
+        host->handle(std::move(request), [got](const CallerAnswer& answer) { *got = answer; });
+        m_time.run(deadline);
+        return *got;
+    }
+
+    std::unique_ptr<EntryHost> host;
+    std::vector<Duration> delays; ///< That the host asked for.
+    std::vector<std::string> log;
+
+private:
+    FakeTime& m_time;
+};
+
+} // namespace jujubereach::entry
--- a/packages/fleet/include/jujubereach/fleet/fleet-config.h
+++ b/packages/fleet/include/jujubereach/fleet/fleet-config.h
@@ -34,7 +34,6 @@
 struct ServiceConfig {
     bool workersGuardRoom = false; ///< Workers refuse what does not fit.
     bool standby = false; ///< Its machines are off.
-    std::string healthPath;
 };
 
 struct Workspace {
--- a/packages/fleet/include/jujubereach/fleet/owner.h
+++ b/packages/fleet/include/jujubereach/fleet/owner.h
@@ -24,7 +24,7 @@
     Duration keepFinished { 120'000 }; ///< A job's final state is told so long at least.
     Duration checkpointInterval { 2000 }; ///< Of work, between two checkpoints of a task.
     Duration restoreTime { 250 }; ///< Before a restored task moves.
-    Duration early { 250 }; ///< An occurrence may start so much before its time.
+    double remoteFactor = 3; ///< Run time away from a step's data, or over racks, against that near it.
     /// Without confirmation of its ownership for so long, an owner neither starts nor extends anything.
     /// A successor counts on it: see `recoveryDoubt`.
     Duration confirmBound { 5000 };
--- a/packages/fleet/include/jujubereach/fleet/placement.h
+++ b/packages/fleet/include/jujubereach/fleet/placement.h
@@ -40,8 +40,7 @@
     double maxLoss = 0; ///< Work that it may throw away by displacing, in core-seconds.
     bool costlyToStop
         = false; ///< Goes to the last racks, so that urgent gangs find cheap room on the first ones.
-    bool anyRack = false; ///< Give up on the rack where the data is.
-    bool anyRackForGang = false; ///< Give up on one rack for the whole gang.
+    bool anyRack = false; ///< Give up on the rack where the data is, and on one rack for the whole gang.
     const std::map<WorkerId, int>* onWorker = nullptr; ///< Tasks of the step that run already.
     const std::set<WorkerId>* avoid = nullptr; ///< Workers that failed the task.
     const std::set<WorkerId>* allowed = nullptr; ///< Where an adviser names them.
@@ -62,6 +61,12 @@
 /// Places all tasks by displacing the least work. Empty when even that makes no room. Changes no view.
 Displacement placeByDisplacing(const PlaceRequest& request, const std::vector<WorkerView>& views);
 
+/// Whether what is asked for would find its place if no worker had anything to do.
+bool fitsEmptyFleet(const PlaceRequest& request, const std::vector<WorkerView>& views);
+
+/// The part of a service's room that is free, of processors or of accelerators, whichever is less.
+double freeShare(const ServiceId& service, const std::vector<WorkerView>& views);
+
 /// Whether the step could run on the worker if it were empty.
 bool couldRun(const PlaceRequest& request, const WorkerView& view);
 
--- a/packages/fleet/include/jujubereach/fleet/queue-order.h
+++ b/packages/fleet/include/jujubereach/fleet/queue-order.h
@@ -1,7 +1,7 @@
 // The order in which waiting steps get room: by what their callers gain for each unit of room.
 #pragma once
 
-#include "jujubereach/base/time.h"
+#include "jujubereach/fleet/job-spec.h"
 
 namespace jujubereach::fleet {
 
@@ -23,5 +23,6 @@
 
 /// Accelerators count as so many cores, as the platform prices them.
 constexpr double coresPerAccelerator = 8;
+double coresOf(const Room& room);
 
 } // namespace jujubereach::fleet
--- a/packages/fleet/include/jujubereach/fleet/records.h
+++ b/packages/fleet/include/jujubereach/fleet/records.h
@@ -44,11 +44,10 @@
     std::vector<TaskProgress> tasks; ///< Only those that differ from a fresh one; none in a final state.
 };
 
-/// What the owner tells all hosts: jobs of each queue that have not begun, and how long a start takes.
+/// What the owner tells all hosts: jobs of each queue that have not begun.
 struct QueueSummary {
     Fence owner;
     std::vector<std::pair<RouteId, std::int64_t>> pending;
-    std::vector<std::pair<RouteId, Duration>> retryAfter; ///< Queues that take no more jobs now.
 };
 
 std::string encode(const JobRecord& record);
--- a/packages/fleet/src/job.h
+++ b/packages/fleet/src/job.h
@@ -41,6 +41,7 @@
     StepAdvice advice;
     std::optional<Plan> plan;
     std::map<WorkerId, int> onWorker; ///< Active tasks by worker.
+    TimePoint waitingSince; ///< Unset while no task waits.
 
     bool finished() const { return done == spec->count; }
     /// The task that carries what a gang's members share, else the task itself.
--- /dev/null
+++ b/packages/fleet/src/owner-advice.cpp
@@ -0,0 +1,70 @@
+// Asks the adviser of a queue which workers may run a step.
+#include "pass.h"
+
+namespace jujubereach::fleet {
+
+namespace {
+
+    constexpr std::size_t maxAdvised
+        = 30; // Workers in one question; the objectives count one question of 30.
+    constexpr Duration advicePause { 300 }; // After a question without an answer, or with nobody to name.
+    constexpr Duration adviceReserve { 300 }; // Of a ticket's validity, for the start and its way.
+
+} // namespace
+
+// Whether the adviser has named workers for the step whose tickets are valid; asks it where not.
+bool Owner::Impl::isAdvised(
+    const Ready& ready, const PlaceRequest& request, const std::vector<WorkerView>& fleet)
+{
+    auto& advice = ready.step().advice;
+    if (!advice.tickets.empty() && now() < advice.expires)
+        return true;
+    if (advice.asking || now() < advice.retryAt || !m_hooks.advise)
+        return false;
+    std::vector<WorkerId> asked;
+    for (const auto& view : fleet) {
+        const auto useful
+            = advice.good.empty() ? !advice.named.contains(view.id) : advice.good.contains(view.id);
+        if (useful && couldRun(request, view) && view.free.holds(request.spec->room)
+            && asked.size() < maxAdvised)
+            asked.push_back(view.id);
+    }
+    if (asked.empty()) {
+        advice.named.clear(); // Room comes and goes: begin again with all.
+        advice.good.clear();
+        advice.retryAt = now() + advicePause;
+        return false;
+    }
+    advice.asking = true;
+    const TaskId step { ready.job->id(), ready.occurrence, ready.index, 0 };
+    m_hooks.advise(step, asked, [this, self = m_self, step, asked](const AdviceAnswer& answer) {
+        auto* job = *self ? findJob(step.job) : nullptr;
+        auto* asking = job ? job->findStep(step) : nullptr;
+        if (asking)
+            advised(step, *asking, asked, answer);
+    });
+    return false;
+}
+
+void Owner::Impl::advised(
+    const TaskId& id, Step& step, const std::vector<WorkerId>& asked, const AdviceAnswer& answer)
+{
+    auto& advice = step.advice;
+    advice.asking = false;
+    advice.retryAt = answer.answered ? now() : now() + advicePause;
+    advice.expires = now() + answer.validity - adviceReserve;
+    advice.tickets.clear();
+    if (answer.answered)
+        advice.named.insert(asked.begin(), asked.end());
+    for (const auto& good : answer.good) {
+        advice.tickets[good.worker] = good.ticket;
+        advice.good.insert(good.worker);
+    }
+    m_hooks.log("advice",
+        { { "id", id.job.str() }, { "step", id.step }, { "asked", asked.size() },
+            { "good", answer.good.size() }, { "answered", answer.answered },
+            { "validMs", answer.validity.count() } });
+    soon();
+}
+
+} // namespace jujubereach::fleet
--- /dev/null
+++ b/packages/fleet/src/owner-displace.cpp
@@ -0,0 +1,137 @@
+// Makes room for urgent steps by stopping less urgent tasks.
+#include "pass.h"
+
+#include "jujubereach/fleet/queue-order.h"
+
+#include <limits>
+
+namespace jujubereach::fleet {
+
+namespace {
+
+    constexpr Duration planLife { 2000 }; // Of room that is being freed; above a stop and two looks.
+    constexpr double displacementShare
+        = 0.25; // Work thrown away for a step, against the work of the step itself.
+
+} // namespace
+
+void Owner::Impl::addDisplaceable(std::vector<WorkerView>& fleet)
+{
+    for (auto& view : fleet) {
+        for (const auto& [task, active] : findWorker(view.id)->runs) {
+            auto* job = findJob(task.job);
+            const auto* step = job ? job->findStep(task) : nullptr;
+            if (!step || active.phase == RunPhase::Stopping || step->spec->longRunning)
+                continue;
+            // A stop saves a task that checkpoints; members of a gang that wait for each other fall back
+            // further.
+            auto lostTime = now() - active.orderedAt;
+            if (step->spec->checkpointing)
+                lostTime = std::min(lostTime,
+                    step->spec->gang ? m_settings.checkpointInterval / 2 + m_settings.restoreTime
+                                     : m_settings.restoreTime);
+            const auto lost = coresOf(active.room) * static_cast<double>(lostTime.count()) / 1000;
+            view.displaceable.push_back({ task, active.room, active.priority,
+                step->spec->gang ? lost * step->spec->count : lost, step->spec->gang });
+        }
+    }
+}
+
+bool Owner::Impl::displaceFor(const Ready& ready, std::vector<WorkerView>& fleet)
+{
+    auto& step = ready.step();
+    auto request = requestFor(ready);
+    request.maxLoss = ready.guaranteed
+        ? std::numeric_limits<double>::infinity()
+        : displacementShare * workOf(*ready.job, *step.spec) * static_cast<double>(ready.tasks.size());
+    std::vector<int> waiting;
+    for (const auto index : ready.tasks) {
+        if (step.tasks[static_cast<std::size_t>(index)].worker.empty())
+            waiting.push_back(index);
+    }
+    request.count = static_cast<int>(waiting.size());
+    if (waiting.empty())
+        return true;
+    const auto found = placeByDisplacing(request, fleet);
+    if (found.placement.empty())
+        return false;
+    Plan plan;
+    plan.expires = now() + planLife;
+    boost::json::array victims;
+    for (std::size_t i = 0; i < found.placement.size(); ++i) {
+        auto& view = fleet[found.placement[i]];
+        view.free -= step.spec->room;
+        findWorker(view.id)->booked += step.spec->room;
+        plan.tasks.emplace_back(waiting[i], view.id);
+    }
+    for (const auto& task : found.victims) {
+        victims.push_back(boost::json::string(toString(task)));
+        for (auto& view : fleet)
+            std::erase_if(view.displaceable, [&](const Displaceable& option) { return option.task == task; });
+        stopWhole(task, "more urgent work needs its room");
+    }
+    m_hooks.log(
+        "displace", { { "id", ready.job->id().str() }, { "tasks", waiting.size() }, { "victims", victims } });
+    step.plan = std::move(plan);
+    return true;
+}
+
+// A gang stops as a whole, so that each member is saved.
+void Owner::Impl::stopWhole(const TaskId& task, const char* why)
+{
+    auto* job = findJob(task.job);
+    auto* step = job ? job->findStep(task) : nullptr;
+    if (!step)
+        return;
+    for (int i = 0; i < step->spec->count; ++i) {
+        if (!step->spec->gang && i != task.index)
+            continue;
+        const auto at = step->tasks[static_cast<std::size_t>(i)].worker;
+        if (auto* worker = at.empty() ? nullptr : findWorker(at))
+            stop(*worker, { task.job, task.occurrence, task.step, i }, why);
+    }
+}
+
+bool Owner::Impl::runPlan(Job& job, int occurrence, int stepIndex)
+{
+    auto& step = job.occurrences.at(occurrence).steps[static_cast<std::size_t>(stepIndex)];
+    if (now() >= step.plan->expires) {
+        dropPlan(step);
+        return false;
+    }
+    std::map<WorkerId, Room> need;
+    for (const auto& [index, id] : step.plan->tasks)
+        need[id] += step.spec->room;
+    for (const auto& [id, room] : need) {
+        auto* worker = findWorker(id);
+        if (!worker || worker->report.draining || worker->misses > 0 || !worker->fenced) {
+            dropPlan(step);
+            return false;
+        }
+        auto free = worker->report.capacity;
+        free -= worker->used;
+        if (!free.holds(room))
+            return true; // Still being freed.
+    }
+    const auto tasks = step.plan->tasks;
+    dropPlan(step);
+    const auto gap = job.recovered ? runGapAfterTakeover : 1;
+    const auto shared = Run { step.shared(0).lastRun.value + gap };
+    for (const auto& [index, id] : tasks)
+        begin(job, { job.id(), occurrence, stepIndex, index }, *findWorker(id),
+            step.spec->gang ? shared : Run { step.shared(index).lastRun.value + gap });
+    return true;
+}
+
+void Owner::Impl::dropPlan(Step& step)
+{
+    if (!step.plan)
+        return;
+    for (const auto& [index, id] : step.plan->tasks) {
+        if (auto* worker = findWorker(id))
+            worker->booked -= step.spec->room;
+    }
+    step.plan.reset();
+}
+
+} // namespace jujubereach::fleet
--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -17,9 +17,7 @@
 
     double coreSeconds(const Room& room, Duration time)
     {
-        const auto cores = static_cast<double>(room.milliCores) / 1000
-            + coresPerAccelerator * static_cast<double>(room.accelerators);
-        return cores * static_cast<double>(time.count()) / 1000;
+        return coresOf(room) * static_cast<double>(time.count()) / 1000;
     }
 
 } // namespace
@@ -245,7 +243,7 @@
     }
     changed(job);
     if (step.finished())
-        stepAdvanced(job, id.occurrence);
+        stepAdvanced(job);
 }
 
 void Owner::Impl::taskFailed(Job& job, Step& step, const TaskId& id, Run run, Worker& worker)
@@ -260,7 +258,7 @@
         finish(job, JobState::Failed, "a task has failed as often as its queue allows");
 }
 
-void Owner::Impl::stepAdvanced(Job& job, int)
+void Owner::Impl::stepAdvanced(Job& job)
 {
     while (!job.occurrences.empty() && job.occurrences.begin()->second.finished())
         job.occurrences.erase(job.occurrences.begin());
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -68,7 +68,7 @@
     void loseRun(Worker& worker, const TaskId& task, const char* why);
     void taskDone(Job& job, Step& step, const TaskId& task);
     void taskFailed(Job& job, Step& step, const TaskId& task, Run run, Worker& worker);
-    void stepAdvanced(Job& job, int occurrence);
+    void stepAdvanced(Job& job);
     void finish(Job& job, JobState state, const char* why);
     void stopTasks(Job& job, const char* why);
     void describe(const Job* job, const Worker& worker, ActiveRun& run) const;
@@ -83,21 +83,26 @@
     std::optional<Ready> readyStep(Job& job, Occurrence& occurrence, std::size_t index) const;
     std::vector<Ready> readySteps();
     PlaceRequest requestFor(const Ready& ready) const;
+    bool leavesRack(const Ready& ready, const PlaceRequest& request, Pass& pass) const;
     std::size_t placeReady(const Ready& ready, Pass& pass);
     void startPlaced(const Ready& ready, const Placement& placement, const std::vector<WorkerView>& fleet);
+    std::vector<WorkerView> views() const;
+    void begin(Job& job, const TaskId& task, Worker& worker, Run run);
+    void occurrencesDue();
+    Duration expectedTime(const Job& job, const StepSpec& step) const;
+    double workOf(const Job& job, const StepSpec& step) const;
+
+    // owner-advice.cpp: queues whose adviser must be asked.
     bool isAdvised(const Ready& ready, const PlaceRequest& request, const std::vector<WorkerView>& fleet);
     void advised(
         const TaskId& id, Step& step, const std::vector<WorkerId>& asked, const AdviceAnswer& answer);
+
+    // owner-displace.cpp: room for urgent work.
+    void addDisplaceable(std::vector<WorkerView>& fleet);
+    bool displaceFor(const Ready& ready, std::vector<WorkerView>& views);
     void stopWhole(const TaskId& task, const char* why);
-    std::vector<WorkerView> views() const;
     bool runPlan(Job& job, int occurrence, int stepIndex);
     void dropPlan(Step& step);
-    void begin(Job& job, const TaskId& task, Worker& worker, Run run);
-    bool displaceFor(const Ready& ready, std::vector<WorkerView>& views);
-    void addDisplaceable(std::vector<WorkerView>& fleet);
-    void occurrencesDue();
-    Duration expectedTime(const Job& job, const StepSpec& step) const;
-    double workOf(const Job& job, const StepSpec& step) const;
 
     TimePoint now() const { return m_hooks.clock(); }
     bool mayOrder() const { return now() - m_confirmedAt < m_settings.confirmBound && !m_superseded; }
@@ -137,6 +142,7 @@
 
     bool m_passDue = false;
     TimePoint m_nextPass;
+    TimePoint m_waitingPass = TimePoint::max(); ///< When to try again though nothing happened.
     OwnerFigures m_figures;
 };
 
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -1,35 +1,26 @@
 // Placing: gives room to waiting steps in the order of their rank.
-#include "owner-impl.h"
+#include "pass.h"
 
 #include "jujubereach/fleet/queue-order.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace jujubereach::fleet {
 
 namespace {
 
     constexpr Duration passPause { 20 }; // Joins news that come together.
-    constexpr Duration planLife { 2000 }; // Of room that is being freed; above a stop and two looks.
-    constexpr std::uint64_t runGapAfterTakeover = 16; // Above any start that the last owner did not save.
+    constexpr Duration waitingPassInterval {
+        500
+    }; // Time alone may give room: pauses end, racks are given up.
     constexpr double distrustOfUnproven = 0.02; // Breaks ties towards workers that have finished a task.
 
+    constexpr Duration rackPause { 2000 }; // Workers whose entries lapsed with the store are back within it.
+    constexpr int maxRackSearches = 8; // In one pass; bounds its time when much work waits for racks.
+    constexpr double idleShare = 0.5; // Of the room: work that takes several times as long displaces nothing.
+
     constexpr int maxDisplacementSearches = 8; // In one pass; bounds its time when much urgent work waits.
     constexpr int lastDisplacingPriority = 0; // Displacing by less urgent work threw away more than it won.
-    constexpr double displacementShare
-        = 0.25; // Work thrown away for a step, against the work of the step itself.
-
-    constexpr std::size_t maxAdvised
-        = 30; // Workers in one question; the objectives count one question of 30.
-    constexpr Duration advicePause { 300 }; // After a question without an answer, or with nobody to name.
-    constexpr Duration adviceReserve { 300 }; // Of a ticket's validity, for the start and its way.
-
-    double coresOf(const Room& room)
-    {
-        return static_cast<double>(room.milliCores) / 1000
-            + coresPerAccelerator * static_cast<double>(room.accelerators);
-    }
 
     bool isBlocked(const std::vector<PlaceRequest>& blocked, const PlaceRequest& request)
     {
@@ -40,18 +31,6 @@
 
 } // namespace
 
-/// A step with tasks that may start now.
-struct Owner::Impl::Ready {
-    Job* job = nullptr;
-    int occurrence = 0;
-    int index = 0; ///< Of the step.
-    std::vector<int> tasks; ///< That wait.
-    double rank = 0;
-    bool guaranteed = false;
-
-    Step& step() const { return job->occurrences.at(occurrence).steps[static_cast<std::size_t>(index)]; }
-};
-
 Duration Owner::Impl::expectedTime(const Job& job, const StepSpec& step) const
 {
     const auto found = m_history.find(job.record.route);
@@ -91,8 +70,12 @@
         if (!task.done && task.worker.empty())
             ready.tasks.push_back(i);
     }
-    if (ready.tasks.empty())
+    if (ready.tasks.empty()) {
+        step.waitingSince = {};
         return std::nullopt;
+    }
+    if (step.waitingSince == TimePoint {})
+        step.waitingSince = now();
     return ready;
 }
 
@@ -167,18 +150,11 @@
     return out;
 }
 
-/// What one pass has found out.
-struct Owner::Impl::Pass {
-    std::vector<WorkerView> fleet;
-    std::vector<PlaceRequest> blocked; ///< Nothing as large fits anywhere.
-    bool displaceable = false; ///< The views tell what may be displaced.
-    int searches = 0;
-};
-
 void Owner::Impl::pass()
 {
     m_passDue = false;
     m_nextPass = now() + passPause;
+    m_waitingPass = mayOrder() ? TimePoint::max() : now() + waitingPassInterval;
     if (!mayOrder())
         return;
     Pass pass;
@@ -187,6 +163,8 @@
         if (ready.step().plan && runPlan(*ready.job, ready.occurrence, ready.index))
             continue;
         const auto placed = placeReady(ready, pass);
+        if (placed < ready.tasks.size())
+            m_waitingPass = now() + waitingPassInterval;
         if (placed == ready.tasks.size() || termsOf(*ready.job).priority > lastDisplacingPriority
             || pass.searches >= maxDisplacementSearches || termsOf(*ready.job).advice)
             continue;
@@ -211,6 +189,21 @@
     return request;
 }
 
+// Elsewhere than on the racks that a step wants it takes several times as long. That is worth it where those
+// cannot take it at all, and instead of waiting as long in an idle fleet.
+bool Owner::Impl::leavesRack(const Ready& ready, const PlaceRequest& request, Pass& pass) const
+{
+    const auto& spec = *ready.step().spec;
+    const auto waited = now() - std::max(ready.step().waitingSince, m_tookOverAt);
+    if ((spec.rack.empty() && !(spec.gang && spec.sameRack)) || waited < rackPause)
+        return false;
+    const auto expected = static_cast<double>(expectedTime(*ready.job, spec).count());
+    if (static_cast<double>(waited.count()) >= expected * (m_settings.remoteFactor - 1)
+        && freeShare(request.service, pass.fleet) > idleShare)
+        return true;
+    return ++pass.rackSearches <= maxRackSearches && !fitsEmptyFleet(request, pass.fleet);
+}
+
 // Starts what fits now. Returns the number of tasks that were started.
 std::size_t Owner::Impl::placeReady(const Ready& ready, Pass& pass)
 {
@@ -243,8 +236,16 @@
     }
     if (isBlocked(pass.blocked, request) && !ready.guaranteed)
         return 0;
-    const auto placement = place(request, pass.fleet);
     const auto& spec = *step.spec;
+    auto placement = place(request, pass.fleet);
+    if (placement.empty() && leavesRack(ready, request, pass)) {
+        request.anyRack = true;
+        placement = place(request, pass.fleet);
+        if (!placement.empty())
+            m_hooks.log("rack-given-up",
+                { { "id", ready.job->id().str() }, { "step", ready.index }, { "rack", spec.rack },
+                    { "waitedMs", (now() - step.waitingSince).count() } });
+    }
     if (placement.empty() && spec.label.empty() && spec.rack.empty() && !spec.gang && spec.maxPerWorker == 0
         && avoid.empty() && !request.allowed)
         pass.blocked.push_back(request);
@@ -266,180 +267,6 @@
     }
 }
 
-// Whether the adviser has named workers for the step whose tickets are valid; asks it where not.
-bool Owner::Impl::isAdvised(
-    const Ready& ready, const PlaceRequest& request, const std::vector<WorkerView>& fleet)
-{
-    auto& advice = ready.step().advice;
-    if (!advice.tickets.empty() && now() < advice.expires)
-        return true;
-    if (advice.asking || now() < advice.retryAt || !m_hooks.advise)
-        return false;
-    std::vector<WorkerId> asked;
-    for (const auto& view : fleet) {
-        const auto useful
-            = advice.good.empty() ? !advice.named.contains(view.id) : advice.good.contains(view.id);
-        if (useful && couldRun(request, view) && view.free.holds(request.spec->room)
-            && asked.size() < maxAdvised)
-            asked.push_back(view.id);
-    }
-    if (asked.empty()) {
-        advice.named.clear(); // Room comes and goes: begin again with all.
-        advice.good.clear();
-        advice.retryAt = now() + advicePause;
-        return false;
-    }
-    advice.asking = true;
-    const TaskId step { ready.job->id(), ready.occurrence, ready.index, 0 };
-    m_hooks.advise(step, asked, [this, self = m_self, step, asked](const AdviceAnswer& answer) {
-        auto* job = *self ? findJob(step.job) : nullptr;
-        auto* asking = job ? job->findStep(step) : nullptr;
-        if (asking)
-            advised(step, *asking, asked, answer);
-    });
-    return false;
-}
-
-void Owner::Impl::advised(
-    const TaskId& id, Step& step, const std::vector<WorkerId>& asked, const AdviceAnswer& answer)
-{
-    auto& advice = step.advice;
-    advice.asking = false;
-    advice.retryAt = answer.answered ? now() : now() + advicePause;
-    advice.expires = now() + answer.validity - adviceReserve;
-    advice.tickets.clear();
-    if (answer.answered)
-        advice.named.insert(asked.begin(), asked.end());
-    for (const auto& good : answer.good) {
-        advice.tickets[good.worker] = good.ticket;
-        advice.good.insert(good.worker);
-    }
-    m_hooks.log("advice",
-        { { "id", id.job.str() }, { "step", id.step }, { "asked", asked.size() },
-            { "good", answer.good.size() }, { "answered", answer.answered },
-            { "validMs", answer.validity.count() } });
-    soon();
-}
-
-void Owner::Impl::addDisplaceable(std::vector<WorkerView>& fleet)
-{
-    for (auto& view : fleet) {
-        for (const auto& [task, active] : findWorker(view.id)->runs) {
-            auto* job = findJob(task.job);
-            const auto* step = job ? job->findStep(task) : nullptr;
-            if (!step || active.phase == RunPhase::Stopping || step->spec->longRunning)
-                continue;
-            // A stop saves a task that checkpoints; members of a gang that wait for each other fall back
-            // further.
-            auto lostTime = now() - active.orderedAt;
-            if (step->spec->checkpointing)
-                lostTime = std::min(lostTime,
-                    step->spec->gang ? m_settings.checkpointInterval / 2 + m_settings.restoreTime
-                                     : m_settings.restoreTime);
-            const auto lost = coresOf(active.room) * static_cast<double>(lostTime.count()) / 1000;
-            view.displaceable.push_back({ task, active.room, active.priority,
-                step->spec->gang ? lost * step->spec->count : lost, step->spec->gang });
-        }
-    }
-}
-
-bool Owner::Impl::displaceFor(const Ready& ready, std::vector<WorkerView>& fleet)
-{
-    auto& step = ready.step();
-    auto request = requestFor(ready);
-    request.maxLoss = ready.guaranteed
-        ? std::numeric_limits<double>::infinity()
-        : displacementShare * workOf(*ready.job, *step.spec) * static_cast<double>(ready.tasks.size());
-    std::vector<int> waiting;
-    for (const auto index : ready.tasks) {
-        if (step.tasks[static_cast<std::size_t>(index)].worker.empty())
-            waiting.push_back(index);
-    }
-    request.count = static_cast<int>(waiting.size());
-    if (waiting.empty())
-        return true;
-    const auto found = placeByDisplacing(request, fleet);
-    if (found.placement.empty())
-        return false;
-    Plan plan;
-    plan.expires = now() + planLife;
-    boost::json::array victims;
-    for (std::size_t i = 0; i < found.placement.size(); ++i) {
-        auto& view = fleet[found.placement[i]];
-        view.free -= step.spec->room;
-        findWorker(view.id)->booked += step.spec->room;
-        plan.tasks.emplace_back(waiting[i], view.id);
-    }
-    for (const auto& task : found.victims) {
-        victims.push_back(boost::json::string(toString(task)));
-        for (auto& view : fleet)
-            std::erase_if(view.displaceable, [&](const Displaceable& option) { return option.task == task; });
-        stopWhole(task, "more urgent work needs its room");
-    }
-    m_hooks.log(
-        "displace", { { "id", ready.job->id().str() }, { "tasks", waiting.size() }, { "victims", victims } });
-    step.plan = std::move(plan);
-    return true;
-}
-
-// A gang stops as a whole, so that each member is saved.
-void Owner::Impl::stopWhole(const TaskId& task, const char* why)
-{
-    auto* job = findJob(task.job);
-    auto* step = job ? job->findStep(task) : nullptr;
-    if (!step)
-        return;
-    for (int i = 0; i < step->spec->count; ++i) {
-        if (!step->spec->gang && i != task.index)
-            continue;
-        const auto at = step->tasks[static_cast<std::size_t>(i)].worker;
-        if (auto* worker = at.empty() ? nullptr : findWorker(at))
-            stop(*worker, { task.job, task.occurrence, task.step, i }, why);
-    }
-}
-
-bool Owner::Impl::runPlan(Job& job, int occurrence, int stepIndex)
-{
-    auto& step = job.occurrences.at(occurrence).steps[static_cast<std::size_t>(stepIndex)];
-    if (now() >= step.plan->expires) {
-        dropPlan(step);
-        return false;
-    }
-    std::map<WorkerId, Room> need;
-    for (const auto& [index, id] : step.plan->tasks)
-        need[id] += step.spec->room;
-    for (const auto& [id, room] : need) {
-        auto* worker = findWorker(id);
-        if (!worker || worker->report.draining || worker->misses > 0 || !worker->fenced) {
-            dropPlan(step);
-            return false;
-        }
-        auto free = worker->report.capacity;
-        free -= worker->used;
-        if (!free.holds(room))
-            return true; // Still being freed.
-    }
-    const auto tasks = step.plan->tasks;
-    dropPlan(step);
-    const auto gap = job.recovered ? runGapAfterTakeover : 1;
-    const auto shared = Run { step.shared(0).lastRun.value + gap };
-    for (const auto& [index, id] : tasks)
-        begin(job, { job.id(), occurrence, stepIndex, index }, *findWorker(id),
-            step.spec->gang ? shared : Run { step.shared(index).lastRun.value + gap });
-    return true;
-}
-
-void Owner::Impl::dropPlan(Step& step)
-{
-    if (!step.plan)
-        return;
-    for (const auto& [index, id] : step.plan->tasks) {
-        if (auto* worker = findWorker(id))
-            worker->booked -= step.spec->room;
-    }
-    step.plan.reset();
-}
-
 void Owner::Impl::begin(Job& job, const TaskId& id, Worker& worker, Run number)
 {
     auto& step = *job.findStep(id);
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -189,7 +189,7 @@
         m_rosterDue = true;
         soon();
     }
-    if (m_passDue && time >= m_nextPass)
+    if ((m_passDue && time >= m_nextPass) || time >= m_waitingPass)
         pass();
     saveDue();
     for (auto i = m_jobs.begin(); i != m_jobs.end();) {
--- /dev/null
+++ b/packages/fleet/src/pass.h
@@ -0,0 +1,31 @@
+// What one pass over the waiting steps works on.
+#pragma once
+
+#include "owner-impl.h"
+
+namespace jujubereach::fleet {
+
+constexpr std::uint64_t runGapAfterTakeover = 16; ///< Above any start that the last owner did not save.
+
+/// A step with tasks that may start now.
+struct Owner::Impl::Ready {
+    Job* job = nullptr;
+    int occurrence = 0;
+    int index = 0; ///< Of the step.
+    std::vector<int> tasks; ///< That wait.
+    double rank = 0;
+    bool guaranteed = false;
+
+    Step& step() const { return job->occurrences.at(occurrence).steps[static_cast<std::size_t>(index)]; }
+};
+
+/// What one pass has found out.
+struct Owner::Impl::Pass {
+    std::vector<WorkerView> fleet;
+    std::vector<PlaceRequest> blocked; ///< Nothing as large fits anywhere.
+    bool displaceable = false; ///< The views tell what may be displaced.
+    int searches = 0; ///< For something to displace.
+    int rackSearches = 0; ///< For a place in an empty fleet.
+};
+
+} // namespace jujubereach::fleet
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -130,7 +130,7 @@
 
     bool needsOneRack(const PlaceRequest& request)
     {
-        return request.spec->gang && request.spec->sameRack && !request.anyRackForGang;
+        return request.spec->gang && request.spec->sameRack && !request.anyRack;
     }
 
     // The rack on which the gang fits with the least left over.
@@ -280,6 +280,30 @@
     return placement;
 }
 
+bool fitsEmptyFleet(const PlaceRequest& request, const std::vector<WorkerView>& views)
+{
+    auto emptied = views;
+    for (auto& view : emptied)
+        view.free = view.capacity;
+    auto least = request;
+    least.count = request.spec->gang ? request.count : 1;
+    return !place(least, emptied).empty();
+}
+
+double freeShare(const ServiceId& service, const std::vector<WorkerView>& views)
+{
+    Room free;
+    Room whole;
+    for (const auto& view : views) {
+        if (view.service != service)
+            continue;
+        free += view.free;
+        whole += view.capacity;
+    }
+    const auto cores = share(free.milliCores, whole.milliCores);
+    return whole.accelerators > 0 ? std::min(cores, share(free.accelerators, whole.accelerators)) : cores;
+}
+
 Displacement placeByDisplacing(const PlaceRequest& request, const std::vector<WorkerView>& views)
 {
     const auto among = candidates(request, views);
--- a/packages/fleet/src/queue-order.cpp
+++ b/packages/fleet/src/queue-order.cpp
@@ -42,4 +42,10 @@
     return step.guaranteed ? guaranteedBonus + density : density;
 }
 
+double coresOf(const Room& room)
+{
+    return static_cast<double>(room.milliCores) / 1000
+        + coresPerAccelerator * static_cast<double>(room.accelerators);
+}
+
 } // namespace jujubereach::fleet
--- a/packages/fleet/src/records.cpp
+++ b/packages/fleet/src/records.cpp
@@ -217,11 +217,7 @@
     json::object pending;
     for (const auto& [route, count] : summary.pending)
         pending[route.str()] = count;
-    json::object retryAfter;
-    for (const auto& [route, wait] : summary.retryAfter)
-        retryAfter[route.str()] = wait.count();
-    return json::serialize(json::object {
-        { "owner", summary.owner.value }, { "pending", pending }, { "retryAfter", retryAfter } });
+    return json::serialize(json::object { { "owner", summary.owner.value }, { "pending", pending } });
 }
 
 std::optional<JobRecord> decodeJob(const JobId& id, const std::string& value)
@@ -253,9 +249,6 @@
         summary.owner = { static_cast<std::uint64_t>(number(in, "owner")) };
         for (const auto& [route, count] : in.at("pending").as_object())
             summary.pending.emplace_back(RouteId(std::string(route)), count.to_number<std::int64_t>());
-        for (const auto& [route, wait] : in.at("retryAfter").as_object())
-            summary.retryAfter.emplace_back(
-                RouteId(std::string(route)), Duration(wait.to_number<std::int64_t>()));
         return summary;
     });
 }
--- a/packages/fleet/test/owner-test.cpp
+++ b/packages/fleet/test/owner-test.cpp
@@ -11,6 +11,9 @@
     CPPUNIT_TEST(runsAJob);
     CPPUNIT_TEST(keepsTheOrderOfSteps);
     CPPUNIT_TEST(startsAGangWhole);
+    CPPUNIT_TEST(runsElsewhereWhenItsRackIsGone);
+    CPPUNIT_TEST(waitsForItsRackWhileThatIsSooner);
+    CPPUNIT_TEST(aGangTakesTwoRacksWhenNoneIsLargeEnough);
     CPPUNIT_TEST(failsAJobAfterItsAttempts);
     CPPUNIT_TEST(stopsACancelledJob);
     CPPUNIT_TEST(reclaimsGuaranteedRoom);
@@ -90,6 +93,63 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
     }
 
+    // The load: a rack is emptied and taken away while jobs whose data is there still come.
+    void runsElsewhereWhenItsRackIsGone()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a", "r1");
+        fleet.takeOver();
+        auto job = FakeFleet::job("j", 2);
+        job.spec.steps[0].rack = "gone";
+        fleet.submit(job);
+        fleet.run(Duration(10'000));
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+    }
+
+    void waitsForItsRackWhileThatIsSooner()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a", "r1");
+        fleet.addWorker("b", "r2");
+        fleet.addWorker("c", "r2");
+        fleet.takeOver();
+        auto first = FakeFleet::job("first", 1, wholeWorker);
+        first.spec.steps[0].rack = "r1";
+        auto second = first;
+        second.id = JobId("second");
+        fleet.submit(first);
+        fleet.run(Duration(100));
+        fleet.submit(second);
+        fleet.run(Duration(2400));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.workers.at(WorkerId("a")).live.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet.workers.at(WorkerId("b")).live.size());
+        fleet.workTime
+            = [](const TaskId& task) { return Duration(task.job.str() == "long" ? 60'000 : 2000); };
+        auto third = first;
+        third.id = JobId("long");
+        fleet.submit(third);
+        fleet.run(Duration(3000));
+        auto fourth = first;
+        fourth.id = JobId("fourth");
+        fleet.submit(fourth);
+        fleet.run(Duration(10'000)); // Far longer than a run on another rack takes.
+        CPPUNIT_ASSERT(fleet.savedState("fourth") == JobState::Completed);
+    }
+
+    void aGangTakesTwoRacksWhenNoneIsLargeEnough()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a", "r1");
+        fleet.addWorker("b", "r2");
+        fleet.takeOver();
+        auto gang = FakeFleet::job("j", 2, wholeWorker);
+        gang.spec.steps[0].gang = gang.spec.steps[0].sameRack = true;
+        fleet.submit(gang);
+        fleet.run(Duration(10'000));
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
+    }
+
     void failsAJobAfterItsAttempts()
     {
         FakeFleet fleet;
--- a/packages/fleet/test/records-test.cpp
+++ b/packages/fleet/test/records-test.cpp
@@ -78,7 +78,7 @@
         worker.address = "10.0.0.1:80";
         const auto roster = decodeRoster(encodeRoster({ worker }));
         CPPUNIT_ASSERT(roster && roster->size() == 1 && roster->front().address == worker.address);
-        const auto summary = decodeSummary(encode(QueueSummary { { 412 }, { { RouteId("r"), 3 } }, {} }));
+        const auto summary = decodeSummary(encode(QueueSummary { { 412 }, { { RouteId("r"), 3 } } }));
         CPPUNIT_ASSERT(summary && summary->owner == Fence { 412 } && summary->pending.front().second == 3);
     }
 
--- a/packages/scheduling/src/decide.cpp
+++ b/packages/scheduling/src/decide.cpp
@@ -241,7 +241,13 @@
                 [&](std::uint32_t worker) { return m_state.line.runOf(worker).overlaps(run); });
     };
     auto run = searchFree(job, avoids);
-    return run ? run : searchFree(job, keeps);
+    if (run)
+        return run;
+    // A new owner knows only the workers that have reported so far.
+    auto someMissing = m_state.line.usableCount() < m_state.line.size();
+    if (someMissing && now - job.lastFailure < m_state.policy.sameWorkerDelay)
+        return std::nullopt;
+    return searchFree(job, keeps);
 }
 
 } // namespace jujubereach::scheduling
--- a/packages/scheduling/src/ends.cpp
+++ b/packages/scheduling/src/ends.cpp
@@ -72,6 +72,7 @@
         counts = counts || !m_state.health.aside(worker);
     }
     job->failures += counts ? 1 : 0;
+    job->lastFailure = now;
 }
 
 void Scheduler::Impl::learn(const Gang& gang, TimePoint now)
@@ -114,7 +115,7 @@
     if (job->failures >= bound)
         return endJob(job, EndKind::Failed, RefusalReason::FailsEverywhere,
             "The job failed " + std::to_string(job->failures)
-                + " times on different workers where other jobs run.");
+                + " times, each time on another worker or after a pause.");
     if (end.kind == EndKind::Failed && !job->spec.restartable)
         return endJob(job, EndKind::Failed, std::nullopt, "The job failed and may not be started twice.");
     requeue(job, now);
--- a/packages/scheduling/src/records.h
+++ b/packages/scheduling/src/records.h
@@ -25,6 +25,7 @@
     bool started = false; ///< A StartGang was given out, here or by an earlier owner.
     std::uint32_t failures = 0;
     std::vector<std::uint32_t> failedWorkers; ///< Avoided while another run fits.
+    TimePoint lastFailure; ///< Of those counted.
     Gang* gang = nullptr; ///< Set while a gang of the job holds accelerators.
     Claim* claim = nullptr; ///< Set while a run is being cleared for the job.
     bool queued = false; ///< True exactly while the job stands in a lane.
--- a/packages/scheduling/test/scheduling-test.cpp
+++ b/packages/scheduling/test/scheduling-test.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(unknownOutcomeIsNeverStartedAgain);
     CPPUNIT_TEST(failingWorkerIsSetAsideAndProbed);
     CPPUNIT_TEST(jobThatFailsEverywhereEnds);
+    CPPUNIT_TEST(failedWorkerIsNotTriedAgainWhileOthersAreToReport);
+    CPPUNIT_TEST(jobThatFailsOnAllThatIsLeftEnds);
     CPPUNIT_TEST(adoptedGangKeepsItsPlace);
     CPPUNIT_TEST(newManifestLeavesRunningGangs);
     CPPUNIT_TEST(reservedRunIsNotDelayedByWrongEstimates);
@@ -283,6 +285,43 @@
         CPPUNIT_ASSERT_EQUAL(0u, f.scheduler.usage().down); // and no worker blamed for it
     }
 
+    // A new owner knows the workers one by one: a gang that fails on the first two has not failed everywhere.
+    void failedWorkerIsNotTriedAgainWhileOthersAreToReport()
+    {
+        Fixture f(smallManifest(), {}, 2);
+        f.submit(f.restartable("wide", 16));
+        f.decide();
+        f.endGang(f.startOf("wide").gang, EndKind::StartFailed, { 1 });
+        f.decide();
+        f.now += Duration { 35 };
+        f.decide();
+        CPPUNIT_ASSERT(!f.runs("wide"));
+        CPPUNIT_ASSERT(!f.ended("wide"));
+        f.scheduler.workerUp(2, f.now);
+        f.scheduler.workerUp(3, f.now);
+        f.decide();
+        CPPUNIT_ASSERT(f.runOf("wide") == (Run { 16, 16 }));
+        f.end("wide", EndKind::Completed);
+    }
+
+    void jobThatFailsOnAllThatIsLeftEnds()
+    {
+        Fixture f(smallManifest(), {}, 2);
+        f.submit(f.restartable("wide", 16));
+        int starts = 0;
+        for (int i = 0; i < 120 && !f.ended("wide"); ++i) {
+            f.decide();
+            if (f.runs("wide")) {
+                ++starts;
+                f.endGang(f.startOf("wide").gang, EndKind::StartFailed, { 1 });
+            }
+            f.now += Duration { 1000 };
+        }
+        f.decide();
+        CPPUNIT_ASSERT(f.endOf("wide").refusal == RefusalReason::FailsEverywhere);
+        CPPUNIT_ASSERT_EQUAL(2, starts);
+    }
+
     void adoptedGangKeepsItsPlace()
     {
         Fixture f;
