Let large hosts claim the fleet before small ones

Before, all hosts claimed at the same pause and the fastest won by accident. Change: a claim waits 12 ms over the host's cores, so that hosts of 0.5 come before those of 0.12 whatever the jitter; the settings tell the size.

--- a/packages/entry/include/jujubereach/entry/entry-host.h
+++ b/packages/entry/include/jujubereach/entry/entry-host.h
@@ -19,6 +19,7 @@
     ZoneId zone;
     RegionId region;
     std::map<ZoneId, RegionId> zones;
+    double cores = 1; ///< That this host may use: larger hosts claim a fleet sooner.
     fleet::OwnerSettings owner;
     Duration revokeBound {
         5000
--- a/packages/entry/src/ownership.cpp
+++ b/packages/entry/src/ownership.cpp
@@ -10,7 +10,10 @@
     constexpr Duration renewInterval { 700 };
     constexpr Duration callTimeout { 1000 };
     constexpr Duration writeTimeout { 1500 };
-    constexpr Duration claimJitter { 120 }; // Spreads claims over a few round trips.
+    constexpr Duration claimJitter { 60 }; // Spreads claims over a few round trips.
+    // Parts hosts of half a core from those of a quarter, and these from an eighth, by at least the jitter in
+    // the end: an owner's work does not fit a small host beside larger ones.
+    constexpr Duration claimDelayOfOneCore { 12 };
     constexpr Duration claimRetry { 300 };
     constexpr Duration readTimeout { 2500 };
     constexpr Duration workerNewsPause { 300 }; // Joins reports; well below the bound on workers that leave.
@@ -42,9 +45,10 @@
     if (m_claiming || m_draining || m_owner || !m_config)
         return;
     m_claiming = true;
-    const Duration jitter(
-        static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(claimJitter.count())));
-    m_hooks.after(jitter, [this, self = m_self] {
+    std::uniform_int_distribution<std::int64_t> jitter(0, claimJitter.count());
+    const Duration delay(jitter(m_random)
+        + static_cast<std::int64_t>(static_cast<double>(claimDelayOfOneCore.count()) / m_settings.cores));
+    m_hooks.after(delay, [this, self = m_self] {
         if (!*self)
             return;
         if (m_knownOwner.value != 0 || m_draining) {
--- a/packages/entry/test/entry-host-test.cpp
+++ b/packages/entry/test/entry-host-test.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(refusesARevokedKeyBeforeItsNewsArrives);
     CPPUNIT_TEST(saysOnlyWhatItKnowsOfAnUnansweredWrite);
     CPPUNIT_TEST(hostsClaimAtDifferentMoments);
+    CPPUNIT_TEST(largeHostsClaimBeforeSmallOnes);
     CPPUNIT_TEST(readsOnAtOnceWhenNewsIsMany);
     CPPUNIT_TEST_SUITE_END();
 
@@ -77,6 +78,18 @@
         CPPUNIT_ASSERT(delays.size() > 2);
     }
 
+    // The load: 350 workers and 15 jobs a second, on hosts of which most have an eighth of a core.
+    void largeHostsClaimBeforeSmallOnes()
+    {
+        m_store.put(FakeHost::configKey, "1 key");
+        std::vector<std::unique_ptr<FakeHost>> hosts;
+        for (int i = 0; i < 24; ++i)
+            hosts.push_back(std::make_unique<FakeHost>(m_time, m_store, "small-" + std::to_string(i), 0.12));
+        hosts.push_back(std::make_unique<FakeHost>(m_time, m_store, "large", 0.5));
+        m_time.run(Duration(1000));
+        CPPUNIT_ASSERT(hosts.back()->host->ownsFleet());
+    }
+
     void readsOnAtOnceWhenNewsIsMany()
     {
         constexpr int many = 1000;
--- a/packages/entry/test/fake-host.h
+++ b/packages/entry/test/fake-host.h
@@ -206,12 +206,13 @@
 /// One host whose workers never answer. A configuration's value is its version and the caller's key.
 class FakeHost {
 public:
-    FakeHost(FakeTime& time, FakeStore& store, const std::string& name = "h1")
+    FakeHost(FakeTime& time, FakeStore& store, const std::string& name = "h1", double cores = 1)
         : m_time(time)
     {
         HostSettings settings;
         settings.name = name;
         settings.zone = ZoneId("z");
+        settings.cores = cores;
         HostHooks hooks;
         hooks.clock = [this] { return m_time.now(); };
         hooks.wall = [this] { return WallTime { m_time.now().time_since_epoch().count() }; };
