--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -11,6 +11,9 @@
     constexpr Duration lookSlack { 1000 }; // Over the wait, until a look counts as lost.
     constexpr Duration probePause { 400 }; // Between looks at a worker that does not answer.
     constexpr Duration savedWait { 1000 }; // A look goes out at the latest, though ends are not yet saved.
+    constexpr Duration sameLifeBound {
+        1200
+    }; // Above `savedWait`; no life ends and the next one's task in it.
     constexpr Duration orderTimeout { 800 }; // Twenty round trips between regions.
     constexpr Duration retryPause { 200 };
     constexpr int maxStartAttempts = 3; // Within the time that a gang's members wait for each other.
@@ -40,7 +43,10 @@
 {
     HoldOrder order;
     order.fence = m_fence;
-    order.acknowledged = worker.acknowledged;
+    // A later life under the same id numbers its ends anew: numbers of this one would make it forget them
+    // unseen.
+    if (worker.misses == 0 && now() - worker.answeredAt <= sameLifeBound)
+        order.acknowledged = worker.acknowledged;
     // A worker that does not answer gets no further lease: what runs there must end in a known time.
     const auto extend = worker.fenced && worker.misses == 0 && !worker.runs.empty() && mayOrder();
     if (extend) {
@@ -93,7 +99,9 @@
     worker->lookInFlight = false;
     if (!noteAnswer(*worker, sentAt, answer))
         return;
-    if (answer.fate != OrderFate::Done) {
+    if (answer.fate == OrderFate::Done)
+        worker->answeredAt = now();
+    else {
         if (worker->misses++ == 0)
             m_hooks.log("worker-silent",
                 { { "worker", id.str() }, { "fate", nameOf(answer.fate) }, { "runs", worker->runs.size() },
--- a/packages/fleet/src/worker.h
+++ b/packages/fleet/src/worker.h
@@ -73,6 +73,7 @@
     bool lookInFlight = false;
     std::uint64_t lookCount = 0; ///< Only the answer to the last look counts.
     int misses = 0; ///< Looks without an answer since the last one.
+    TimePoint answeredAt; ///< The last look that was answered.
     bool lapsed = false; ///< Its lease has ended since it answered last.
     TimePoint nextLook;
     std::uint64_t acknowledged = 0;
--- a/packages/fleet/test/fake-fleet.h
+++ b/packages/fleet/test/fake-fleet.h
@@ -124,6 +124,8 @@
         hooks.lost = [this] { lost = true; };
         hooks.wakeIn = [this](Duration delay) { m_wake = std::min(m_wake, m_now + delay); };
         hooks.log = [this](const char* event, boost::json::object fields) {
+            if (logged)
+                return logged(event, fields);
             log.push_back(std::string(event) + ' '
                 + std::to_string(m_now.time_since_epoch().count() - 1'000'000) + ' '
                 + boost::json::serialize(fields));
@@ -181,6 +183,7 @@
     void submit(JobRecord record)
     {
         record.terms = config->routes.at(record.route);
+        m_accepted[record.id] = accepted.size();
         accepted.push_back(record);
         if (owner)
             owner->jobWritten(record);
@@ -271,6 +274,8 @@
     std::string lastTicket;
     Seen seen;
     std::vector<std::string> log;
+    std::function<void(const char*, const boost::json::object&)>
+        logged; ///< Instead of `log` where it is set.
 
 private:
     static std::int64_t bornNumber()
@@ -438,7 +443,10 @@
         if (worker.highestEnded[order.task] >= order.run || found != worker.live.end())
             return base(worker, OrderFate::Old);
         checkStart(worker, order, sentAt);
-        worker.live[order.task] = { order.run, m_now + workTime(order.task), roomOf(order.task), {} };
+        // A checkpoint tells how much work is left, in milliseconds.
+        const auto work
+            = order.checkpoint.empty() ? workTime(order.task) : Duration(std::stoll(order.checkpoint));
+        worker.live[order.task] = { order.run, m_now + work, roomOf(order.task), order.checkpoint };
         return base(worker, OrderFate::Done);
     }
 
@@ -463,13 +471,24 @@
             seen.broken.push_back("a start of " + name + " after its job was cancelled");
     }
 
+    const StepSpec* specOf(const TaskId& task) const
+    {
+        const auto found = m_accepted.find(task.job);
+        return found == m_accepted.end()
+            ? nullptr
+            : &accepted[found->second].spec.steps[static_cast<std::size_t>(task.step)];
+    }
+
     Room roomOf(const TaskId& task) const
     {
-        for (const auto& record : accepted) {
-            if (record.id == task.job)
-                return record.spec.steps[static_cast<std::size_t>(task.step)].room;
-        }
-        return {};
+        const auto* spec = specOf(task);
+        return spec ? spec->room : Room {};
+    }
+
+    bool savesOf(const TaskId& task) const
+    {
+        const auto* spec = specOf(task);
+        return spec && spec->checkpointing;
     }
 
     OrderAnswer stop(FakeWorker& worker, const StopOrder& order)
@@ -547,9 +566,12 @@
     void end(FakeWorker& worker, const TaskId& task, EndKind kind)
     {
         const auto run = worker.live.at(task).run;
+        auto checkpoint = worker.live.at(task).checkpoint;
+        if (kind == EndKind::Stopped && savesOf(task))
+            checkpoint = std::to_string(std::max(Duration(1), worker.live.at(task).endsAt - m_now).count());
         worker.live.erase(task);
         worker.highestEnded[task] = std::max(worker.highestEnded[task], run);
-        worker.ended.push_back({ { ++worker.lastNumber, task, run, kind, {} }, m_now });
+        worker.ended.push_back({ { ++worker.lastNumber, task, run, kind, checkpoint }, m_now });
     }
 
     TimePoint nextEnd() const
@@ -581,6 +603,7 @@
     TimePoint m_wake = TimePoint::max();
     int m_term = 0;
     std::multimap<TimePoint, std::function<void()>> m_queue;
+    std::map<JobId, std::size_t> m_accepted; ///< Where a job stands in `accepted`.
 };
 
 } // namespace jujubereach::fleet
--- a/packages/fleet/test/owner-test.cpp
+++ b/packages/fleet/test/owner-test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(waitsForALapseOfASilentWorker);
     CPPUNIT_TEST(restartsAtOnceAfterARebirth);
     CPPUNIT_TEST(waitsForAStartThatANewLifeMayCarryOut);
+    CPPUNIT_TEST(acknowledgesNothingToALifeThatItDoesNotKnow);
     CPPUNIT_TEST(givesUpALifeThatWasReplaced);
     CPPUNIT_TEST(takeoverFindsRunningTasks);
     CPPUNIT_TEST(takeoverWaitsForASilentWorker);
@@ -348,6 +349,30 @@
 
     // Seen on late-orders of ptlw-sched, seed 1: a stop that another life refused was sent again without a
     // pause.
+    // A late start is done in the worker's next life before anyone has heard of it: its end has a number that
+    // the last life's acknowledgements cover.
+    void acknowledgesNothingToALifeThatItDoesNotKnow()
+    {
+        FakeFleet fleet;
+        auto& worker = fleet.addWorker("a");
+        fleet.takeOver();
+        fleet.workTime = [](const TaskId& task) { return Duration(task.job.str() == "long" ? 60'000 : 400); };
+        fleet.submit(FakeFleet::job("long", 1));
+        fleet.submit(FakeFleet::job("short", 4));
+        fleet.run(Duration(3000));
+        CPPUNIT_ASSERT(fleet.savedState("short") == JobState::Completed);
+        worker.lateBy = Duration(3000);
+        fleet.submit(FakeFleet::job("late", 1));
+        fleet.run(Duration(2500));
+        fleet.rebirth("a");
+        worker.answersLost = true;
+        fleet.run(Duration(2000));
+        worker.answersLost = false;
+        fleet.run(Duration(20'000));
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
+        CPPUNIT_ASSERT(fleet.savedState("late") == JobState::Completed);
+    }
+
     void givesUpALifeThatWasReplaced()
     {
         FakeFleet fleet;
