Keep the doubt of a start that a stop overtook; find earlier runs and rooms to displace with less work; play heavy loads in virtual time

Ruled out: a displaced run whose stop was answered (the look tells its end). Change: a stop marks a run whose start is open as unanswered, and only the start's own answer clears it. Earlier runs are looked for only of tasks that were started before; options are weighed once; a step searches for something to displace, or for a rack in an empty fleet, every 200 ms. bench/fleet (fleet-bench) plays gangs, urgent and bulk work with floods against the owner.

--- /dev/null
+++ b/bench/fleet/player.cpp
@@ -0,0 +1,160 @@
+#include "player.h"
+
+#include "fake-fleet.h"
+#include "jujubereach/fleet/queue-order.h"
+
+#include <chrono>
+#include <ctime>
+
+namespace jujubereach::bench {
+
+namespace {
+
+    constexpr double fixedShare = 0.3; ///< Of a job's worth that does not grow with its work.
+    constexpr double maxWorth = 4; ///< Times the mean.
+    constexpr Duration patience { 14'000 }; ///< After the last arrival.
+    constexpr double lateBound = 3; ///< Times the objective.
+
+    struct Played {
+        const Arrival* arrival = nullptr;
+        double worth = 0;
+        Duration objective { 0 };
+        std::optional<Duration> took;
+    };
+
+    double workOf(const Arrival& arrival)
+    {
+        double seconds = 0;
+        for (const auto& time : arrival.taskTimes)
+            seconds += static_cast<double>(time.count()) / 1000;
+        return seconds * fleet::coresOf(arrival.spec.steps[0].room);
+    }
+
+    std::string nameOf(std::size_t index)
+    {
+        return "j" + std::to_string(index);
+    }
+
+    double earnedBy(const Played& job, const ClassLoad& part)
+    {
+        if (!job.took)
+            return 0;
+        if (*job.took <= job.objective)
+            return job.worth;
+        return static_cast<double>(job.took->count())
+                <= lateBound * static_cast<double>(job.objective.count())
+            ? job.worth * part.lateShare
+            : 0;
+    }
+
+    std::vector<Played> worthsOf(const Load& load, const std::vector<Arrival>& arrivals)
+    {
+        std::vector<double> sum(load.classes.size());
+        std::vector<int> count(load.classes.size());
+        for (const auto& arrival : arrivals) {
+            sum[static_cast<std::size_t>(arrival.classIndex)] += workOf(arrival);
+            ++count[static_cast<std::size_t>(arrival.classIndex)];
+        }
+        std::vector<Played> jobs;
+        for (const auto& arrival : arrivals) {
+            const auto index = static_cast<std::size_t>(arrival.classIndex);
+            const auto& part = load.classes[index];
+            const auto relative = workOf(arrival) / (sum[index] / count[index]);
+            const auto longest = *std::max_element(arrival.taskTimes.begin(), arrival.taskTimes.end());
+            jobs.push_back(
+                { &arrival, part.meanWorth * std::min(maxWorth, fixedShare + (1 - fixedShare) * relative),
+                    Duration(static_cast<std::int64_t>(part.stretch * static_cast<double>(longest.count())))
+                        + part.objective,
+                    std::nullopt });
+        }
+        return jobs;
+    }
+
+    void setUp(fleet::FakeFleet& fake, const Load& load)
+    {
+        for (const auto& part : load.classes) {
+            auto& route = fake.config->routes.at(fleet::FakeFleet::routeOf(part.priority));
+            route.stretch = part.stretch;
+            route.objective = part.objective;
+        }
+        for (int rack = 0; rack < load.racks; ++rack) {
+            for (int i = 0; i < load.workersPerRack; ++i)
+                fake.addWorker(
+                        "w" + std::to_string(rack) + '-' + std::to_string(i), "r" + std::to_string(rack))
+                    .report.capacity
+                    = load.worker;
+        }
+    }
+
+    double worstOf(const Load& load, const std::vector<Played>& jobs)
+    {
+        constexpr Duration window { 5000 };
+        double worst = 1;
+        for (Duration from { 0 }; from < load.length; from += window) {
+            double owed = 0;
+            double earned = 0;
+            for (const auto& job : jobs) {
+                if (job.arrival->at < from || job.arrival->at >= from + window)
+                    continue;
+                owed += job.worth;
+                earned += earnedBy(job, load.classes[static_cast<std::size_t>(job.arrival->classIndex)]);
+            }
+            if (owed > 0)
+                worst = std::min(worst, earned / owed);
+        }
+        return worst;
+    }
+
+} // namespace
+
+Outcome play(const Load& load, std::uint64_t seed, const fleet::OwnerSettings& settings)
+{
+    const auto arrivals = arrivalsOf(load, seed);
+    auto jobs = worthsOf(load, arrivals);
+    const auto begun = std::clock();
+    fleet::FakeFleet fake;
+    fake.settings = settings;
+    setUp(fake, load);
+    fake.workTime = [&](const fleet::TaskId& task) {
+        const auto& times = arrivals[std::stoul(task.job.str().substr(1))].taskTimes;
+        return times[static_cast<std::size_t>(task.index)];
+    };
+    fake.logged = [&](const char* event, const boost::json::object& fields) {
+        if (std::string_view(event) == "job-end" && fields.at("state").as_string() == "completed")
+            jobs[std::stoul(std::string(fields.at("id").as_string()).substr(1))].took
+                = Duration(fields.at("afterMs").to_number<std::int64_t>());
+    };
+    fake.takeOver();
+    fake.run(Duration(1000));
+    Duration at { 0 };
+    for (std::size_t i = 0; i < arrivals.size(); ++i) {
+        fake.run(arrivals[i].at - at);
+        at = arrivals[i].at;
+        fleet::JobRecord record;
+        record.id = JobId(nameOf(i));
+        record.route = fleet::FakeFleet::routeOf(
+            load.classes[static_cast<std::size_t>(arrivals[i].classIndex)].priority);
+        record.workspace = WorkspaceId("w");
+        record.spec = arrivals[i].spec;
+        fake.submit(std::move(record));
+    }
+    fake.run(patience);
+
+    Outcome outcome;
+    double work = 0;
+    for (const auto& job : jobs) {
+        const auto index = static_cast<std::size_t>(job.arrival->classIndex);
+        const auto earned = earnedBy(job, load.classes[index]);
+        outcome.owed += job.worth;
+        outcome.earned += earned;
+        outcome.owedByClass[index] += job.worth;
+        outcome.earnedByClass[index] += earned;
+        work += workOf(*job.arrival);
+    }
+    outcome.thrownAway = fake.owner->figures().thrownAway / work;
+    outcome.worstSeconds = worstOf(load, jobs);
+    outcome.ownerSeconds = static_cast<double>(std::clock() - begun) / CLOCKS_PER_SEC;
+    return outcome;
+}
+
+} // namespace jujubereach::bench
--- /dev/null
+++ b/bench/fleet/player.h
@@ -0,0 +1,26 @@
+// Plays a load against an owner in virtual time and tells what callers got.
+#pragma once
+
+#include "load.h"
+
+#include "jujubereach/fleet/owner.h"
+
+#include <array>
+
+namespace jujubereach::bench {
+
+constexpr int classCount = 3;
+
+struct Outcome {
+    double owed = 0;
+    double earned = 0;
+    std::array<double, classCount> owedByClass {};
+    std::array<double, classCount> earnedByClass {};
+    double thrownAway = 0; ///< Core-seconds that ended without being saved, against those of all jobs.
+    double worstSeconds = 1; ///< Share earned of the jobs of the worst five seconds.
+    double ownerSeconds = 0; ///< Processor time of the play, the fake workers included.
+};
+
+Outcome play(const Load& load, std::uint64_t seed, const fleet::OwnerSettings& settings);
+
+} // namespace jujubereach::bench
--- a/packages/fleet/src/job.h
+++ b/packages/fleet/src/job.h
@@ -42,6 +42,8 @@
     std::optional<Plan> plan;
     std::map<WorkerId, int> onWorker; ///< Active tasks by worker.
     TimePoint waitingSince; ///< Unset while no task waits.
+    TimePoint nextRackSearch; ///< Whether its rack could take it at all.
+    TimePoint nextDisplacing; ///< Whether something may be displaced for it.
 
     bool finished() const { return done == spec->count; }
     /// The task that carries what a gang's members share, else the task itself.
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -83,6 +83,7 @@
     std::optional<Ready> readyStep(Job& job, Occurrence& occurrence, std::size_t index) const;
     std::vector<Ready> readySteps();
     PlaceRequest requestFor(const Ready& ready) const;
+    std::set<WorkerId> workersWithEarlierRuns(const Ready& ready, const std::vector<WorkerView>& fleet);
     bool leavesRack(const Ready& ready, const PlaceRequest& request, Pass& pass) const;
     std::size_t placeReady(const Ready& ready, Pass& pass);
     void startPlaced(const Ready& ready, const Placement& placement, const std::vector<WorkerView>& fleet);
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -181,10 +181,14 @@
     if (!noteAnswer(*worker, sentAt, answer))
         return;
     const auto found = worker->runs.find(task);
-    if (found == worker->runs.end() || found->second.run != number
-        || found->second.phase == RunPhase::Stopping)
+    if (found == worker->runs.end() || found->second.run != number)
         return;
     auto& run = found->second;
+    if (run.phase == RunPhase::Stopping) {
+        if (answer.fate != OrderFate::Unknown && run.startAttempts == 1)
+            run.unanswered = false; // It had been taken to be, when the stop overtook it.
+        return;
+    }
     run.callInFlight = false;
     if (run.phase == RunPhase::Running)
         return; // A look has told before.
@@ -238,6 +242,7 @@
     if (found == worker.runs.end() || found->second.phase == RunPhase::Stopping)
         return;
     auto& run = found->second;
+    run.unanswered = run.unanswered || (run.phase == RunPhase::Ordered && run.callInFlight);
     run.phase = RunPhase::Stopping;
     run.confirmed = false;
     run.callInFlight = false;
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -16,6 +16,7 @@
     constexpr double distrustOfUnproven = 0.02; // Breaks ties towards workers that have finished a task.
 
     constexpr Duration rackPause { 2000 }; // Workers whose entries lapsed with the store are back within it.
+    constexpr Duration searchPause { 200 }; // Of one step: what was not found has hardly come up sooner.
     constexpr int maxRackSearches = 8; // In one pass; bounds its time when much work waits for racks.
     constexpr double idleShare = 0.5; // Of the room: work that takes several times as long displaces nothing.
 
@@ -166,12 +167,14 @@
         if (placed < ready.tasks.size())
             m_waitingPass = now() + waitingPassInterval;
         if (placed == ready.tasks.size() || termsOf(*ready.job).priority > lastDisplacingPriority
-            || pass.searches >= maxDisplacementSearches || termsOf(*ready.job).advice)
+            || pass.searches >= maxDisplacementSearches || termsOf(*ready.job).advice
+            || now() < ready.step().nextDisplacing)
             continue;
         ++pass.searches;
         if (!std::exchange(pass.displaceable, true))
             addDisplaceable(pass.fleet);
-        displaceFor(ready, pass.fleet);
+        if (!displaceFor(ready, pass.fleet))
+            ready.step().nextDisplacing = now() + searchPause;
     }
 }
 
@@ -189,6 +192,26 @@
     return request;
 }
 
+std::set<WorkerId> Owner::Impl::workersWithEarlierRuns(
+    const Ready& ready, const std::vector<WorkerView>& fleet)
+{
+    std::vector<TaskId> started;
+    for (const auto index : ready.tasks) {
+        if (ready.step().shared(index).lastRun.value > 0)
+            started.push_back({ ready.job->id(), ready.occurrence, ready.index, index });
+    }
+    std::set<WorkerId> out;
+    if (started.empty())
+        return out;
+    for (const auto& view : fleet) {
+        const auto& runs = findWorker(view.id)->runs;
+        if (std::any_of(
+                started.begin(), started.end(), [&](const TaskId& task) { return runs.contains(task); }))
+            out.insert(view.id);
+    }
+    return out;
+}
+
 // Elsewhere than on the racks that a step wants it takes several times as long. That is worth it where those
 // cannot take it at all, and instead of waiting as long in an idle fleet.
 bool Owner::Impl::leavesRack(const Ready& ready, const PlaceRequest& request, Pass& pass) const
@@ -201,7 +224,10 @@
     if (static_cast<double>(waited.count()) >= expected * (m_settings.remoteFactor - 1)
         && freeShare(request.service, pass.fleet) > idleShare)
         return true;
-    return ++pass.rackSearches <= maxRackSearches && !fitsEmptyFleet(request, pass.fleet);
+    if (now() < ready.step().nextRackSearch || ++pass.rackSearches > maxRackSearches)
+        return false;
+    ready.step().nextRackSearch = now() + searchPause;
+    return !fitsEmptyFleet(request, pass.fleet);
 }
 
 // Starts what fits now. Returns the number of tasks that were started.
@@ -210,14 +236,7 @@
     auto& step = ready.step();
     auto request = requestFor(ready);
     // An earlier run of a task may still have to be stopped on a worker.
-    std::set<WorkerId> occupied;
-    for (const auto& view : pass.fleet) {
-        const auto& runs = findWorker(view.id)->runs;
-        if (std::any_of(ready.tasks.begin(), ready.tasks.end(), [&](int index) {
-                return runs.contains({ ready.job->id(), ready.occurrence, ready.index, index });
-            }))
-            occupied.insert(view.id);
-    }
+    const auto occupied = workersWithEarlierRuns(ready, pass.fleet);
     auto avoid = occupied;
     for (const auto index : ready.tasks) {
         const auto& failedOn = step.tasks[static_cast<std::size_t>(index)].failedOn;
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -226,17 +226,21 @@
         {
             Choice choice { i, m_views[i].distrust * distrustWeight, {} };
             auto free = m_free.at(i);
-            std::vector<const Displaceable*> options;
+            std::vector<std::pair<double, const Displaceable*>> options; // With the loss for each room.
+            auto most = free;
             for (const auto& option : m_views[i].displaceable) {
-                if (option.priority > m_request.priority && !m_gone.contains(option.task))
-                    options.push_back(&option);
+                if (option.priority <= m_request.priority || m_gone.contains(option.task))
+                    continue;
+                most += option.room;
+                options.emplace_back(
+                    (lossOf(option) + 1) / static_cast<double>(option.room.accelerators + 1), &option);
+            }
+            if (!most.holds(m_request.spec->room)) {
+                choice.cost = unfit;
+                return choice;
             }
-            const auto costPerRoom = [&](const Displaceable* option) {
-                return (lossOf(*option) + 1) / static_cast<double>(option->room.accelerators + 1);
-            };
-            std::sort(options.begin(), options.end(),
-                [&](const auto* a, const auto* b) { return costPerRoom(a) < costPerRoom(b); });
-            for (const auto* option : options) {
+            std::sort(options.begin(), options.end());
+            for (const auto& [cost, option] : options) {
                 if (free.holds(m_request.spec->room))
                     break;
                 free += option->room;
--- a/packages/fleet/test/owner-test.cpp
+++ b/packages/fleet/test/owner-test.cpp
@@ -618,7 +618,8 @@
 
     void keepsPromisesUnderRandomFaults()
     {
-        constexpr std::uint64_t seeds = 120;
+        // Found by it: 118 (a stop that overtook an open start), 1 (an end acknowledged to an unknown life).
+        constexpr std::uint64_t seeds = 300;
         for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
             Random random(seed);
             FakeFleet fleet;
