Keep racks for the urgent work that comes; displace nothing that ranks higher

A part of the victims had been started in the same pass, by a higher rank than that of the late job that displaced them. Change: UrgentReserve follows the share of a service's room that urgent work has or waits for (mean and one deviation of the last 5 s, at most half) and that share of the first racks takes no other work; a victim must rank lower than what displaces it.

--- a/bench/fleet/player.cpp
+++ b/bench/fleet/player.cpp
@@ -114,6 +114,7 @@
     const auto begun = std::clock();
     fleet::FakeFleet fake;
     fake.settings = settings;
+    fake.stopTime = Duration(250); // Over half of the bound that is stated for a stop.
     setUp(fake, load);
     fake.workTime = [&](const fleet::TaskId& task) {
         const auto& times = arrivals[std::stoul(task.job.str().substr(1))].taskTimes;
--- a/packages/fleet/include/jujubereach/fleet/placement.h
+++ b/packages/fleet/include/jujubereach/fleet/placement.h
@@ -14,6 +14,7 @@
     TaskId task;
     Room room;
     int priority = 0;
+    double rank = 0; ///< Of its job in the order of the queue.
     double loss = 0; ///< Work that its stop throws away, in core-seconds; of its whole gang where it has one.
     bool gang = false;
 };
@@ -27,16 +28,21 @@
     Room free;
     double rackOrder = 0; ///< Of its rack among all, from 0 to 1.
     double distrust = 0; ///< 0 for a worker without failures.
+    bool reserved = false; ///< Only urgent work starts on it.
     bool serves = false; ///< Runs a task with a tail target.
     bool fills = false; ///< Runs a task that uses what others leave.
     std::vector<Displaceable> displaceable;
 };
 
+/// Work of this priority starts within seconds, or it is late.
+constexpr int urgentPriority = 0;
+
 struct PlaceRequest {
     const StepSpec* spec = nullptr;
     ServiceId service;
     int count = 1; ///< Tasks to place; a gang is placed whole or not at all.
-    int priority = 0; ///< Displaces only what has a larger number.
+    int priority = 0; ///< Displaces only what has a larger number,
+    double rank = 0; ///< and a lower rank: room is not taken from work that would get it first.
     double maxLoss = 0; ///< Work that it may throw away by displacing, in core-seconds.
     bool costlyToStop
         = false; ///< Goes to the last racks, so that urgent gangs find cheap room on the first ones.
--- a/packages/fleet/src/owner-displace.cpp
+++ b/packages/fleet/src/owner-displace.cpp
@@ -31,7 +31,8 @@
                     step->spec->gang ? m_settings.checkpointInterval / 2 + m_settings.restoreTime
                                      : m_settings.restoreTime);
             const auto lost = coresOf(active.room) * static_cast<double>(lostTime.count()) / 1000;
-            view.displaceable.push_back({ task, active.room, active.priority,
+            const auto rank = rankAmong(*job, job->occurrences.at(task.occurrence), false);
+            view.displaceable.push_back({ task, active.room, active.priority, rank,
                 step->spec->gang ? lost * step->spec->count : lost, step->spec->gang });
         }
     }
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -4,6 +4,7 @@
 #include "job.h"
 #include "jujubereach/fleet/owner.h"
 #include "jujubereach/fleet/placement.h"
+#include "jujubereach/fleet/reserve.h"
 #include "worker.h"
 
 #include <deque>
@@ -81,7 +82,9 @@
     struct Pass;
     bool claims(const Job& job, std::map<WorkspaceId, std::int64_t>& claimed) const;
     std::optional<Ready> readyStep(Job& job, Occurrence& occurrence, std::size_t index) const;
+    double rankAmong(const Job& job, const Occurrence& occurrence, bool guaranteed) const;
     std::vector<Ready> readySteps();
+    void keepRoomForUrgent(const std::vector<Ready>& waiting, std::vector<WorkerView>& fleet);
     PlaceRequest requestFor(const Ready& ready) const;
     std::set<WorkerId> workersWithEarlierRuns(const Ready& ready, const std::vector<WorkerView>& fleet);
     bool leavesRack(const Ready& ready, const PlaceRequest& request, Pass& pass) const;
@@ -128,6 +131,7 @@
     std::set<JobId> m_open; ///< Jobs not in a final state.
     std::map<WorkerId, Worker> m_workers;
     std::map<RouteId, QueueHistory> m_history;
+    std::map<ServiceId, UrgentReserve> m_reserves;
 
     std::set<WorkerId> m_unresolved; ///< Of the roster at takeover; may run what nobody told this owner.
     std::set<WorkerId> m_roster; ///< As stored; only its members are given orders.
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -21,7 +21,6 @@
     constexpr double idleShare = 0.5; // Of the room: work that takes several times as long displaces nothing.
 
     constexpr int maxDisplacementSearches = 8; // In one pass; bounds its time when much urgent work waits.
-    constexpr int lastDisplacingPriority = 0; // Displacing by less urgent work threw away more than it won.
 
     bool isBlocked(const std::vector<PlaceRequest>& blocked, const PlaceRequest& request)
     {
@@ -80,6 +79,27 @@
     return ready;
 }
 
+double Owner::Impl::rankAmong(const Job& job, const Occurrence& occurrence, bool guaranteed) const
+{
+    const auto& terms = termsOf(job);
+    const auto history = m_history.find(job.record.route);
+    WaitingStep waiting;
+    waiting.priority = terms.priority;
+    waiting.guaranteed = guaranteed;
+    waiting.age = now() - job.arrived;
+    waiting.stretch = terms.stretch;
+    waiting.objective = terms.objective;
+    waiting.meanWork = history == m_history.end() ? 0 : history->second.meanWork;
+    for (const auto& step : job.spec().steps) {
+        waiting.work += workOf(job, step) * step.count;
+        waiting.chain += expectedTime(job, step);
+    }
+    waiting.remaining = waiting.chain;
+    for (const auto& step : occurrence.steps)
+        waiting.remainingWork += workOf(job, *step.spec) * (step.spec->count - step.done);
+    return rankOf(waiting);
+}
+
 std::vector<Owner::Impl::Ready> Owner::Impl::readySteps()
 {
     std::vector<Ready> out;
@@ -92,24 +112,14 @@
         const auto guaranteed = claims(*job, claimed);
         if (job->recovered && inDoubt())
             continue;
-        const auto& terms = termsOf(*job);
-        WaitingStep waiting { terms.priority, guaranteed, now() - job->arrived, {}, {}, terms.stretch,
-            terms.objective, 0, m_history[job->record.route].meanWork, 0 };
-        for (const auto& step : job->spec().steps) {
-            waiting.work += workOf(*job, step) * step.count;
-            waiting.chain += expectedTime(*job, step);
-        }
-        waiting.remaining = waiting.chain;
         for (auto& [number, occurrence] : job->occurrences) {
-            waiting.remainingWork = 0;
-            for (const auto& step : occurrence.steps)
-                waiting.remainingWork += workOf(*job, *step.spec) * (step.spec->count - step.done);
+            const auto rank = rankAmong(*job, occurrence, guaranteed);
             for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
                 auto ready = readyStep(*job, occurrence, s);
                 if (!ready)
                     continue;
                 ready->guaranteed = guaranteed;
-                ready->rank = rankOf(waiting);
+                ready->rank = rank;
                 out.push_back(std::move(*ready));
             }
         }
@@ -160,13 +170,15 @@
         return;
     Pass pass;
     pass.fleet = views();
-    for (const auto& ready : readySteps()) {
+    const auto waiting = readySteps();
+    keepRoomForUrgent(waiting, pass.fleet);
+    for (const auto& ready : waiting) {
         if (ready.step().plan && runPlan(*ready.job, ready.occurrence, ready.index))
             continue;
         const auto placed = placeReady(ready, pass);
         if (placed < ready.tasks.size())
             m_waitingPass = now() + waitingPassInterval;
-        if (placed == ready.tasks.size() || termsOf(*ready.job).priority > lastDisplacingPriority
+        if (placed == ready.tasks.size() || termsOf(*ready.job).priority > urgentPriority
             || pass.searches >= maxDisplacementSearches || termsOf(*ready.job).advice
             || now() < ready.step().nextDisplacing)
             continue;
@@ -178,6 +190,28 @@
     }
 }
 
+void Owner::Impl::keepRoomForUrgent(const std::vector<Ready>& waiting, std::vector<WorkerView>& fleet)
+{
+    std::map<ServiceId, Room> urgent;
+    for (const auto& [id, worker] : m_workers) {
+        for (const auto& [task, run] : worker.runs) {
+            if (run.priority <= urgentPriority)
+                urgent[worker.report.service] += run.room;
+        }
+    }
+    for (const auto& ready : waiting) {
+        const auto& terms = termsOf(*ready.job);
+        for (std::size_t i = 0; terms.priority <= urgentPriority && i < ready.tasks.size(); ++i)
+            urgent[terms.service] += ready.step().spec->room;
+    }
+    for (const auto& [service, room] : urgent)
+        m_reserves[service]; // From now on.
+    for (auto& [service, reserve] : m_reserves) {
+        reserve.note(now(), shareOf(urgent[service], service, fleet));
+        reserveRacks(service, reserve.share(), fleet);
+    }
+}
+
 PlaceRequest Owner::Impl::requestFor(const Ready& ready) const
 {
     const auto& step = ready.step();
@@ -186,6 +220,7 @@
     request.spec = step.spec;
     request.service = terms.service;
     request.priority = terms.priority;
+    request.rank = ready.rank;
     request.count = static_cast<int>(ready.tasks.size());
     request.onWorker = &step.onWorker;
     request.costlyToStop = terms.priority > 0 && !step.spec->checkpointing;
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -47,6 +47,8 @@
     {
         if (request.avoid && request.avoid->contains(view.id))
             return false;
+        if (view.reserved && request.priority > urgentPriority)
+            return false;
         // A task that fills disturbs one with a tail target, by an amount that nobody knows in advance.
         if (request.spec->fills && view.serves)
             return false;
@@ -229,7 +231,8 @@
             std::vector<std::pair<double, const Displaceable*>> options; // With the loss for each room.
             auto most = free;
             for (const auto& option : m_views[i].displaceable) {
-                if (option.priority <= m_request.priority || m_gone.contains(option.task))
+                if (option.priority <= m_request.priority || option.rank > m_request.rank
+                    || m_gone.contains(option.task))
                     continue;
                 most += option.room;
                 options.emplace_back(
@@ -287,8 +290,10 @@
 bool fitsEmptyFleet(const PlaceRequest& request, const std::vector<WorkerView>& views)
 {
     auto emptied = views;
-    for (auto& view : emptied)
+    for (auto& view : emptied) {
         view.free = view.capacity;
+        view.reserved = false;
+    }
     auto least = request;
     least.count = request.spec->gang ? request.count : 1;
     return !place(least, emptied).empty();
--- a/packages/fleet/test/fake-fleet.h
+++ b/packages/fleet/test/fake-fleet.h
@@ -17,6 +17,7 @@
         TimePoint endsAt;
         Room room;
         std::string checkpoint;
+        Duration left { -1 }; ///< Work that was left when its stop began; negative while it works.
     };
 
     WorkerReport report;
@@ -266,6 +267,7 @@
     bool confirms = true;
     bool lost = false;
     std::int64_t wallJump = 0;
+    Duration stopTime { 0 }; ///< From a stop until the task has ended.
     std::function<Duration(const TaskId&)> workTime = [](const TaskId&) { return Duration(2000); };
     std::function<EndKind(const TaskId&, Run, const WorkerId&)> outcome
         = [](const TaskId&, Run, const WorkerId&) { return EndKind::Done; };
@@ -446,7 +448,8 @@
         // A checkpoint tells how much work is left, in milliseconds.
         const auto work
             = order.checkpoint.empty() ? workTime(order.task) : Duration(std::stoll(order.checkpoint));
-        worker.live[order.task] = { order.run, m_now + work, roomOf(order.task), order.checkpoint };
+        worker.live[order.task]
+            = { order.run, m_now + work, roomOf(order.task), order.checkpoint, Duration(-1) };
         return base(worker, OrderFate::Done);
     }
 
@@ -498,8 +501,13 @@
         auto& highest = worker.highestEnded[order.task];
         highest = std::max(highest, order.run);
         const auto found = worker.live.find(order.task);
-        if (found != worker.live.end() && found->second.run <= order.run)
+        if (found == worker.live.end() || found->second.run > order.run || found->second.left >= Duration(0))
+            return base(worker, OrderFate::Done);
+        found->second.left = std::max(Duration(1), found->second.endsAt - m_now);
+        if (stopTime.count() == 0)
             end(worker, order.task, EndKind::Stopped);
+        else
+            found->second.endsAt = m_now + stopTime;
         return base(worker, OrderFate::Done);
     }
 
@@ -568,7 +576,7 @@
         const auto run = worker.live.at(task).run;
         auto checkpoint = worker.live.at(task).checkpoint;
         if (kind == EndKind::Stopped && savesOf(task))
-            checkpoint = std::to_string(std::max(Duration(1), worker.live.at(task).endsAt - m_now).count());
+            checkpoint = std::to_string(worker.live.at(task).left.count());
         worker.live.erase(task);
         worker.highestEnded[task] = std::max(worker.highestEnded[task], run);
         worker.ended.push_back({ { ++worker.lastNumber, task, run, kind, checkpoint }, m_now });
@@ -595,7 +603,11 @@
                     due.push_back(task);
             }
             for (const auto& task : due)
-                end(worker, task, lapsed ? EndKind::Lapsed : outcome(task, worker.live.at(task).run, id));
+                end(worker, task,
+                    lapsed ? EndKind::Lapsed
+                        : worker.live.at(task).left >= Duration(0)
+                        ? EndKind::Stopped
+                        : outcome(task, worker.live.at(task).run, id));
         }
     }
 
--- a/packages/fleet/test/owner-test.cpp
+++ b/packages/fleet/test/owner-test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(failsAJobAfterItsAttempts);
     CPPUNIT_TEST(stopsACancelledJob);
     CPPUNIT_TEST(reclaimsGuaranteedRoom);
+    CPPUNIT_TEST(urgentGangsStartAtOnceBesideAFloodOfBulk);
     CPPUNIT_TEST(asksTheAdviserFirst);
     CPPUNIT_TEST(startsNoOccurrenceEarly);
     CPPUNIT_TEST(restartsWhatLasts);
@@ -199,6 +200,41 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
     }
 
+    // The load: more bulk work than fits, and an urgent gang every second. Stops take 250 ms.
+    void urgentGangsStartAtOnceBesideAFloodOfBulk()
+    {
+        FakeFleet fleet;
+        fleet.config->workspaces.clear(); // Nothing is guaranteed: room is won by urgency alone.
+        for (int rack = 0; rack < 6; ++rack) {
+            for (int i = 0; i < 4; ++i)
+                fleet.addWorker("w" + std::to_string(rack) + std::to_string(i), "r" + std::to_string(rack));
+        }
+        fleet.stopTime = Duration(250);
+        fleet.workTime
+            = [](const TaskId& task) { return Duration(task.job.str().starts_with("urgent") ? 1400 : 2000); };
+        fleet.takeOver();
+        fleet.run(Duration(500));
+        constexpr int seconds = 30;
+        constexpr int learned = 10; // Until it is known how much room urgent work takes.
+        int atOnce = 0;
+        std::uint64_t stops = 0;
+        for (int i = 0; i < seconds; ++i) {
+            fleet.submit(FakeFleet::job("bulk" + std::to_string(i), 120, { 1000, 1000, 1 }, 2));
+            fleet.run(Duration(500));
+            if (i == learned)
+                stops = fleet.owner->figures().stops;
+            auto urgent = FakeFleet::job("urgent" + std::to_string(i), 2, wholeWorker, 0);
+            urgent.spec.steps[0].gang = urgent.spec.steps[0].sameRack = true;
+            fleet.submit(urgent);
+            fleet.run(Duration(100));
+            atOnce += i >= learned && fleet.seen.starts[(TaskId { urgent.id, 0, 0, 0 })] > 0;
+            fleet.run(Duration(400));
+        }
+        CPPUNIT_ASSERT(atOnce >= (seconds - learned) * 9 / 10);
+        CPPUNIT_ASSERT(fleet.owner->figures().stops - stops <= seconds - learned);
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
+    }
+
     void asksTheAdviserFirst()
     {
         FakeFleet fleet;
--- a/packages/fleet/test/queue-test.cpp
+++ b/packages/fleet/test/queue-test.cpp
@@ -1,6 +1,7 @@
 // Placing and order of the queue, by the loads that they answer.
 #include "jujubereach/fleet/placement.h"
 #include "jujubereach/fleet/queue-order.h"
+#include "jujubereach/fleet/reserve.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -17,7 +18,11 @@
     CPPUNIT_TEST(costlyWorkGoesToTheLastRacks);
     CPPUNIT_TEST(displacesTheLeastWork);
     CPPUNIT_TEST(displacesNothingMoreUrgent);
+    CPPUNIT_TEST(displacesNothingOfHigherRank);
     CPPUNIT_TEST(displacesWithinItsBound);
+    CPPUNIT_TEST(keepsTheShareThatUrgentWorkHas);
+    CPPUNIT_TEST(keepsNothingWhereNothingIsUrgent);
+    CPPUNIT_TEST(keepsWholeRacksForUrgentWork);
     CPPUNIT_TEST(ordersByGainForRoom);
     CPPUNIT_TEST(guaranteedWorkComesFirst);
     CPPUNIT_TEST_SUITE_END();
@@ -134,11 +139,11 @@
         CPPUNIT_ASSERT(place(ask(bulk, 1), fleet) == Placement { 0 });
     }
 
-    static void fill(WorkerView& view, int priority, double loss, bool gang = false)
+    static void fill(WorkerView& view, int priority, double loss, bool gang = false, double rank = 0)
     {
         for (int i = 0; i < 8; ++i)
             view.displaceable.push_back(
-                { TaskId { JobId(view.id.str()), 0, 0, i }, { 8000, 1000, 1 }, priority, loss, gang });
+                { TaskId { JobId(view.id.str()), 0, 0, i }, { 8000, 1000, 1 }, priority, rank, loss, gang });
         view.free = {};
     }
 
@@ -166,6 +171,21 @@
         CPPUNIT_ASSERT(placeByDisplacing(request, fleet).placement.empty());
     }
 
+    // Answers an urgent flood whose late jobs rank behind what runs: they would take its room, and it theirs,
+    // in one pass after the other.
+    void displacesNothingOfHigherRank()
+    {
+        std::vector<WorkerView> fleet { worker("a", "r"), worker("b", "r") };
+        fill(fleet[0], 2, 1, false, 0.5);
+        fill(fleet[1], 2, 9, false, 0.1);
+        const auto whole = step(8);
+        auto request = ask(whole, 1);
+        request.maxLoss = 100;
+        request.rank = 0.3;
+        const auto found = placeByDisplacing(request, fleet);
+        CPPUNIT_ASSERT(found.placement == Placement { 1 });
+    }
+
     void displacesWithinItsBound()
     {
         std::vector<WorkerView> fleet { worker("a", "r1") };
@@ -190,6 +210,49 @@
     }
 
     // Answers a burst far beyond the fleet: small jobs and urgent ones first, then what can still be in time.
+    static TimePoint at(std::int64_t seconds) { return TimePoint(Duration(1'000'000 + 1000 * seconds)); }
+
+    void keepsTheShareThatUrgentWorkHas()
+    {
+        UrgentReserve reserve;
+        for (int i = 0; i < 60; ++i)
+            reserve.note(at(i), 0.2);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.2, reserve.share(), 0.02);
+        UrgentReserve swinging;
+        for (int i = 0; i < 60; ++i)
+            swinging.note(at(i), i % 4 < 2 ? 0.1 : 0.3);
+        CPPUNIT_ASSERT(swinging.share() > 0.25);
+        CPPUNIT_ASSERT(swinging.share() < 0.35);
+        for (int i = 60; i < 90; ++i)
+            swinging.note(at(i), 1);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, swinging.share(), 0.001); // Others work too.
+    }
+
+    void keepsNothingWhereNothingIsUrgent()
+    {
+        UrgentReserve reserve;
+        for (int i = 0; i < 10; ++i)
+            reserve.note(at(i), 0.4);
+        for (int i = 10; i < 60; ++i)
+            reserve.note(at(i), 0);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0, reserve.share(), 0.01);
+    }
+
+    void keepsWholeRacksForUrgentWork()
+    {
+        std::vector<WorkerView> fleet { worker("a", "r1"), worker("b", "r2"), worker("c", "r3"),
+            worker("d", "r4") };
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+            fleet[i].rackOrder = 0.25 * static_cast<double>(i);
+        reserveRacks(ServiceId("s"), 0.3, fleet);
+        CPPUNIT_ASSERT(fleet[0].reserved && !fleet[1].reserved && !fleet[3].reserved);
+        const auto whole = step(8);
+        auto bulk = ask(whole, 4);
+        bulk.priority = 2;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), place(bulk, fleet).size());
+        CPPUNIT_ASSERT(place(ask(whole, 1), fleet) == Placement { 0 });
+    }
+
     void ordersByGainForRoom()
     {
         CPPUNIT_ASSERT(rankOf(waiting(0, 100)) > rankOf(waiting(1, 100)));
