Explain a job from its id with jujubereachctl trace; count by workspace and priority

Counters and times of requests, queue wait, jobs, starts, ends, work thrown away, stops, takeovers and refusals by fence.

--- a/packages/ctl/src/commands.h
+++ b/packages/ctl/src/commands.h
@@ -26,6 +26,7 @@
 void addJobCommands(CLI::App& app, Context& ctx);
 void addRequestCommands(CLI::App& app, Context& ctx);
 void addFleetCommands(CLI::App& app, Context& ctx);
+void addTraceCommand(CLI::App& app, Context& ctx);
 
 /// Sends the call; prints the error for people, or the whole answer with --json. The reply's status is
 /// 0 when no host answered; `ctx.status` is set.
--- a/packages/ctl/src/run.cpp
+++ b/packages/ctl/src/run.cpp
@@ -86,6 +86,7 @@
         "  jujubereachctl submit --workspace foil --class proof --caller press-7 --accelerators 16 "
         "--run-time-ms 60000\n"
         "  jujubereachctl explain JOB\n"
+        "  jujubereachctl trace JOB host-*.log\n"
         "Exit status: 0 done, 1 refused (did not run), 2 bad input, 3 no host answered, 4 may have run.");
     Context ctx;
     ctx.servers = { "127.0.0.1:8080" };
@@ -102,6 +103,7 @@
     addJobCommands(app, ctx);
     addRequestCommands(app, ctx);
     addFleetCommands(app, ctx);
+    addTraceCommand(app, ctx);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
--- a/packages/entry/include/jujubereach/entry/entry-host.h
+++ b/packages/entry/include/jujubereach/entry/entry-host.h
@@ -85,6 +85,7 @@
     std::function<void(Duration, std::function<void()>)> after; ///< Runs something later, on this thread.
     std::function<void(const FleetConfig&)> configChanged;
     fleet::LogEvent log;
+    fleet::Meter meter;
 };
 
 class EntryHost {
--- a/packages/entry/src/calls.cpp
+++ b/packages/entry/src/calls.cpp
@@ -43,6 +43,12 @@
 
 void EntryHost::Impl::finish(const std::shared_ptr<OpenCall>& call, CallerAnswer answer, const char* why)
 {
+    if (m_hooks.meter.add)
+        m_hooks.meter.add("jujubereach_requests_total",
+            { { "workspace", call->workspace.str() }, { "route", call->route.str() },
+                { "kind", nameOf(call->request.kind) }, { "outcome", nameOf(answer.outcome) },
+                { "reason", why } },
+            1);
     if (call->request.kind != CallKind::Query || answer.outcome != CallOutcome::State)
         m_hooks.log("call",
             { { "id", call->id.str() }, { "kind", nameOf(call->request.kind) },
--- a/packages/entry/src/ownership.cpp
+++ b/packages/entry/src/ownership.cpp
@@ -99,6 +99,7 @@
     hooks.workers = m_hooks.workers;
     hooks.advise = m_hooks.advise;
     hooks.log = m_hooks.log;
+    hooks.meter = m_hooks.meter;
     hooks.wakeIn = [this](Duration delay) { wakeIn(delay); };
     hooks.lost = [this, self = m_self, term] {
         m_hooks.after(Duration(0), [this, self, term] {
--- a/packages/entry/test/entry-host-test.cpp
+++ b/packages/entry/test/entry-host-test.cpp
@@ -28,6 +28,8 @@
         CPPUNIT_ASSERT(host.call(CallKind::Submit, "a", "key")->outcome == CallOutcome::Accepted);
         CPPUNIT_ASSERT(host.call(CallKind::Submit, "b", "other")->outcome == CallOutcome::UnknownKey);
         CPPUNIT_ASSERT(!m_store.contains(fleet::keys::job(JobId("b"))));
+        CPPUNIT_ASSERT_EQUAL(1.0, host.requests["w accepted stored before"]);
+        CPPUNIT_ASSERT_EQUAL(1.0, host.requests[" unknown-key no workspace has this key"]);
     }
 
     void acceptsAfterTheConfigurationIsWrittenAgain()
--- a/packages/entry/test/fake-host.h
+++ b/packages/entry/test/fake-host.h
@@ -235,6 +235,11 @@
             m_time.after(delay, std::move(call));
         };
         hooks.configChanged = [](const FleetConfig&) {};
+        hooks.meter.add = [this](const char*, const metrics::Labels& labels, double amount) {
+            if (labels.contains("outcome"))
+                requests[labels.at("workspace") + ' ' + labels.at("outcome") + ' ' + labels.at("reason")]
+                    += amount;
+        };
         hooks.log = [this](const char* event, boost::json::object fields) {
             log.push_back(std::string(event) + ' ' + boost::json::serialize(fields));
         };
@@ -284,6 +289,7 @@
 
     std::unique_ptr<EntryHost> host;
     std::vector<Duration> delays; ///< That the host asked for.
+    std::map<std::string, double> requests; ///< Counted, by workspace, outcome and reason.
     std::vector<std::string> log;
 
 private:
--- a/packages/fleet/include/jujubereach/fleet/owner.h
+++ b/packages/fleet/include/jujubereach/fleet/owner.h
@@ -6,6 +6,7 @@
 #include "jujubereach/fleet/records.h"
 #include "jujubereach/fleet/store.h"
 #include "jujubereach/fleet/worker-calls.h"
+#include "jujubereach/metrics/registry.h"
 
 #include <boost/json/object.hpp>
 
@@ -13,6 +14,12 @@
 
 namespace jujubereach::fleet {
 
+/// Counts and times for the operators, under a metric's name and its labels.
+struct Meter {
+    std::function<void(const char* name, const metrics::Labels&, double amount)> add;
+    std::function<void(const char* name, const metrics::Labels&, Duration)> observe;
+};
+
 /// Writes one line of the log, without blocking.
 using LogEvent = std::function<void(const char* event, boost::json::object fields)>;
 
@@ -59,6 +66,7 @@
     std::function<void()> lost; ///< Another owner exists; this one has stopped ordering.
     std::function<void(Duration)> wakeIn; ///< Asks for a call of `tick` at the latest after so long.
     LogEvent log;
+    Meter meter;
 };
 
 struct OwnerFigures {
--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -132,8 +132,12 @@
     const auto found = worker.runs.find(end.task);
     const auto current = found != worker.runs.end() && found->second.run == end.run;
     const auto ranFor = current ? now() - found->second.runningSince : Duration(0);
-    if (current && end.kind != EndKind::Done && end.kind != EndKind::Failed && end.checkpoint.empty())
-        m_figures.thrownAway += coreSeconds(found->second.room, ranFor);
+    const auto thrownAway = current && end.kind != EndKind::Done && end.checkpoint.empty()
+        ? coreSeconds(found->second.room, ranFor)
+        : 0;
+    if (end.kind != EndKind::Failed) // By its own fault.
+        m_figures.thrownAway += thrownAway;
+    countEnd(end, job, thrownAway);
     const auto cores = current ? coreSeconds(found->second.room, Duration(1000)) : 0;
     const auto stopping = current && found->second.phase == RunPhase::Stopping;
     if (current)
@@ -275,6 +279,7 @@
     m_hooks.log("job-end",
         { { "id", job.id().str() }, { "route", job.record.route.str() }, { "state", nameOf(state) },
             { "why", why }, { "afterMs", (now() - job.arrived).count() } });
+    countFinish(job);
     for (auto& [number, occurrence] : job.occurrences) {
         for (auto& step : occurrence.steps)
             dropPlan(step);
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -108,6 +108,12 @@
     bool runPlan(Job& job, int occurrence, int stepIndex);
     void dropPlan(Step& step);
 
+    // owner-metrics.cpp: what operators count.
+    void countStart(const Job& job);
+    void countEnd(const EndedTask& end, const Job* job, double thrownAway);
+    void countFinish(const Job& job);
+    void count(const char* name, const metrics::Labels& labels = {}, double amount = 1) const;
+
     TimePoint now() const { return m_hooks.clock(); }
     bool mayOrder() const { return now() - m_confirmedAt < m_settings.confirmBound && !m_superseded; }
     const Route& termsOf(const Job& job) const;
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -248,6 +248,7 @@
     run.callInFlight = false;
     run.nextCall = now();
     ++m_figures.stops;
+    count("jujubereach_stops_total", { { "why", why } });
     m_hooks.log("stop",
         { { "task", toString(task) }, { "run", run.run.value }, { "worker", worker.id().str() },
             { "why", why } });
@@ -292,6 +293,7 @@
     if (m_superseded)
         return;
     m_superseded = true;
+    count("jujubereach_fence_refusals_total");
     m_hooks.log("superseded", { { "fence", m_fence.value }, { "by", by } });
     m_hooks.lost();
 }
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -350,6 +350,7 @@
         { { "task", toString(id) }, { "run", number.value }, { "worker", worker.id().str() },
             { "rack", worker.report.rack }, { "priority", run.priority },
             { "waitedMs", (now() - job.arrived).count() }, { "resumes", !run.checkpoint.empty() } });
+    countStart(job);
     startCall(worker, worker.runs.at(id));
     if (job.state == JobState::Queued) {
         job.state = JobState::Running;
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -67,6 +67,7 @@
 void Owner::Impl::recovered()
 {
     m_recovered = true;
+    count("jujubereach_takeovers_total");
     m_hooks.log("takeover",
         { { "fence", m_fence.value }, { "openJobs", m_open.size() }, { "jobs", m_jobs.size() },
             { "workers", m_workers.size() }, { "roster", m_roster.size() } });
--- a/packages/fleet/test/fake-fleet.h
+++ b/packages/fleet/test/fake-fleet.h
@@ -131,6 +131,12 @@
                 + std::to_string(m_now.time_since_epoch().count() - 1'000'000) + ' '
                 + boost::json::serialize(fields));
         };
+        hooks.meter.add = [this](const char* name, const metrics::Labels& labels, double amount) {
+            counts[seriesOf(name, labels)] += amount;
+        };
+        hooks.meter.observe = [this](const char* name, const metrics::Labels& labels, Duration time) {
+            times[seriesOf(name, labels)].push_back(time);
+        };
         hooks.advise = [this, term = m_term](const TaskId&, const std::vector<WorkerId>& asked,
                            std::function<void(AdviceAnswer)> done) {
             ++adviceCalls;
@@ -275,11 +281,21 @@
     int adviceCalls = 0;
     std::string lastTicket;
     Seen seen;
+    std::map<std::string, double> counts; ///< By name and values of labels.
+    std::map<std::string, std::vector<Duration>> times;
     std::vector<std::string> log;
     std::function<void(const char*, const boost::json::object&)>
         logged; ///< Instead of `log` where it is set.
 
 private:
+    static std::string seriesOf(const char* name, const metrics::Labels& labels)
+    {
+        std::string out = name;
+        for (const auto& [label, value] : labels)
+            out += ' ' + value;
+        return out;
+    }
+
     static std::int64_t bornNumber()
     {
         static std::int64_t number = 1'700'000'000'000;
--- a/packages/fleet/test/owner-test.cpp
+++ b/packages/fleet/test/owner-test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(anUnconfirmedOwnerStartsNothing);
     CPPUNIT_TEST(aSupersededOwnerStops);
     CPPUNIT_TEST(leavesADrainingWorker);
+    CPPUNIT_TEST(countsByWorkspaceAndPriority);
     CPPUNIT_TEST(keepsPromisesUnderRandomFaults);
     CPPUNIT_TEST_SUITE_END();
 
@@ -652,6 +653,28 @@
         fleet.storeWritesLate = Duration(0);
     }
 
+    void countsByWorkspaceAndPriority()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a");
+        fleet.takeOver();
+        fleet.submit(FakeFleet::job("first", 2, wholeWorker, 2));
+        fleet.run(Duration(100));
+        fleet.submit(FakeFleet::job("second", 1, { 1000, 1000, 1 }, 1));
+        fleet.run(Duration(1000));
+        fleet.cancel("first");
+        fleet.run(Duration(20'000));
+        CPPUNIT_ASSERT_EQUAL(1.0, fleet.counts["jujubereach_takeovers_total"]);
+        CPPUNIT_ASSERT_EQUAL(1.0, fleet.counts["jujubereach_task_starts_total 1 w"]);
+        CPPUNIT_ASSERT_EQUAL(1.0, fleet.counts["jujubereach_task_ends_total done 1 w"]);
+        CPPUNIT_ASSERT_EQUAL(1.0, fleet.counts["jujubereach_task_ends_total stopped 2 w"]);
+        CPPUNIT_ASSERT(fleet.counts["jujubereach_thrown_away_core_seconds_total stopped 2 w"] > 1);
+        CPPUNIT_ASSERT_EQUAL(1.0, fleet.counts["jujubereach_stops_total cancelled by its caller"]);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.times["jujubereach_queue_wait_ms 2 w"].size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.times["jujubereach_job_ms 1 completed w"].size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.times["jujubereach_job_ms 2 cancelled w"].size());
+    }
+
     void keepsPromisesUnderRandomFaults()
     {
         // Found by it: 118 (a stop that overtook an open start), 1 (an end acknowledged to an unknown life).
