--- a/bench/fleet/main.cpp
+++ b/bench/fleet/main.cpp
@@ -51,6 +51,8 @@
         fleet::OwnerSettings settings;
         settings.checkpointInterval = Duration(1000);
         print(load, "by-gain", playAll(load, settings));
+        settings.order = fleet::QueueOrder::ByArrival;
+        print(load, "by-arrival", playAll(load, settings));
     }
     return 0;
 }
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -4,6 +4,7 @@
 
 #include "jujubereach/users/serve.h"
 
+#include <CLI/CLI.hpp>
 #include <glog/logging.h>
 
 #include <csignal>
@@ -53,23 +54,37 @@
     }).detach();
 }
 
-// "jujubereachd entry" serves the users' platform; its settings come from the file that the platform names.
-int serveUsers()
+// "jujubereachd entry" serves the users' platform; its settings come from the file that the platform names,
+// the order of the queue from a flag or the environment.
+int serveUsers(int argc, char** argv)
 {
+    const std::map<std::string, fleet::QueueOrder> orders { { "by-gain", fleet::QueueOrder::ByGain },
+        { "by-arrival", fleet::QueueOrder::ByArrival } };
+    auto order = fleet::QueueOrder::ByGain;
+    CLI::App app { "Serves callers of the users' platform and owns its fleet when it must.",
+        "jujubereachd entry" };
+    app.add_option("--order", order, "Order of the queue: by-gain, or by-arrival as a baseline")
+        ->transform(CLI::CheckedTransformer(orders))
+        ->envname("JUJUBEREACH_ORDER");
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& error) {
+        return app.exit(error) == 0 ? 0 : daemon::badSettingStatus;
+    }
     const auto* path = std::getenv(users::settingsVariable);
     if (!path) {
         std::cerr << "jujubereachd: " << users::settingsVariable << " must name the settings file\n";
         return daemon::badSettingStatus;
     }
-    return users::serve(path);
+    return users::serve(path, order);
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    if (argc == 2 && std::string_view(argv[1]) == "entry")
-        return serveUsers();
+    if (argc >= 2 && std::string_view(argv[1]) == "entry")
+        return serveUsers(argc - 1, argv + 1);
     const auto choice = daemon::readSettings(argc, argv);
     if (choice.action == daemon::StartAction::Exit) {
         (choice.exitStatus == 0 ? std::cout : std::cerr) << choice.message << '\n';
--- a/packages/fleet/include/jujubereach/fleet/owner.h
+++ b/packages/fleet/include/jujubereach/fleet/owner.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "jujubereach/fleet/fleet-config.h"
+#include "jujubereach/fleet/queue-order.h"
 #include "jujubereach/fleet/records.h"
 #include "jujubereach/fleet/store.h"
 #include "jujubereach/fleet/worker-calls.h"
@@ -31,6 +32,7 @@
     Duration keepFinished { 120'000 }; ///< A job's final state is told so long at least.
     Duration checkpointInterval { 2000 }; ///< Of work, between two checkpoints of a task.
     Duration restoreTime { 250 }; ///< Before a restored task moves.
+    QueueOrder order = QueueOrder::ByGain;
     double remoteFactor = 3; ///< Run time away from a step's data, or over racks, against that near it.
     /// Without confirmation of its ownership for so long, an owner neither starts nor extends anything.
     /// A successor counts on it: see `recoveryDoubt`.
--- a/packages/fleet/include/jujubereach/fleet/queue-order.h
+++ b/packages/fleet/include/jujubereach/fleet/queue-order.h
@@ -5,6 +5,11 @@
 
 namespace jujubereach::fleet {
 
+enum class QueueOrder {
+    ByGain, ///< What callers gain for each unit of room, soon; urgent work has room kept and may displace.
+    ByArrival, ///< First come, first served: the baseline. Only guaranteed work goes ahead.
+};
+
 struct WaitingStep {
     int priority = 0;
     bool guaranteed = false; ///< Within the room that its workspace can always claim.
@@ -19,7 +24,7 @@
 };
 
 /// Returns a larger number for a step to be placed earlier. Guaranteed steps come before all others.
-double rankOf(const WaitingStep& step);
+double rankOf(const WaitingStep& step, QueueOrder order = QueueOrder::ByGain);
 
 /// Accelerators count as so many cores, as the platform prices them.
 constexpr double coresPerAccelerator = 8;
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -84,6 +84,7 @@
     std::optional<Ready> readyStep(Job& job, Occurrence& occurrence, std::size_t index) const;
     double rankAmong(const Job& job, const Occurrence& occurrence, bool guaranteed) const;
     std::vector<Ready> readySteps();
+    bool mayDisplace(const Ready& ready) const;
     void keepRoomForUrgent(const std::vector<Ready>& waiting, std::vector<WorkerView>& fleet);
     PlaceRequest requestFor(const Ready& ready) const;
     std::set<WorkerId> workersWithEarlierRuns(const Ready& ready, const std::vector<WorkerView>& fleet);
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -97,7 +97,7 @@
     waiting.remaining = waiting.chain;
     for (const auto& step : occurrence.steps)
         waiting.remainingWork += workOf(job, *step.spec) * (step.spec->count - step.done);
-    return rankOf(waiting);
+    return rankOf(waiting, m_settings.order);
 }
 
 std::vector<Owner::Impl::Ready> Owner::Impl::readySteps()
@@ -171,16 +171,15 @@
     Pass pass;
     pass.fleet = views();
     const auto waiting = readySteps();
-    keepRoomForUrgent(waiting, pass.fleet);
+    if (m_settings.order == QueueOrder::ByGain)
+        keepRoomForUrgent(waiting, pass.fleet);
     for (const auto& ready : waiting) {
         if (ready.step().plan && runPlan(*ready.job, ready.occurrence, ready.index))
             continue;
         const auto placed = placeReady(ready, pass);
         if (placed < ready.tasks.size())
             m_waitingPass = now() + waitingPassInterval;
-        if (placed == ready.tasks.size() || termsOf(*ready.job).priority > urgentPriority
-            || pass.searches >= maxDisplacementSearches || termsOf(*ready.job).advice
-            || now() < ready.step().nextDisplacing)
+        if (placed == ready.tasks.size() || !mayDisplace(ready) || pass.searches >= maxDisplacementSearches)
             continue;
         ++pass.searches;
         if (!std::exchange(pass.displaceable, true))
@@ -190,6 +189,13 @@
     }
 }
 
+bool Owner::Impl::mayDisplace(const Ready& ready) const
+{
+    const auto& terms = termsOf(*ready.job);
+    return terms.priority <= urgentPriority && (ready.guaranteed || m_settings.order == QueueOrder::ByGain)
+        && !terms.advice && now() >= ready.step().nextDisplacing;
+}
+
 void Owner::Impl::keepRoomForUrgent(const std::vector<Ready>& waiting, std::vector<WorkerView>& fleet)
 {
     std::map<ServiceId, Room> urgent;
--- a/packages/fleet/src/queue-order.cpp
+++ b/packages/fleet/src/queue-order.cpp
@@ -34,8 +34,10 @@
 
 } // namespace
 
-double rankOf(const WaitingStep& step)
+double rankOf(const WaitingStep& step, QueueOrder order)
 {
+    if (order == QueueOrder::ByArrival)
+        return (step.guaranteed ? guaranteedBonus : 0) + static_cast<double>(step.age.count());
     const auto relative = step.meanWork > 0 ? step.work / step.meanWork : 1;
     const auto worth = weightOf(step.priority) * std::min(maxWorth, fixedShare + (1 - fixedShare) * relative);
     const auto density = worth * timeliness(step) / std::max(step.remainingWork, 1.0);
--- a/packages/fleet/test/queue-test.cpp
+++ b/packages/fleet/test/queue-test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(keepsWholeRacksForUrgentWork);
     CPPUNIT_TEST(ordersByGainForRoom);
     CPPUNIT_TEST(guaranteedWorkComesFirst);
+    CPPUNIT_TEST(theBaselineServesInTheOrderOfArrival);
     CPPUNIT_TEST_SUITE_END();
 
     static WorkerView worker(const std::string& name, const std::string& rack, std::int64_t accelerators = 8)
@@ -273,6 +274,21 @@
         guaranteed.age = Duration(60'000);
         CPPUNIT_ASSERT(rankOf(guaranteed) > rankOf(waiting(0, 1)));
     }
+
+    void theBaselineServesInTheOrderOfArrival()
+    {
+        WaitingStep late;
+        late.priority = 2;
+        late.age = Duration(900);
+        late.work = late.remainingWork = 1000;
+        WaitingStep urgent;
+        urgent.age = Duration(100);
+        urgent.work = urgent.remainingWork = 10;
+        CPPUNIT_ASSERT(rankOf(urgent) > rankOf(late));
+        CPPUNIT_ASSERT(rankOf(urgent, QueueOrder::ByArrival) < rankOf(late, QueueOrder::ByArrival));
+        urgent.guaranteed = true;
+        CPPUNIT_ASSERT(rankOf(urgent, QueueOrder::ByArrival) > rankOf(late, QueueOrder::ByArrival));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QueueTest);
