--- a/bench/fleet/load.cpp
+++ b/bench/fleet/load.cpp
@@ -9,8 +9,7 @@
 
     constexpr double cut = 6; ///< Times the mean; no draw is larger.
 
-    // Gamma with the given spread, by sums and products of exponentials being too coarse: a lognormal of the
-    // same mean and spread.
+    // Lognormal, with a spread relative to the mean.
     double around(Random& random, double mean, double spread)
     {
         const auto variance = std::log(1 + spread * spread);
--- a/bench/fleet/load.h
+++ b/bench/fleet/load.h
@@ -11,7 +11,7 @@
 
 using fleet::JobSpec;
 
-/// Jobs of one priority. Sizes are gamma-like around their means, cut at six times.
+/// Jobs of one priority. Sizes are lognormal around their means, cut at six times.
 struct ClassLoad {
     int priority = 0;
     double jobsPerSecond = 0;
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -7,6 +7,7 @@
 #include <CLI/CLI.hpp>
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
 #include <thread>
@@ -61,11 +62,16 @@
     const std::map<std::string, fleet::QueueOrder> orders { { "by-gain", fleet::QueueOrder::ByGain },
         { "by-arrival", fleet::QueueOrder::ByArrival } };
     auto order = fleet::QueueOrder::ByGain;
+    std::vector<std::string> without;
     CLI::App app { "Serves callers of the users' platform and owns its fleet when it must.",
         "jujubereachd entry" };
     app.add_option("--order", order, "Order of the queue: by-gain, or by-arrival as a baseline")
         ->transform(CLI::CheckedTransformer(orders))
         ->envname("JUJUBEREACH_ORDER");
+    app.add_option("--without", without, "For counter-checks only: takes mechanisms away that keep promises")
+        ->check(CLI::IsMember({ "doubt", "saved-acknowledgements", "late-starts" }))
+        ->delimiter(',')
+        ->envname("JUJUBEREACH_WITHOUT");
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
@@ -76,7 +82,9 @@
         std::cerr << "jujubereachd: " << users::settingsVariable << " must name the settings file\n";
         return daemon::badSettingStatus;
     }
-    return users::serve(path, order);
+    const auto has
+        = [&](const char* name) { return std::find(without.begin(), without.end(), name) == without.end(); };
+    return users::serve(path, { order, { has("doubt"), has("saved-acknowledgements"), has("late-starts") } });
 }
 
 } // namespace
--- a/packages/fleet/include/jujubereach/fleet/owner.h
+++ b/packages/fleet/include/jujubereach/fleet/owner.h
@@ -24,6 +24,13 @@
 /// Writes one line of the log, without blocking.
 using LogEvent = std::function<void(const char* event, boost::json::object fields)>;
 
+/// Mechanisms that tests take away to show that they are needed; all are on otherwise.
+struct OwnerSwitches {
+    bool waitInDoubt = true; ///< A new owner waits for what may run unseen.
+    bool saveBeforeAcknowledging = true; ///< Workers forget an end only once the store has it.
+    bool keepLateStarts = true; ///< A start without an answer may still come.
+};
+
 struct OwnerSettings {
     Duration maxHold { 10'000 }; ///< Longest lease that workers grant.
     Duration stopTimeout { 200 }; ///< Bound on a stop at a worker.
@@ -33,6 +40,7 @@
     Duration checkpointInterval { 2000 }; ///< Of work, between two checkpoints of a task.
     Duration restoreTime { 250 }; ///< Before a restored task moves.
     QueueOrder order = QueueOrder::ByGain;
+    OwnerSwitches switches;
     double remoteFactor = 3; ///< Run time away from a step's data, or over racks, against that near it.
     /// Without confirmation of its ownership for so long, an owner neither starts nor extends anything.
     /// A successor counts on it: see `recoveryDoubt`.
--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -215,7 +215,7 @@
     std::vector<TaskId> gone;
     for (auto& [task, run] : worker.runs) {
         const auto mayCome = run.unanswered || (run.phase == RunPhase::Ordered && run.callInFlight);
-        if (!mayReturn || !mayCome)
+        if (!mayReturn || !mayCome || !m_settings.switches.keepLateStarts)
             gone.push_back(task);
         else if (run.unanswered) {
             run.phase = RunPhase::Running; // Whatever an earlier life was told, this one is told too.
--- a/packages/fleet/src/owner-save.cpp
+++ b/packages/fleet/src/owner-save.cpp
@@ -150,7 +150,7 @@
         while (!worker.ends.empty()) {
             const auto& [number, end] = *worker.ends.begin();
             const auto* job = findJob(end.job);
-            if (job && job->saved < end.changes)
+            if (job && job->saved < end.changes && m_settings.switches.saveBeforeAcknowledging)
                 break;
             worker.acknowledged = std::max(worker.acknowledged, number);
             worker.ends.erase(worker.ends.begin());
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -248,14 +248,15 @@
 
 bool Owner::Impl::inDoubt() const
 {
-    return m_unresolved.size() > m_closed.size();
+    return m_settings.switches.waitInDoubt && m_unresolved.size() > m_closed.size();
 }
 
 bool Owner::Impl::mayRunUnseen(const TaskId& task) const
 {
-    return std::any_of(m_closed.begin(), m_closed.end(), [&](const auto& row) {
-        return std::find(row.second.begin(), row.second.end(), task) != row.second.end();
-    });
+    return m_settings.switches.waitInDoubt
+        && std::any_of(m_closed.begin(), m_closed.end(), [&](const auto& row) {
+               return std::find(row.second.begin(), row.second.end(), task) != row.second.end();
+           });
 }
 
 void Owner::Impl::resolved(const WorkerId& id)
--- a/soak/daemons.cpp
+++ b/soak/daemons.cpp
@@ -41,7 +41,9 @@
     posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, 1, 2);
     char* const arguments[] = { const_cast<char*>(m_binary.c_str()), const_cast<char*>("entry"), nullptr };
-    char* const environment[] = { const_cast<char*>(settings.c_str()), nullptr };
+    const auto without = "JUJUBEREACH_WITHOUT=" + m_without;
+    char* const environment[] = { const_cast<char*>(settings.c_str()),
+        m_without.empty() ? nullptr : const_cast<char*>(without.c_str()), nullptr };
     const auto failed = posix_spawn(&m_pid, m_binary.c_str(), &actions, nullptr, arguments, environment);
     posix_spawn_file_actions_destroy(&actions);
     if (failed)
--- a/soak/daemons.h
+++ b/soak/daemons.h
@@ -25,6 +25,8 @@
     Daemon& operator=(const Daemon&) = delete;
 
     void start();
+    /// Takes a mechanism away from all later starts, for a counter-check.
+    void without(const std::string& mechanism) { m_without = mechanism; }
     /// Whether it has had the time to load its libraries: no program can catch a signal before.
     bool isLoaded() const;
     void signal(int number);
@@ -39,6 +41,7 @@
     const std::string m_folder;
     const std::string m_name;
     const DaemonPorts m_ports;
+    std::string m_without;
     pid_t m_pid = 0;
     bool m_asked = false;
     std::chrono::steady_clock::time_point m_startedAt;
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -33,6 +33,7 @@
     int workers = 12;
     unsigned short basePort = 30'000; ///< Of the ports that it takes on the loopback address.
     std::string folder;
+    std::string without; ///< A mechanism taken away: then the soak has to fail.
 };
 
 /// A job as its caller knows it.
@@ -70,6 +71,7 @@
             m_storeProxies.push_back(std::make_unique<Proxy>(m_loop, ports.store, storePort()));
             m_daemons.push_back(std::make_unique<Daemon>(
                 m_options.binary, m_options.folder, "host-" + std::to_string(i), ports));
+            m_daemons.back()->without(m_options.without);
             m_daemons.back()->start();
         }
     }
@@ -350,6 +352,8 @@
     app.add_option("--workers", options.workers, "Workers")->check(CLI::Range(1, 200));
     app.add_option("--port", options.basePort, "First of the ports that it takes")
         ->check(CLI::Range(1024, 60'000));
+    app.add_option("--without", options.without, "Takes a mechanism of the daemons away, for a counter-check")
+        ->check(CLI::IsMember({ "doubt", "saved-acknowledgements", "late-starts" }));
     app.add_option("--folder", options.folder, "For settings and logs; kept");
     CLI11_PARSE(app, argc, argv);
     if (options.folder.empty())
