--- a/packages/entry/src/calls.cpp
+++ b/packages/entry/src/calls.cpp
@@ -18,6 +18,7 @@
     constexpr Duration answerReserve { 150 }; // Of the caller's time, for the way back.
     constexpr Duration outageRetryAfter { 1000 }; // Most hosts find the store again within a second or two.
     constexpr int maxAttempts = 4;
+    constexpr std::size_t maxIdBytes = 64; // Four times what callers send.
 
     std::size_t idLength(const std::string& path, const std::string& prefix)
     {
@@ -69,6 +70,8 @@
     call->arrived = now();
     const auto deadline = call->request.deadline.count() > 0 ? call->request.deadline : defaultDeadline;
     call->giveUp = call->arrived + std::max(answerReserve, deadline - answerReserve);
+    // Also a refusal must be found by its id; the route tells later whether it is one.
+    call->id = JobId(call->request.path.substr(call->request.path.rfind('/') + 1, maxIdBytes));
     if (!newsIsFresh())
         return finish(call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter },
             "the configuration is not confirmed");
@@ -85,7 +88,6 @@
         return call->request.kind == CallKind::Query ? count(call)
                                                      : finish(call, { CallOutcome::Malformed }, "no job id");
     call->id = JobId(call->request.path.substr(route->prefix.size()));
-    constexpr std::size_t maxIdBytes = 64;
     if (call->id.str().size() > maxIdBytes || call->id.str().find('/') != std::string::npos)
         return finish(call,
             { call->request.kind == CallKind::Submit ? CallOutcome::Malformed : CallOutcome::NoSuchJob },
--- a/packages/entry/test/entry-host-test.cpp
+++ b/packages/entry/test/entry-host-test.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(acceptsAfterTheConfigurationIsWrittenAgain);
     CPPUNIT_TEST(refusesARevokedKeyBeforeItsNewsArrives);
     CPPUNIT_TEST(saysOnlyWhatItKnowsOfAnUnansweredWrite);
+    CPPUNIT_TEST(namesTheJobOfARequestThatItRefusesUnread);
     CPPUNIT_TEST(hostsClaimAtDifferentMoments);
     CPPUNIT_TEST(largeHostsClaimBeforeSmallOnes);
     CPPUNIT_TEST(readsOnAtOnceWhenNewsIsMany);
@@ -66,6 +67,14 @@
         CPPUNIT_ASSERT(host.call(CallKind::Submit, "b", "key")->outcome == CallOutcome::NotAccepted);
     }
 
+    void namesTheJobOfARequestThatItRefusesUnread()
+    {
+        FakeHost host(m_time, m_store); // There is no configuration yet.
+        m_time.run(Duration(1000));
+        CPPUNIT_ASSERT(host.call(CallKind::Submit, "5c0e", "key")->outcome == CallOutcome::Unavailable);
+        CPPUNIT_ASSERT(host.log.back().starts_with("call {\"id\":\"5c0e\""));
+    }
+
     // Claims at the same moment would leave all but one of many hosts without their calls' worth.
     void hostsClaimAtDifferentMoments()
     {
