Compare one roster row for one worker's news

Change: news of a worker compares its own row; the whole is compared after a save. Conclusion: found by reading, before it was measured.

--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -48,6 +48,7 @@
     void saveSummary(StoreWrite& write);
     void saveRoster(StoreWrite& write, SavedParts& parts);
     bool isRosterOpen(const Worker& worker) const; ///< As it should be stored.
+    bool rosterDiffers(const Worker& worker) const; ///< Its row from what should be stored.
     bool rosterDiffers() const;
 
     // owner-orders.cpp: calls to workers and their answers.
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -122,7 +122,7 @@
         worker->acknowledged = 0;
         worker->ends.clear();
         resolved(id);
-        m_rosterDue = m_rosterDue || rosterDiffers();
+        m_rosterDue = m_rosterDue || rosterDiffers(*worker);
         soon();
     }
     for (const auto& end : answer.ended)
--- a/packages/fleet/src/owner-save.cpp
+++ b/packages/fleet/src/owner-save.cpp
@@ -1,6 +1,8 @@
 // What goes to the store, and which ends a worker may forget once it is there.
 #include "owner-impl.h"
 
+#include <algorithm>
+
 namespace jujubereach::fleet {
 
 namespace {
@@ -69,13 +71,17 @@
     return !worker.fenced || (worker.listed && !worker.report.draining);
 }
 
+bool Owner::Impl::rosterDiffers(const Worker& worker) const
+{
+    const auto row = m_roster.find(worker.id());
+    return row == m_roster.end() || row->second != isRosterOpen(worker);
+}
+
 bool Owner::Impl::rosterDiffers() const
 {
     return m_roster.size() != m_workers.size()
-        || std::any_of(m_workers.begin(), m_workers.end(), [this](const auto& entry) {
-               const auto row = m_roster.find(entry.first);
-               return row == m_roster.end() || row->second != isRosterOpen(entry.second);
-           });
+        || std::any_of(m_workers.begin(), m_workers.end(),
+            [this](const auto& entry) { return rosterDiffers(entry.second); });
 }
 
 void Owner::Impl::saveRoster(StoreWrite& write, SavedParts& parts)
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -134,7 +134,7 @@
     }
     if (moved || !worker.fenced)
         worker.nextLook = now();
-    m_rosterDue = m_rosterDue || rosterDiffers();
+    m_rosterDue = m_rosterDue || rosterDiffers(worker);
     if (m_recovered)
         callsDue(worker);
     soon();
@@ -148,7 +148,7 @@
     worker->listed = false;
     m_hooks.log("worker-unlisted",
         { { "worker", id.str() }, { "runs", worker->runs.size() }, { "misses", worker->misses } });
-    m_rosterDue = m_rosterDue || rosterDiffers();
+    m_rosterDue = m_rosterDue || rosterDiffers(*worker);
 }
 
 void Owner::Impl::tick()
