Use one piece where the change wrote it twice; take work off the owner's hot path

Ruled out: joining the two readers of pages (Follower::readPage and readPages): they confirm news, bound time and back off differently; the decoder of http-kv, which throws on text that the other one cuts short. Change, behaviour as before. Written twice: base64 (adapter, two stand-ins) is in base; ip:port and the socket's options of client and server in net/endpoint; header lines of a message; shares of room in placement and reserve; answers "unavailable" and the test whether a call may try again; the job of a key; the end of recovery; the name of a step. Work: an answer of one worker went through the unacknowledged ends of all; the rank of a job was worked out for each of its tasks, victims were taken from the views one by one, and every step asked the whole fleet who could run it though nothing was avoided. Two comments are back at the tests that they explain.

--- a/packages/entry/src/calls.cpp
+++ b/packages/entry/src/calls.cpp
@@ -39,6 +39,7 @@
     int attempts = 0;
     bool fateOpen = false; ///< An unanswered write of ours may still take effect.
 
+    bool mayTryAgain(TimePoint now) const { return attempts < maxAttempts && giveUp - now > answerReserve; }
     Duration timeLeft(TimePoint now, Duration bound) const { return std::min(bound, giveUp - now); }
 };
 
@@ -62,6 +63,11 @@
         done(answer);
 }
 
+void EntryHost::Impl::unavailable(const std::shared_ptr<OpenCall>& call, const char* why)
+{
+    finish(call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, why);
+}
+
 void EntryHost::Impl::handle(CallerRequest request, CallerDone done)
 {
     auto call = std::make_shared<OpenCall>();
@@ -73,8 +79,7 @@
     // Also a refusal must be found by its id; the route tells later whether it is one.
     call->id = JobId(call->request.path.substr(call->request.path.rfind('/') + 1, maxIdBytes));
     if (!newsIsFresh())
-        return finish(call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter },
-            "the configuration is not confirmed");
+        return unavailable(call, "the configuration is not confirmed");
     const auto* route = m_config->findRoute(call->request.hostName, call->request.path);
     if (!route)
         return finish(call, { CallOutcome::NoSuchRoute }, "no route");
@@ -161,7 +166,7 @@
     }
     // No answer: the same conditional write again tells, unless the first is still to come.
     call->fateOpen = true;
-    if (call->attempts < maxAttempts && call->giveUp - now() > answerReserve)
+    if (call->mayTryAgain(now()))
         return submit(call);
     finish(call, { CallOutcome::Undecided }, "the store does not answer");
 }
@@ -169,10 +174,10 @@
 void EntryHost::Impl::query(const std::shared_ptr<OpenCall>& call)
 {
     const auto failed = [this](const std::shared_ptr<OpenCall>& open, const StoreAnswer& answer) {
-        if (++open->attempts < maxAttempts && answer.fate == StoreFate::Unknown
-            && open->giveUp - now() > answerReserve)
+        ++open->attempts;
+        if (answer.fate == StoreFate::Unknown && open->mayTryAgain(now()))
             return query(open);
-        finish(open, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the store does not answer");
+        unavailable(open, "the store does not answer");
     };
     m_hooks.store.read(keys::progress(call->id), call->timeLeft(now(), readTimeout),
         [this, self = m_self, call, failed](const StoreAnswer& answer) {
@@ -214,10 +219,9 @@
                 return finish(call, { CallOutcome::NoSuchJob }, "not in the store");
             if (answer.fate == StoreFate::Done && !answer.items.empty())
                 return writeCancel(call, answer.items[0]);
-            if (answer.fate == StoreFate::Unknown && call->attempts < maxAttempts
-                && call->giveUp - now() > answerReserve)
+            if (answer.fate == StoreFate::Unknown && call->mayTryAgain(now()))
                 return cancel(call);
-            finish(call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the store does not answer");
+            unavailable(call, "the store does not answer");
         });
 }
 
@@ -225,8 +229,7 @@
 {
     auto record = fleet::decodeJob(call->id, item.value);
     if (!record)
-        return finish(
-            call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the record cannot be read");
+        return unavailable(call, "the record cannot be read");
     if (record->cancelled)
         return finish(call, { CallOutcome::Cancelled }, "cancelled before");
     record->cancelled = true;
@@ -241,15 +244,14 @@
             if (answer.fate == StoreFate::Done)
                 return finish(call, { CallOutcome::Cancelled }, "stored");
             if (answer.fate == StoreFate::Refused)
-                return finish(
-                    call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the store refuses writes");
+                return unavailable(call, "the store refuses writes");
             for (const auto& changed : answer.items) {
                 if (changed.key == m_hooks.layout.configKey)
                     configWritten(changed);
             }
             if (!m_config->keys.contains(call->request.key) && answer.fate == StoreFate::Conflict)
                 return handle(std::move(call->request), std::exchange(call->done, nullptr));
-            if (call->attempts < maxAttempts && call->giveUp - now() > answerReserve)
+            if (call->mayTryAgain(now()))
                 return cancel(call);
             finish(call, { CallOutcome::Undecided }, "the store does not answer");
         });
@@ -273,8 +275,7 @@
                     return finish(call, counted, "by the owner");
                 }
             } else if (answer.fate != StoreFate::Missing)
-                return finish(
-                    call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the store does not answer");
+                return unavailable(call, "the store does not answer");
             countFromRecords(call);
         });
 }
@@ -284,21 +285,18 @@
     auto begun = std::make_shared<std::vector<StoreItem>>();
     readPages(keys::progressPrefix, {}, begun, [this, call, begun](bool read) {
         if (!read)
-            return finish(
-                call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the store does not answer");
+            return unavailable(call, "the store does not answer");
         auto accepted = std::make_shared<std::vector<StoreItem>>();
         readPages(keys::jobPrefix, {}, accepted, [this, call, begun, accepted](bool readJobs) {
             if (!readJobs)
-                return finish(
-                    call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, "the store does not answer");
-            std::set<std::string> started;
+                return unavailable(call, "the store does not answer");
+            std::set<JobId> started;
             for (const auto& item : *begun)
-                started.insert(item.key.substr(std::string_view(keys::progressPrefix).size()));
+                started.insert(keys::jobOf(item.key));
             CallerAnswer counted { CallOutcome::Count };
             for (const auto& item : *accepted) {
-                const JobId id(item.key.substr(std::string_view(keys::jobPrefix).size()));
-                const auto record
-                    = started.contains(id.str()) ? std::nullopt : fleet::decodeJob(id, item.value);
+                const auto id = keys::jobOf(item.key);
+                const auto record = started.contains(id) ? std::nullopt : fleet::decodeJob(id, item.value);
                 counted.pending += record && record->route == call->route && !record->cancelled;
             }
             finish(call, counted, "from the records");
--- a/packages/entry/src/host-impl.h
+++ b/packages/entry/src/host-impl.h
@@ -63,6 +63,7 @@
     void count(const std::shared_ptr<struct OpenCall>& call);
     void countFromRecords(const std::shared_ptr<struct OpenCall>& call);
     void finish(const std::shared_ptr<struct OpenCall>& call, CallerAnswer answer, const char* why);
+    void unavailable(const std::shared_ptr<struct OpenCall>& call, const char* why);
 
     // ownership.cpp
     void ownerWritten(const StoreItem& item);
@@ -75,6 +76,7 @@
     void restore(const std::vector<StoreItem>& jobs);
     void followFleet();
     void workersRead(const std::vector<StoreItem>& items);
+    void recoveredOnceRead();
     void stepDown(const char* why);
     void wakeIn(Duration delay);
     void readPages(const std::string& prefix, const std::string& after,
--- a/packages/entry/src/ownership.cpp
+++ b/packages/entry/src/ownership.cpp
@@ -182,8 +182,7 @@
     Follower::Hooks jobs;
     jobs.all = [this](const std::vector<StoreItem>& items) { restore(items); };
     jobs.written = [this](const StoreItem& item) {
-        auto record
-            = fleet::decodeJob(JobId(item.key.substr(std::string_view(keys::jobPrefix).size())), item.value);
+        auto record = fleet::decodeJob(keys::jobOf(item.key), item.value);
         if (!record)
             return m_hooks.log("record-unreadable", { { "key", item.key } });
         if (m_owner)
@@ -244,7 +243,7 @@
     if (!m_owner)
         return;
     for (const auto& item : items) {
-        const JobId id(item.key.substr(std::string_view(keys::jobPrefix).size()));
+        const auto id = keys::jobOf(item.key);
         auto record = fleet::decodeJob(id, item.value);
         if (!record) {
             m_hooks.log("record-unreadable", { { "key", item.key } });
@@ -269,8 +268,7 @@
     }
     m_jobsRead = true;
     m_progress.clear();
-    if (m_workersRead && !std::exchange(m_restored, true))
-        m_owner->recovered();
+    recoveredOnceRead();
 }
 
 void EntryHost::Impl::workersRead(const std::vector<StoreItem>& items)
@@ -290,7 +288,12 @@
     }
     m_listed = std::move(present);
     m_workersRead = true;
-    if (m_jobsRead && !std::exchange(m_restored, true))
+    recoveredOnceRead();
+}
+
+void EntryHost::Impl::recoveredOnceRead()
+{
+    if (m_jobsRead && m_workersRead && !std::exchange(m_restored, true))
         m_owner->recovered();
 }
 
--- a/packages/fleet/include/jujubereach/fleet/job-spec.h
+++ b/packages/fleet/include/jujubereach/fleet/job-spec.h
@@ -65,5 +65,7 @@
 };
 
 std::string toString(const TaskId& task);
+/// Of the step that the task belongs to.
+std::string stepName(const TaskId& task);
 
 } // namespace jujubereach::fleet
--- a/packages/fleet/include/jujubereach/fleet/records.h
+++ b/packages/fleet/include/jujubereach/fleet/records.h
@@ -66,6 +66,7 @@
     constexpr auto summary = "fleet/summary";
     std::string job(const JobId& id);
     std::string progress(const JobId& id);
+    JobId jobOf(const std::string& key); ///< Of a job's or its progress' key.
 } // namespace keys
 
 } // namespace jujubereach::fleet
--- a/packages/fleet/include/jujubereach/fleet/worker-calls.h
+++ b/packages/fleet/include/jujubereach/fleet/worker-calls.h
@@ -46,13 +46,6 @@
     Duration wait { 0 }; ///< For an end.
 };
 
-struct PaceOrder {
-    TaskId task;
-    Run run;
-    int percent = 100;
-    Fence fence;
-};
-
 enum class OrderFate {
     Done,
     Fenced, ///< The worker has seen a higher fence.
@@ -100,7 +93,6 @@
     std::function<void(const WorkerReport&, StartOrder, Duration timeout, OrderDone)> start;
     std::function<void(const WorkerReport&, StopOrder, Duration timeout, OrderDone)> stop;
     std::function<void(const WorkerReport&, HoldOrder, Duration timeout, OrderDone)> hold;
-    std::function<void(const WorkerReport&, PaceOrder, Duration timeout, OrderDone)> pace;
 };
 
 } // namespace jujubereach::fleet
--- a/packages/fleet/src/job-spec.cpp
+++ b/packages/fleet/src/job-spec.cpp
@@ -25,8 +25,12 @@
 
 std::string toString(const TaskId& task)
 {
-    return task.job.str() + '.' + std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.'
-        + std::to_string(task.index);
+    return stepName(task) + '.' + std::to_string(task.index);
+}
+
+std::string stepName(const TaskId& task)
+{
+    return task.job.str() + '.' + std::to_string(task.occurrence) + '.' + std::to_string(task.step);
 }
 
 } // namespace jujubereach::fleet
--- a/packages/fleet/src/owner-displace.cpp
+++ b/packages/fleet/src/owner-displace.cpp
@@ -17,6 +17,7 @@
 
 void Owner::Impl::addDisplaceable(std::vector<WorkerView>& fleet)
 {
+    std::map<const Occurrence*, double> ranks; // One for all tasks of an occurrence.
     for (auto& view : fleet) {
         for (const auto& [task, active] : findWorker(view.id)->runs) {
             auto* job = findJob(task.job);
@@ -31,8 +32,11 @@
                     step->spec->gang ? m_settings.checkpointInterval / 2 + m_settings.restoreTime
                                      : m_settings.restoreTime);
             const auto lost = coresOf(active.room) * static_cast<double>(lostTime.count()) / 1000;
-            const auto rank = rankAmong(*job, job->occurrences.at(task.occurrence), false);
-            view.displaceable.push_back({ task, active.room, active.priority, rank,
+            const auto& occurrence = job->occurrences.at(task.occurrence);
+            const auto [rank, isNew] = ranks.try_emplace(&occurrence, 0);
+            if (isNew)
+                rank->second = rankAmong(*job, occurrence, false);
+            view.displaceable.push_back({ task, active.room, active.priority, rank->second,
                 step->spec->gang ? lost * step->spec->count : lost, step->spec->gang });
         }
     }
@@ -65,10 +69,12 @@
         findWorker(view.id)->booked += step.spec->room;
         plan.tasks.emplace_back(waiting[i], view.id);
     }
+    const std::set<TaskId> gone(found.victims.begin(), found.victims.end());
+    for (auto& view : fleet)
+        std::erase_if(
+            view.displaceable, [&](const Displaceable& option) { return gone.contains(option.task); });
     for (const auto& task : found.victims) {
         victims.push_back(boost::json::string(toString(task)));
-        for (auto& view : fleet)
-            std::erase_if(view.displaceable, [&](const Displaceable& option) { return option.task == task; });
         stopWhole(task, "more urgent work needs its room");
     }
     m_hooks.log(
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -44,7 +44,7 @@
     void saveDue();
     void saveDone(const SavedParts& parts, Revision revision);
     void saveFailed(const SavedParts& parts, const StoreAnswer& answer);
-    void noteSaved();
+    void noteSaved(Worker& worker);
     void saveSummary(StoreWrite& write);
     void saveRoster(StoreWrite& write, SavedParts& parts);
     bool isRosterOpen(const Worker& worker) const; ///< As it should be stored.
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -141,7 +141,7 @@
         for (const auto& task : absent)
             loseRun(*worker, task, "its worker does not list it");
     }
-    noteSaved();
+    noteSaved(*worker);
     if (!worker->ends.empty())
         worker->nextLook = now() + savedWait;
     if (worker->runs.empty() && worker->ends.empty() && answer.ended.empty())
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -213,10 +213,11 @@
         for (std::size_t i = 0; terms.priority <= urgentPriority && i < ready.tasks.size(); ++i)
             urgent[terms.service] += ready.step().spec->room;
     }
-    for (const auto& [service, room] : urgent)
-        m_reserves[service]; // From now on.
-    for (auto& [service, reserve] : m_reserves) {
-        reserve.note(now(), shareOf(urgent[service], service, fleet));
+    for (const auto& [service, reserve] : m_reserves)
+        urgent[service]; // Nothing now, and some before.
+    for (const auto& [service, room] : urgent) {
+        auto& reserve = m_reserves[service];
+        reserve.note(now(), shareOf(room, service, fleet));
         reserveRacks(service, reserve.share(), fleet);
     }
 }
@@ -286,8 +287,9 @@
         const auto& failedOn = step.tasks[static_cast<std::size_t>(index)].failedOn;
         avoid.insert(failedOn.begin(), failedOn.end());
     }
-    const auto elsewhere = std::any_of(pass.fleet.begin(), pass.fleet.end(),
-        [&](const WorkerView& view) { return couldRun(request, view) && !avoid.contains(view.id); });
+    const auto elsewhere = avoid.size() > occupied.size()
+        && std::any_of(pass.fleet.begin(), pass.fleet.end(),
+            [&](const WorkerView& view) { return couldRun(request, view) && !avoid.contains(view.id); });
     request.avoid = elsewhere ? &avoid : &occupied;
     std::set<WorkerId> advised;
     if (termsOf(*ready.job).advice) {
--- a/packages/fleet/src/owner-save.cpp
+++ b/packages/fleet/src/owner-save.cpp
@@ -144,28 +144,27 @@
         m_rosterDue = rosterDiffers();
         soon();
     }
-    noteSaved();
+    for (auto& [id, worker] : m_workers)
+        noteSaved(worker);
     if (!m_dirty.empty())
         m_hooks.wakeIn(savePause);
 }
 
-void Owner::Impl::noteSaved()
+void Owner::Impl::noteSaved(Worker& worker)
 {
-    for (auto& [id, worker] : m_workers) {
-        auto advanced = false;
-        while (!worker.ends.empty()) {
-            const auto& [number, end] = *worker.ends.begin();
-            const auto* job = findJob(end.job);
-            if (job && job->saved < end.changes && m_settings.switches.saveBeforeAcknowledging)
-                break;
-            worker.acknowledged = std::max(worker.acknowledged, number);
-            worker.ends.erase(worker.ends.begin());
-            advanced = true;
-        }
-        if (advanced && worker.ends.empty()) {
-            worker.nextLook = now();
-            callsDue(worker);
-        }
+    auto advanced = false;
+    while (!worker.ends.empty()) {
+        const auto& [number, end] = *worker.ends.begin();
+        const auto* job = findJob(end.job);
+        if (job && job->saved < end.changes && m_settings.switches.saveBeforeAcknowledging)
+            break;
+        worker.acknowledged = std::max(worker.acknowledged, number);
+        worker.ends.erase(worker.ends.begin());
+        advanced = true;
+    }
+    if (advanced && worker.ends.empty()) {
+        worker.nextLook = now();
+        callsDue(worker);
     }
 }
 
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -1,5 +1,7 @@
 #include "jujubereach/fleet/placement.h"
 
+#include "room-share.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -21,11 +23,6 @@
                 && std::find(view.labels->begin(), view.labels->end(), label) != view.labels->end());
     }
 
-    double share(std::int64_t part, std::int64_t whole)
-    {
-        return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0;
-    }
-
     // Tasks of the step on each worker, with those placed just now.
     struct Counts {
         std::map<std::size_t, int> placed;
@@ -301,14 +298,8 @@
 
 double freeShare(const ServiceId& service, const std::vector<WorkerView>& views)
 {
-    Room free;
-    Room whole;
-    for (const auto& view : views) {
-        if (view.service != service)
-            continue;
-        free += view.free;
-        whole += view.capacity;
-    }
+    const auto free = sumOf(service, views, &WorkerView::free);
+    const auto whole = sumOf(service, views, &WorkerView::capacity);
     const auto cores = share(free.milliCores, whole.milliCores);
     return whole.accelerators > 0 ? std::min(cores, share(free.accelerators, whole.accelerators)) : cores;
 }
--- a/packages/fleet/src/records.cpp
+++ b/packages/fleet/src/records.cpp
@@ -265,6 +265,11 @@
         return progressPrefix + id.str();
     }
 
+    JobId jobOf(const std::string& key)
+    {
+        return JobId(key.substr(key.find('/') + 1));
+    }
+
 } // namespace keys
 
 } // namespace jujubereach::fleet
--- a/packages/fleet/src/reserve.cpp
+++ b/packages/fleet/src/reserve.cpp
@@ -1,5 +1,7 @@
 #include "jujubereach/fleet/reserve.h"
 
+#include "room-share.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -11,27 +13,6 @@
     constexpr double margin = 1; // Standard deviations.
     constexpr double maxShare = 0.5; // Others work too, whatever urgent work asks for.
 
-    Room roomOf(const ServiceId& service, const std::vector<WorkerView>& views)
-    {
-        Room whole;
-        for (const auto& view : views) {
-            if (view.service == service)
-                whole += view.capacity;
-        }
-        return whole;
-    }
-
-    double part(std::int64_t of, std::int64_t whole)
-    {
-        return whole > 0 ? static_cast<double>(of) / static_cast<double>(whole) : 0;
-    }
-
-    double largestPart(const Room& room, const Room& whole)
-    {
-        return std::max({ part(room.milliCores, whole.milliCores), part(room.memoryMb, whole.memoryMb),
-            part(room.accelerators, whole.accelerators) });
-    }
-
 } // namespace
 
 void UrgentReserve::note(TimePoint now, double share)
@@ -51,12 +32,12 @@
 
 double shareOf(const Room& room, const ServiceId& service, const std::vector<WorkerView>& views)
 {
-    return largestPart(room, roomOf(service, views));
+    return largestShare(room, sumOf(service, views, &WorkerView::capacity));
 }
 
 void reserveRacks(const ServiceId& service, double share, std::vector<WorkerView>& views)
 {
-    const auto whole = roomOf(service, views);
+    const auto whole = sumOf(service, views, &WorkerView::capacity);
     std::map<double, Room> racks;
     for (const auto& view : views) {
         if (view.service == service)
@@ -65,7 +46,7 @@
     auto last = -1.0;
     auto kept = 0.0;
     for (const auto& [order, room] : racks) {
-        const auto rack = largestPart(room, whole);
+        const auto rack = largestShare(room, whole);
         if (kept + rack / 2 > share)
             break;
         kept += rack;
--- /dev/null
+++ b/packages/fleet/src/room-share.h
@@ -0,0 +1,20 @@
+// Room as a part of other room.
+#pragma once
+
+#include "jujubereach/fleet/placement.h"
+
+namespace jujubereach::fleet {
+
+/// 0 of nothing.
+inline double share(std::int64_t part, std::int64_t whole)
+{
+    return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0;
+}
+
+/// The largest share among processors, memory and accelerators.
+double largestShare(const Room& room, const Room& whole);
+
+/// Of a service's workers together: what they have, or what is free on them.
+Room sumOf(const ServiceId& service, const std::vector<WorkerView>& views, Room WorkerView::*member);
+
+} // namespace jujubereach::fleet
--- a/packages/fleet/test/owner-test.cpp
+++ b/packages/fleet/test/owner-test.cpp
@@ -387,8 +387,6 @@
         CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
     }
 
-    // Seen on late-orders of ptlw-sched, seed 1: a stop that another life refused was sent again without a
-    // pause.
     // A late start is done in the worker's next life before anyone has heard of it: its end has a number that
     // the last life's acknowledgements cover.
     void acknowledgesNothingToALifeThatItDoesNotKnow()
@@ -413,6 +411,8 @@
         CPPUNIT_ASSERT(fleet.savedState("late") == JobState::Completed);
     }
 
+    // Seen on late-orders of ptlw-sched, seed 1: a stop that another life refused was sent again without a
+    // pause.
     void givesUpALifeThatWasReplaced()
     {
         FakeFleet fleet;
--- a/packages/fleet/test/queue-test.cpp
+++ b/packages/fleet/test/queue-test.cpp
@@ -210,7 +210,6 @@
         return step;
     }
 
-    // Answers a burst far beyond the fleet: small jobs and urgent ones first, then what can still be in time.
     static TimePoint at(std::int64_t seconds) { return TimePoint(Duration(1'000'000 + 1000 * seconds)); }
 
     void keepsTheShareThatUrgentWorkHas()
@@ -254,6 +253,7 @@
         CPPUNIT_ASSERT(place(ask(whole, 1), fleet) == Placement { 0 });
     }
 
+    // Answers a burst far beyond the fleet: small jobs and urgent ones first, then what can still be in time.
     void ordersByGainForRoom()
     {
         CPPUNIT_ASSERT(rankOf(waiting(0, 100)) > rankOf(waiting(1, 100)));
--- a/packages/net/src/http-client.cpp
+++ b/packages/net/src/http-client.cpp
@@ -1,5 +1,6 @@
 #include "jujubereach/net/http-client.h"
 
+#include "endpoint.h"
 #include "message-codec.h"
 
 #include <boost/asio/connect.hpp>
@@ -9,10 +10,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
-#include <Poco/NumberParser.h>
-
-#include <netinet/tcp.h>
-
 #include <array>
 
 namespace jujubereach::net {
@@ -25,21 +22,6 @@
     constexpr std::size_t readBytes = 16'384;
     constexpr unsigned peerTimeoutMs = 4000; // Beyond the longest wait of a long poll and its answer's way.
 
-    std::optional<tcp::endpoint> parseEndpoint(const std::string& text)
-    {
-        const auto colon = text.rfind(':');
-        if (colon == std::string::npos)
-            return std::nullopt;
-        unsigned port = 0;
-        if (!Poco::NumberParser::tryParseUnsigned(text.substr(colon + 1), port) || port > 65'535)
-            return std::nullopt;
-        boost::system::error_code failed;
-        const auto ip = asio::ip::make_address(text.substr(0, colon), failed);
-        if (failed)
-            return std::nullopt;
-        return tcp::endpoint(ip, static_cast<unsigned short>(port));
-    }
-
 } // namespace
 
 // One connection: idle in the pool, or carrying one call.
@@ -64,9 +46,7 @@
                 return;
             if (failed)
                 return self->end(CallFate::NotSent);
-            boost::system::error_code ignored;
-            self->m_socket.set_option(tcp::no_delay(true), ignored);
-            self->setPeerTimeout();
+            detail::setPeerOptions(self->m_socket, peerTimeoutMs);
             self->write();
         });
     }
@@ -121,13 +101,6 @@
         });
     }
 
-    // The kernel gives a peer up that acknowledges nothing; works also where keep-alive probes are off.
-    void setPeerTimeout()
-    {
-        setsockopt(
-            m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &peerTimeoutMs, sizeof peerTimeoutMs);
-    }
-
     void write()
     {
         m_sent = true;
@@ -245,7 +218,7 @@
         connection->callAgain(std::move(bytes), timeout, std::move(done));
         return;
     }
-    const auto peer = parseEndpoint(endpoint);
+    const auto peer = detail::parseEndpoint(endpoint);
     if (!peer) {
         asio::post(m_loop, [done = std::move(done)] { done({ CallFate::NotSent, {} }); });
         return;
--- a/packages/net/src/http-server.cpp
+++ b/packages/net/src/http-server.cpp
@@ -1,15 +1,12 @@
 #include "jujubereach/net/http-server.h"
 
+#include "endpoint.h"
 #include "message-codec.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
-#include <Poco/NumberParser.h>
-
-#include <netinet/tcp.h>
-
 #include <array>
 #include <set>
 
@@ -55,10 +52,7 @@
         , m_socket(std::move(socket))
         , m_timer(m_shared->loop)
     {
-        boost::system::error_code ignored;
-        m_socket.set_option(tcp::no_delay(true), ignored);
-        setsockopt(
-            m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &peerTimeoutMs, sizeof peerTimeoutMs);
+        detail::setPeerOptions(m_socket, peerTimeoutMs);
     }
 
     void start()
@@ -229,20 +223,16 @@
 
 Result<bool> HttpServer::listen(const std::string& endpoint)
 {
-    const auto colon = endpoint.rfind(':');
-    unsigned port = 0;
-    boost::system::error_code failed;
-    const auto ip = asio::ip::make_address(endpoint.substr(0, colon), failed);
-    if (colon == std::string::npos || failed
-        || !Poco::NumberParser::tryParseUnsigned(endpoint.substr(colon + 1), port) || port > 65'535)
+    const auto local = detail::parseEndpoint(endpoint);
+    if (!local)
         return fail({ ErrorCode::InvalidInput, "an address is written as ip:port", "listen", endpoint });
-    const tcp::endpoint local(ip, static_cast<unsigned short>(port));
     auto& acceptor = m_shared->acceptor;
-    acceptor.open(local.protocol(), failed);
+    boost::system::error_code failed;
+    acceptor.open(local->protocol(), failed);
     if (!failed)
         acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
     if (!failed)
-        acceptor.bind(local, failed);
+        acceptor.bind(*local, failed);
     if (!failed)
         acceptor.listen(listenBacklog, failed);
     if (failed)
--- a/packages/net/src/message-codec.cpp
+++ b/packages/net/src/message-codec.cpp
@@ -36,6 +36,16 @@
         return true;
     }
 
+    void append(const Headers& headers, std::string& out)
+    {
+        for (const auto& [name, value] : headers) {
+            out += name;
+            out += ": ";
+            out += value;
+            out += "\r\n";
+        }
+    }
+
     Headers copyHeaders(const Poco::Net::MessageHeader& message)
     {
         Headers headers;
@@ -129,12 +139,7 @@
             out += host;
             out += "\r\n";
         }
-        for (const auto& [name, value] : request.headers) {
-            out += name;
-            out += ": ";
-            out += value;
-            out += "\r\n";
-        }
+        append(request.headers, out);
         if (!request.body.empty())
             out += "Content-Type: application/json\r\n";
         if (!request.body.empty() || request.method == "POST") {
@@ -155,12 +160,7 @@
         out += Poco::Net::HTTPResponse::getReasonForStatus(
             static_cast<Poco::Net::HTTPResponse::HTTPStatus>(response.status));
         out += "\r\n";
-        for (const auto& [name, value] : response.headers) {
-            out += name;
-            out += ": ";
-            out += value;
-            out += "\r\n";
-        }
+        append(response.headers, out);
         out += "Content-Length: ";
         out += std::to_string(response.body.size());
         out += close ? "\r\nConnection: close\r\n\r\n" : "\r\n\r\n";
--- a/standins/src/platform-service.cpp
+++ b/standins/src/platform-service.cpp
@@ -1,12 +1,11 @@
 // The platform as one HTTP service.
 #include "platform-service.h"
 
-#include <Poco/Base64Encoder.h>
+#include "jujubereach/base/base64.h"
+
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
 
-#include <sstream>
-
 namespace jujubereach::standins {
 
 using platform::KvReply;
@@ -43,16 +42,6 @@
         return answer;
     }
 
-    std::string toBase64(const std::string& value)
-    {
-        std::ostringstream out;
-        Poco::Base64Encoder encoder(out);
-        encoder.rdbuf()->setLineLength(0);
-        encoder << value;
-        encoder.close();
-        return out.str();
-    }
-
     Answer listAnswer(const KvReply& reply)
     {
         Poco::JSON::Array::Ptr entries = new Poco::JSON::Array;
--- a/standins/users/users-store.cpp
+++ b/standins/users/users-store.cpp
@@ -1,11 +1,8 @@
 #include "users-store.h"
 
-#include <Poco/Base64Decoder.h>
-#include <Poco/Base64Encoder.h>
-#include <Poco/StreamCopier.h>
-#include <Poco/URI.h>
+#include "jujubereach/base/base64.h"
 
-#include <sstream>
+#include <Poco/URI.h>
 
 namespace jujubereach::standins {
 
@@ -16,25 +13,6 @@
     constexpr std::size_t pageItems = 500;
     constexpr std::size_t historySize = 100'000;
 
-    std::string encode(const std::string& text)
-    {
-        std::ostringstream out;
-        Poco::Base64Encoder encoder(out);
-        encoder.rdbuf()->setLineLength(0);
-        encoder << text;
-        encoder.close();
-        return out.str();
-    }
-
-    std::string decode(const std::string& encoded)
-    {
-        std::istringstream in(encoded);
-        Poco::Base64Decoder decoder(in);
-        std::string text;
-        Poco::StreamCopier::copyToString(decoder, text);
-        return text;
-    }
-
     net::HttpResponse ok(const json::object& body)
     {
         return { 200, {}, json::serialize(body) };
@@ -279,7 +257,7 @@
 void UsersStore::put(const std::string& key, const std::string& value)
 {
     ++m_revision;
-    apply(key, { encode(value), 0, 0, 0 }, false);
+    apply(key, { toBase64(value), 0, 0, 0 }, false);
     answerWatches();
 }
 
@@ -295,7 +273,7 @@
 std::string UsersStore::value(const std::string& key) const
 {
     const auto found = m_items.find(key);
-    return found == m_items.end() ? std::string() : decode(found->second.encoded);
+    return found == m_items.end() ? std::string() : fromBase64(found->second.encoded);
 }
 
 } // namespace jujubereach::standins
