--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -105,8 +105,6 @@
             ->capture_default_str()
             ->envname("JUJUBEREACH_LOG_LEVEL")
             ->check(CLI::IsMember({ "debug", "info", "warning", "error" }));
-        app.add_flag(
-            "--test-hooks", settings.testHooks, "Open /v1/test/, which breaks mechanisms; for tests only");
     }
 
     StartChoice refusalOf(const CLI::App& app, const CLI::ParseError& error)
@@ -124,7 +122,7 @@
 
 } // namespace
 
-StartChoice readSettings(int argc, const char* const* argv)
+StartChoice readSettings(int argc, const char* const* argv, const ExtendOptions& extend)
 {
     CLI::App app {
         "Entry host of jujubereach: schedules gangs and routes requests for one availability zone.",
@@ -135,6 +133,8 @@
     RawSettings raw;
     addIdentity(app, choice.settings, raw);
     addBounds(app, choice.settings, raw);
+    if (extend)
+        extend(app, choice.settings);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
--- a/packages/daemon/src/settings.h
+++ b/packages/daemon/src/settings.h
@@ -5,9 +5,14 @@
 #include "jujubereach/base/id.h"
 #include "jujubereach/base/time.h"
 
+#include <functional>
 #include <string>
 #include <vector>
 
+namespace CLI {
+class App;
+}
+
 namespace jujubereach::daemon {
 
 struct Settings {
@@ -41,6 +46,9 @@
 /// Exit status of a start with a bad setting.
 constexpr int badSettingStatus = 2;
 
-StartChoice readSettings(int argc, const char* const* argv);
+/// Adds options to those of the daemon.
+using ExtendOptions = std::function<void(CLI::App&, Settings&)>;
+
+StartChoice readSettings(int argc, const char* const* argv, const ExtendOptions& extend = {});
 
 } // namespace jujubereach::daemon
--- a/packages/daemon/test/settings-test.cpp
+++ b/packages/daemon/test/settings-test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(emptyZoneIsNamed);
     CPPUNIT_TEST(negativeBoundIsNamed);
     CPPUNIT_TEST(missingSettingIsNamed);
+    CPPUNIT_TEST(theDeployedDaemonBreaksNoMechanism);
     CPPUNIT_TEST(helpEndsWithStatusZero);
     CPPUNIT_TEST_SUITE_END();
 
@@ -93,6 +94,11 @@
         assertRefused(args, "--platform");
     }
 
+    void theDeployedDaemonBreaksNoMechanism()
+    {
+        assertRefused(with(good(), { "--test-hooks" }), "--test-hooks");
+    }
+
     void helpEndsWithStatusZero()
     {
         const auto choice = read({ "jujubereachd", "--help" });
--- a/scenarios/src/fleet.cpp
+++ b/scenarios/src/fleet.cpp
@@ -110,8 +110,8 @@
             BOOST_LEAF_AUTO(http, loopback());
             BOOST_LEAF_AUTO(inner, loopback());
             seeds += (seeds.empty() ? "" : ",") + inner;
-            Member member { MemberKind::Host, id.str(), zone.id, m_binFolder + "/jujubereachd", {}, http, {},
-                {}, false };
+            Member member { MemberKind::Host, id.str(), zone.id, m_binFolder + "/jujubereachd-testing", {},
+                http, {}, {}, false };
             member.arguments = { "--host", id.str(), "--zone", zone.id.str(), "--region", zone.region.str(),
                 "--http", http, "--inner", inner, "--platform", m_platformAddress, "--log-level", "info",
                 "--test-hooks" };
