Blame no later call for an expired timer; survive unexpected exceptions

Cause: two faults found by reading. (1) Where the loop lags, the answer of a call and its expired timer are found in one turn; the connection carries the next call by then, and the timer ended that one as unanswered and closed the endpoint's idle connections. On an owner at its limit each such case counts as a worker's silence, so that its lease is not renewed. (2) An exception that a handler lets out ended the process.

Before and after: aLaggingLoopBlamesNoLaterCall fails without the check of the call and passes with it; anExceptionCostsOneRequest needs runLoop.

--- a/packages/entry/include/jujubereach/entry/entry-host.h
+++ b/packages/entry/include/jujubereach/entry/entry-host.h
@@ -103,6 +103,8 @@
     bool isReady() const;
     /// Hands ownership over and takes no more of it; requests are still answered.
     void drain();
+    /// Gives ownership back, if this host has it; any host, this one too, may claim it then.
+    void resign(const char* why);
 
     bool ownsFleet() const;
     fleet::OwnerFigures ownerFigures() const; ///< Zeros when it owns nothing.
--- a/packages/entry/src/entry-host.cpp
+++ b/packages/entry/src/entry-host.cpp
@@ -144,9 +144,14 @@
 {
     if (std::exchange(m_impl->m_draining, true))
         return;
+    resign("planned stop");
+}
+
+void EntryHost::resign(const char* why)
+{
     const auto lease = m_impl->m_lease;
     const auto owned = m_impl->m_owner != nullptr;
-    m_impl->stepDown("planned stop");
+    m_impl->stepDown(why);
     if (owned)
         m_impl->m_hooks.store.endLease(lease, Duration(1000), [](const StoreAnswer&) { /* Or it lapses. */ });
 }
--- a/packages/net/src/http-client.cpp
+++ b/packages/net/src/http-client.cpp
@@ -92,13 +92,15 @@
         m_sent = false;
         m_done = std::move(done);
         m_timer.expires_after(timeout);
-        m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& failed) {
-            if (failed || !self->m_done)
-                return;
-            if (*self->m_clientAlive)
-                self->m_client.forget(self->m_endpoint);
-            self->end(self->m_sent ? CallFate::Unknown : CallFate::NotSent);
-        });
+        // Where the loop lags, the expired timer of an answered call may still be queued.
+        m_timer.async_wait(
+            [self = shared_from_this(), call = ++m_calls](const boost::system::error_code& failed) {
+                if (failed || !self->m_done || call != self->m_calls)
+                    return;
+                if (*self->m_clientAlive)
+                    self->m_client.forget(self->m_endpoint);
+                self->end(self->m_sent ? CallFate::Unknown : CallFate::NotSent);
+            });
     }
 
     void write()
@@ -184,6 +186,7 @@
     detail::Framing m_framing;
     HttpResponse m_response;
     CallDone m_done; ///< Set while a call is under way.
+    std::uint64_t m_calls = 0; ///< That this connection has carried, with the one under way.
     bool m_sent = false; ///< A byte of the request may have left.
     bool m_watched = false;
     bool m_closedByPeer = false;
--- a/packages/net/src/http-server.cpp
+++ b/packages/net/src/http-server.cpp
@@ -156,10 +156,16 @@
         m_handling = true;
         auto request = std::move(m_request);
         m_request = {};
-        m_shared->handler(request, [self = shared_from_this()](const HttpResponse& response) {
-            if (self->m_handling)
-                self->write(response);
-        });
+        try {
+            m_shared->handler(request, [self = shared_from_this()](const HttpResponse& response) {
+                if (self->m_handling)
+                    self->write(response);
+            });
+        } catch (...) {
+            if (m_handling)
+                write({ 500, {}, {} });
+            throw; // The loop's owner logs it.
+        }
     }
 
     void write(const HttpResponse& response)
--- a/packages/net/test/net-test.cpp
+++ b/packages/net/test/net-test.cpp
@@ -1,6 +1,7 @@
 // Client and server over loopback, with peers that misbehave.
 #include "jujubereach/net/http-client.h"
 #include "jujubereach/net/http-server.h"
+#include "jujubereach/net/run-loop.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -23,6 +24,8 @@
     CPPUNIT_TEST(joinsChunks);
     CPPUNIT_TEST(refusesWhatIsTooLargeOrMalformed);
     CPPUNIT_TEST(drainsWithAnswers);
+    CPPUNIT_TEST(aLaggingLoopBlamesNoLaterCall);
+    CPPUNIT_TEST(anExceptionCostsOneRequest);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr auto address = "127.0.0.1:29317";
@@ -200,6 +203,57 @@
         CPPUNIT_ASSERT_EQUAL(std::string("close"), out.response.header("Connection"));
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.inProgress());
     }
+
+    // The answer and the expired timer of a call are found in the same turn of a loop that was held up.
+    void aLaggingLoopBlamesNoLaterCall()
+    {
+        constexpr Duration timeout { 60 };
+        asio::io_context serverLoop { 1 };
+        HttpServer server(serverLoop, echo());
+        CPPUNIT_ASSERT(server.listen(address));
+        std::thread serving([&] { serverLoop.run_for(std::chrono::seconds(5)); });
+        Loop loop;
+        loop.call("first"); // Leaves an idle connection.
+        std::optional<CallFate> late;
+        std::optional<CallFate> next;
+        const HttpRequest request { "POST", "/x", {}, "again" };
+        loop.client.call(address, request, timeout, [&](const CallResult& result) {
+            late = result.fate;
+            loop.client.call(
+                address, request, Duration(2000), [&](const CallResult& second) { next = second.fate; });
+        });
+        loop.context.restart();
+        loop.context.run_one(); // Writes.
+        std::this_thread::sleep_for(3 * timeout);
+        while (!next)
+            loop.context.run_one_for(std::chrono::milliseconds(50));
+        serverLoop.stop();
+        serving.join();
+        CPPUNIT_ASSERT(late == CallFate::Answered);
+        CPPUNIT_ASSERT(next == CallFate::Answered);
+    }
+
+    void anExceptionCostsOneRequest()
+    {
+        asio::io_context serverLoop { 1 };
+        HttpServer server(serverLoop, [](const HttpRequest& request, const Respond& respond) {
+            if (request.target == "/bad")
+                throw std::out_of_range("unexpected");
+            respond({ 200, {}, "served" });
+        });
+        CPPUNIT_ASSERT(server.listen(address));
+        std::vector<std::string> failures;
+        std::thread serving(
+            [&] { runLoop(serverLoop, [&](const char* what) { failures.emplace_back(what); }); });
+        Loop loop;
+        const auto bad = exchange(loop, "GET /bad HTTP/1.1\r\n\r\n");
+        const auto good = exchange(loop, "GET /good HTTP/1.1\r\n\r\n");
+        serverLoop.stop();
+        serving.join();
+        CPPUNIT_ASSERT(bad.starts_with("HTTP/1.1 500"));
+        CPPUNIT_ASSERT(good.starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), failures.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(NetTest);
