--- a/packages/fleet/include/jujubereach/fleet/worker-calls.h
+++ b/packages/fleet/include/jujubereach/fleet/worker-calls.h
@@ -85,6 +85,7 @@
     std::int64_t born = 0; ///< 0 when not told.
     std::vector<RunningTask> running; ///< Of a hold.
     std::vector<EndedTask> ended;
+    bool listsWhole = true; ///< Both lists of a hold were read without gaps: what they lack is not there.
 };
 using OrderDone = std::function<void(OrderAnswer)>;
 
