Keep the owner's state between passes; expect late starts in new lives

A job's open occurrences are bounded. A list with gaps loses no run.

The owner now remembers unanswered starts for the 12 s in which they may come and tells each new life to refuse them.

--- a/bench/fleet/load.cpp
+++ b/bench/fleet/load.cpp
@@ -80,6 +80,22 @@
         return load;
     }
 
+    // Floods of wide gangs on a thousand workers: the owner has a few hundred starts a second to decide.
+    Load huge()
+    {
+        Load load { "gangs-1104", 138, 8, largeWorker, {}, {}, Duration(15'000) };
+        load.classes = {
+            { 0, 15.6, 4, 0.2, 2500, 8, 7500, 39'000, { 1, 2, 4, 8, 8 }, true, 0.8, 0, 1.5, Duration(500),
+                0.5 },
+            { 1, 2.74, 3, 0.3, 11'000, 26, 26'000, 110'000, { 1, 2, 4, 8, 8 }, true, 0.6, 0.45, 3,
+                Duration(1200), 0.2 },
+            { 2, 3.5, 1, 0.3, 9500, 78, 5600, 16'000, { 1 }, false, 0, 0.45, 3, Duration(3000), 0.9 },
+        };
+        load.floods = { { 2, Duration(2000), Duration(5000), 2 }, { 0, Duration(4000), Duration(9000), 2 },
+            { 1, Duration(7000), Duration(10'000), 2 } };
+        return load;
+    }
+
 } // namespace
 
 std::vector<Arrival> arrivalsOf(const Load& load, std::uint64_t seed)
@@ -107,7 +123,7 @@
     largeFlood.name += "-floods";
     largeFlood.floods = { { 2, Duration(3000), Duration(8000), 2 },
         { 0, Duration(5000), Duration(10'000), 1.7 }, { 1, Duration(8000), Duration(12'000), 1.8 } };
-    return { small(), smallFlood, large(), largeFlood };
+    return { small(), smallFlood, large(), largeFlood, huge() };
 }
 
 } // namespace jujubereach::bench
--- a/bench/fleet/main.cpp
+++ b/bench/fleet/main.cpp
@@ -1,6 +1,7 @@
 // Plays heavy loads in virtual time against the owner's policy and against first come, first served.
 #include "player.h"
 
+#include <algorithm>
 #include <cstdio>
 
 using namespace jujubereach;
@@ -20,10 +21,11 @@
     const auto seeds = static_cast<double>(seedsOf(load));
     std::printf(
         "BENCH name=%s-%s earned=%.3f urgent=%.3f next=%.3f bulk=%.3f worst-seconds=%.3f thrown-away=%.3f "
-        "cpu-s=%.1f\n",
+        "cpu-s=%.1f us-a-start=%.0f\n",
         load.name.c_str(), policy, sum.earned / sum.owed, sum.earnedByClass[0] / sum.owedByClass[0],
         sum.earnedByClass[1] / sum.owedByClass[1], sum.earnedByClass[2] / sum.owedByClass[2],
-        sum.worstSeconds / seeds, sum.thrownAway / seeds, sum.ownerSeconds);
+        sum.worstSeconds / seeds, sum.thrownAway / seeds, sum.ownerSeconds,
+        1e6 * sum.ownerSeconds / std::max(1, sum.starts));
     std::fflush(stdout);
 }
 
@@ -45,6 +47,7 @@
         sum.thrownAway += one.thrownAway;
         sum.worstSeconds += one.worstSeconds;
         sum.ownerSeconds += one.ownerSeconds;
+        sum.starts += one.starts;
     }
     return sum;
 }
--- a/bench/fleet/player.cpp
+++ b/bench/fleet/player.cpp
@@ -3,9 +3,6 @@
 #include "fake-fleet.h"
 #include "jujubereach/fleet/queue-order.h"
 
-#include <chrono>
-#include <ctime>
-
 namespace jujubereach::bench {
 
 namespace {
@@ -111,7 +108,6 @@
 {
     const auto arrivals = arrivalsOf(load, seed);
     auto jobs = worthsOf(load, arrivals);
-    const auto begun = std::clock();
     fleet::FakeFleet fake;
     fake.settings = settings;
     fake.stopTime = Duration(250); // Over half of the bound that is stated for a stop.
@@ -154,7 +150,8 @@
     }
     outcome.thrownAway = fake.owner->figures().thrownAway / work;
     outcome.worstSeconds = worstOf(load, jobs);
-    outcome.ownerSeconds = static_cast<double>(std::clock() - begun) / CLOCKS_PER_SEC;
+    outcome.ownerSeconds = fake.ownerSeconds;
+    outcome.starts = fake.seen.startCalls;
     return outcome;
 }
 
--- a/bench/fleet/player.h
+++ b/bench/fleet/player.h
@@ -18,7 +18,8 @@
     std::array<double, classCount> earnedByClass {};
     double thrownAway = 0; ///< Core-seconds that ended without being saved, against those of all jobs.
     double worstSeconds = 1; ///< Share earned of the jobs of the worst five seconds.
-    double ownerSeconds = 0; ///< Processor time of the play, the fake workers included.
+    double ownerSeconds = 0; ///< Processor time of the owner.
+    int starts = 0; ///< Calls to workers that start a task.
 };
 
 Outcome play(const Load& load, std::uint64_t seed, const fleet::OwnerSettings& settings);
--- a/packages/fleet/include/jujubereach/fleet/placement.h
+++ b/packages/fleet/include/jujubereach/fleet/placement.h
@@ -59,6 +59,26 @@
 /// whole workers and whole racks stay free for gangs. Takes the room from the views.
 Placement place(const PlaceRequest& request, std::vector<WorkerView>& views);
 
+/// What found no place while room only shrank: what asks for as much or more needs no search.
+class UnplacedRequests {
+public:
+    /// Remembers a request that no label, rack, spread, adviser or worker to avoid has narrowed.
+    void add(const PlaceRequest& request);
+    bool cover(const PlaceRequest& request) const;
+
+private:
+    struct Shape {
+        ServiceId service;
+        Room room; ///< Of one task.
+        int count = 1; ///< That must fit together.
+        bool oneRack = false;
+        bool urgent = false; ///< Could use reserved workers too.
+    };
+    static Shape shapeOf(const PlaceRequest& request);
+
+    std::vector<Shape> m_shapes;
+};
+
 struct Displacement {
     Placement placement;
     std::vector<TaskId> victims;
--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -50,7 +50,7 @@
     const auto wanted = task && !task->done && task->worker.empty() && !isFinal(job->state)
         && running.run >= step->shared(running.task.index).lastRun;
     run.foreign = !wanted;
-    worker.addRun(run);
+    addRun(worker, run);
     m_hooks.log("adopt",
         { { "task", toString(running.task) }, { "run", running.run.value }, { "worker", worker.id().str() },
             { "wanted", wanted }, { "percent", running.percent } });
@@ -181,7 +181,7 @@
 
 void Owner::Impl::release(Worker& worker, const TaskId& id)
 {
-    worker.removeRun(id);
+    removeRun(worker, id);
     auto* job = findJob(id.job);
     auto* step = job ? job->findStep(id) : nullptr;
     if (!step)
@@ -213,14 +213,40 @@
     stopWhole(id, "a member of its gang is lost");
 }
 
+// A new life knows nothing of the stops that the last one was told. A stop of a run covers the earlier ones.
+void Owner::Impl::expectLateStarts(Worker& worker)
+{
+    for (const auto& [task, late] : worker.lateStarts) {
+        if (now() - late.sentAt > lateOrderBound)
+            continue;
+        const auto known = worker.runs.find(task);
+        if (known != worker.runs.end()) {
+            known->second.unanswered = true;
+            continue;
+        }
+        ActiveRun run;
+        run.task = task;
+        run.run = late.run;
+        run.phase = RunPhase::Running;
+        run.foreign = true;
+        run.unanswered = true;
+        run.orderedAt = run.startSentAt = late.sentAt;
+        describe(findJob(task.job), worker, run);
+        addRun(worker, std::move(run));
+    }
+}
+
 // A life that may return, or a later one under its id, may still carry unanswered starts out: their tasks
 // wait until it has been told to stop them, or until no late order can be left.
 void Owner::Impl::loseRuns(Worker& worker, const char* why, bool mayReturn)
 {
+    const auto keepLate = mayReturn && m_settings.switches.keepLateStarts;
+    if (keepLate)
+        expectLateStarts(worker);
     std::vector<TaskId> gone;
     for (auto& [task, run] : worker.runs) {
         const auto mayCome = run.unanswered || (run.phase == RunPhase::Ordered && run.callInFlight);
-        if (!mayReturn || !mayCome || !m_settings.switches.keepLateStarts)
+        if (!keepLate || !mayCome)
             gone.push_back(task);
         else if (run.unanswered) {
             run.phase = RunPhase::Running; // Whatever an earlier life was told, this one is told too.
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -8,6 +8,7 @@
 #include "worker.h"
 
 #include <deque>
+#include <unordered_map>
 
 namespace jujubereach::fleet {
 
@@ -37,6 +38,9 @@
     void workerReported(const WorkerReport& report);
     void workerUnlisted(const WorkerId& id);
     void tick();
+    void sweep();
+    void sweepWorker(Worker& worker);
+    void endDoubt();
     OwnerFigures figures() const;
 
     // owner-save.cpp: what goes to the store.
@@ -70,6 +74,7 @@
     void ended(Worker& worker, const EndedTask& end);
     void release(Worker& worker, const TaskId& task);
     void loseRuns(Worker& worker, const char* why, bool mayReturn = true);
+    void expectLateStarts(Worker& worker);
     void expireLateStarts(Worker& worker);
     void loseRun(Worker& worker, const TaskId& task, const char* why);
     void taskDone(Job& job, Step& step, const TaskId& task);
@@ -91,15 +96,21 @@
     double rankAmong(const Job& job, const Occurrence& occurrence, bool guaranteed) const;
     std::vector<Ready> readySteps();
     bool mayDisplace(const Ready& ready) const;
-    void keepRoomForUrgent(const std::vector<Ready>& waiting, std::vector<WorkerView>& fleet);
+    void keepRoomForUrgent(const std::vector<Ready>& waiting);
     PlaceRequest requestFor(const Ready& ready) const;
     std::set<WorkerId> workersWithEarlierRuns(const Ready& ready, const std::vector<WorkerView>& fleet);
     bool leavesRack(const Ready& ready, const PlaceRequest& request, Pass& pass) const;
     std::size_t placeReady(const Ready& ready, Pass& pass);
     void startPlaced(const Ready& ready, const Placement& placement, const std::vector<WorkerView>& fleet);
-    std::vector<WorkerView> views() const;
+    bool isUsable(const Worker& worker) const; ///< New tasks may start there now.
+    void sortByRack();
+    void refreshFleet();
+    void placeInOrder(const std::vector<Ready>& waiting, Pass& pass);
+    void addRun(Worker& worker, ActiveRun run);
+    void removeRun(Worker& worker, const TaskId& task);
     void begin(Job& job, const TaskId& task, Worker& worker, Run run);
     void occurrencesDue();
+    bool mayOpenOccurrence(const Job& job) const;
     Duration expectedTime(const Job& job, const StepSpec& step) const;
     double workOf(const Job& job, const StepSpec& step) const;
 
@@ -162,6 +173,14 @@
     TimePoint m_summaryAt;
     std::string m_summary; ///< As last written.
 
+    std::vector<Worker*> m_byRack; ///< All workers that may be ordered, by rack and id.
+    bool m_byRackStale = true; ///< A worker came, went or changed what it is; or the roster did.
+    std::vector<Worker*> m_usable; ///< Of `m_byRack`, as the last pass found them.
+    std::vector<WorkerView> m_fleet; ///< One for each of `m_usable`; their free room is that of a pass.
+    std::unordered_map<JobId, int> m_runsOf; ///< Runs that workers have, or may have, by job; none is 0.
+
+    TimePoint m_nextSweep; ///< When to look at all workers and jobs again.
+    TimePoint m_nextDisplacing; ///< The search looks at every run of the fleet.
     bool m_passDue = false;
     TimePoint m_nextPass;
     TimePoint m_waitingPass = TimePoint::max(); ///< When to try again though nothing happened.
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -137,7 +137,7 @@
         if (run.confirmed && run.confirmedAt < sentAt && !seen.contains(task))
             absent.push_back(task);
     }
-    if (answer.ended.size() < maxListedEnds) {
+    if (answer.listsWhole && answer.ended.size() < maxListedEnds) {
         for (const auto& task : absent)
             loseRun(*worker, task, "its worker does not list it");
     }
@@ -188,8 +188,10 @@
         return;
     auto& run = found->second;
     if (run.phase == RunPhase::Stopping) {
-        if (answer.fate != OrderFate::Unknown && run.startAttempts == 1)
+        if (answer.fate != OrderFate::Unknown && run.startAttempts == 1) {
             run.unanswered = false; // It had been taken to be, when the stop overtook it.
+            worker->lateStarts.erase(task);
+        }
         return;
     }
     run.callInFlight = false;
@@ -208,6 +210,7 @@
         return;
     case OrderFate::Unknown:
         run.unanswered = true;
+        worker->lateStarts[task] = { number, run.startSentAt };
         if (run.startAttempts < maxStartAttempts) {
             run.nextCall = now();
             return startCall(*worker, run);
@@ -240,7 +243,10 @@
     if (found == worker.runs.end() || found->second.phase == RunPhase::Stopping)
         return;
     auto& run = found->second;
-    run.unanswered = run.unanswered || (run.phase == RunPhase::Ordered && run.callInFlight);
+    if (run.phase == RunPhase::Ordered && run.callInFlight) {
+        run.unanswered = true;
+        worker.lateStarts[task] = { run.run, run.startSentAt };
+    }
     run.phase = RunPhase::Stopping;
     run.confirmed = false;
     run.callInFlight = false;
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -10,6 +10,9 @@
 namespace {
 
     constexpr Duration passPause { 20 }; // Joins news that come together.
+    constexpr Duration passSlice { 20 }; // Then answers and renewals are due before more is placed.
+    constexpr int restAfterPass = 3; // Times the length of a pass: placing gets a quarter of the processor.
+    constexpr Duration displacingPause { 100 }; // Of all steps together.
     constexpr Duration waitingPassInterval {
         500
     }; // Time alone may give room: pauses end, racks are given up.
@@ -22,13 +25,6 @@
 
     constexpr int maxDisplacementSearches = 8; // In one pass; bounds its time when much urgent work waits.
 
-    bool isBlocked(const std::vector<PlaceRequest>& blocked, const PlaceRequest& request)
-    {
-        return std::any_of(blocked.begin(), blocked.end(), [&](const PlaceRequest& other) {
-            return other.service == request.service && request.spec->room.holds(other.spec->room);
-        });
-    }
-
 } // namespace
 
 Duration Owner::Impl::expectedTime(const Job& job, const StepSpec& step) const
@@ -64,6 +60,10 @@
     auto& step = occurrence.steps[index];
     if (step.finished() || !occurrence.isReady(step) || (step.spec->gang && step.active > 0))
         return std::nullopt;
+    if (step.done + step.active >= step.spec->count) {
+        step.waitingSince = {};
+        return std::nullopt;
+    }
     Ready ready { &job, occurrence.number, static_cast<int>(index), {}, 0, false };
     for (int i = 0; i < step.spec->count; ++i) {
         const auto& task = step.tasks[static_cast<std::size_t>(i)];
@@ -116,13 +116,15 @@
         if (job->recovered && inDoubt())
             continue;
         for (auto& [number, occurrence] : job->occurrences) {
-            const auto rank = rankAmong(*job, occurrence, guaranteed);
+            std::optional<double> rank;
             for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
                 auto ready = readyStep(*job, occurrence, s);
                 if (!ready)
                     continue;
                 ready->guaranteed = guaranteed;
-                ready->rank = rank;
+                if (!rank)
+                    rank = rankAmong(*job, occurrence, guaranteed);
+                ready->rank = *rank;
                 out.push_back(std::move(*ready));
             }
         }
@@ -131,60 +133,100 @@
     return out;
 }
 
-std::vector<WorkerView> Owner::Impl::views() const
+bool Owner::Impl::isUsable(const Worker& worker) const
 {
-    std::vector<WorkerView> out;
-    const auto time = now();
-    for (const auto& [id, worker] : m_workers) {
-        if (!worker.listed || !worker.fenced || worker.report.draining || worker.misses > 0
-            || worker.trust.isSetAside(time) || !mayBeOrdered(id))
-            continue;
-        WorkerView view;
-        view.id = id;
-        view.service = worker.report.service;
-        view.rack = worker.report.rack;
-        view.labels = &worker.report.labels;
-        view.capacity = worker.report.capacity;
+    return worker.listed && worker.fenced && !worker.report.draining && worker.misses == 0
+        && !worker.trust.isSetAside(now());
+}
+
+void Owner::Impl::sortByRack()
+{
+    m_byRack.clear();
+    for (auto& [id, worker] : m_workers) {
+        if (mayBeOrdered(id))
+            m_byRack.push_back(&worker);
+    }
+    std::stable_sort(m_byRack.begin(), m_byRack.end(),
+        [](const Worker* a, const Worker* b) { return a->report.rack < b->report.rack; });
+    m_usable.clear();
+    m_byRackStale = false;
+}
+
+// Most passes find the workers of the last one: only what changes with runs is read again then.
+void Owner::Impl::refreshFleet()
+{
+    if (m_byRackStale)
+        sortByRack();
+    std::vector<Worker*> usable;
+    usable.reserve(m_byRack.size());
+    std::copy_if(m_byRack.begin(), m_byRack.end(), std::back_inserter(usable),
+        [this](const Worker* worker) { return isUsable(*worker); });
+    if (usable != m_usable) {
+        m_usable = std::move(usable);
+        m_fleet.assign(m_usable.size(), {});
+        std::size_t racks = 0;
+        for (std::size_t i = 0; i < m_usable.size(); ++i) {
+            const auto& report = m_usable[i]->report;
+            auto& view = m_fleet[i];
+            view.id = report.id;
+            view.service = report.service;
+            view.rack = report.rack;
+            view.labels = &report.labels;
+            view.capacity = report.capacity;
+            racks += i > 0 && report.rack != m_usable[i - 1]->report.rack;
+            view.rackOrder = static_cast<double>(racks);
+        }
+        for (auto& view : m_fleet)
+            view.rackOrder /= static_cast<double>(racks + 1);
+    }
+    for (std::size_t i = 0; i < m_usable.size(); ++i) {
+        const auto& worker = *m_usable[i];
+        auto& view = m_fleet[i];
         view.free = worker.freeRoom();
         view.distrust = worker.trust.strikes + (worker.trust.proven ? 0 : distrustOfUnproven);
-        for (const auto& [task, run] : worker.runs) {
-            view.serves = view.serves || run.serves;
-            view.fills = view.fills || run.fills;
-        }
-        out.push_back(std::move(view));
+        view.reserved = false;
+        view.serves = worker.serving > 0;
+        view.fills = worker.filling > 0;
+        view.displaceable.clear();
     }
-    std::map<std::string, double> racks;
-    for (const auto& view : out)
-        racks[view.rack] = 0;
-    double order = 0;
-    for (auto& [rack, value] : racks)
-        value = order++ / static_cast<double>(racks.size());
-    for (auto& view : out)
-        view.rackOrder = racks[view.rack];
-    return out;
 }
 
 void Owner::Impl::pass()
 {
+    const auto begun = now();
     m_passDue = false;
-    m_nextPass = now() + passPause;
-    m_waitingPass = mayOrder() ? TimePoint::max() : now() + waitingPassInterval;
+    m_waitingPass = mayOrder() ? TimePoint::max() : begun + waitingPassInterval;
+    m_nextPass = begun + passPause;
     if (!mayOrder())
         return;
-    Pass pass;
-    pass.fleet = views();
+    refreshFleet();
+    Pass pass { m_fleet };
     const auto waiting = readySteps();
     if (m_settings.order == QueueOrder::ByGain)
-        keepRoomForUrgent(waiting, pass.fleet);
+        keepRoomForUrgent(waiting);
+    placeInOrder(waiting, pass);
+    m_nextPass = now() + std::max(passPause, restAfterPass * (now() - begun));
+}
+
+void Owner::Impl::placeInOrder(const std::vector<Ready>& waiting, Pass& pass)
+{
+    const auto begun = now();
+    const auto mayDisplaceNow = begun >= m_nextDisplacing;
     for (const auto& ready : waiting) {
+        if (now() - begun > passSlice) {
+            m_passDue = true;
+            break;
+        }
         if (ready.step().plan && runPlan(*ready.job, ready.occurrence, ready.index))
             continue;
         const auto placed = placeReady(ready, pass);
         if (placed < ready.tasks.size())
-            m_waitingPass = now() + waitingPassInterval;
-        if (placed == ready.tasks.size() || !mayDisplace(ready) || pass.searches >= maxDisplacementSearches)
+            m_waitingPass = begun + waitingPassInterval;
+        if (placed == ready.tasks.size() || !mayDisplaceNow || !mayDisplace(ready)
+            || pass.searches >= maxDisplacementSearches)
             continue;
         ++pass.searches;
+        m_nextDisplacing = begun + displacingPause;
         if (!std::exchange(pass.displaceable, true))
             addDisplaceable(pass.fleet);
         if (!displaceFor(ready, pass.fleet))
@@ -199,14 +241,12 @@
         && !terms.advice && now() >= ready.step().nextDisplacing;
 }
 
-void Owner::Impl::keepRoomForUrgent(const std::vector<Ready>& waiting, std::vector<WorkerView>& fleet)
+void Owner::Impl::keepRoomForUrgent(const std::vector<Ready>& waiting)
 {
     std::map<ServiceId, Room> urgent;
     for (const auto& [id, worker] : m_workers) {
-        for (const auto& [task, run] : worker.runs) {
-            if (run.priority <= urgentPriority)
-                urgent[worker.report.service] += run.room;
-        }
+        if (worker.urgent != Room {})
+            urgent[worker.report.service] += worker.urgent;
     }
     for (const auto& ready : waiting) {
         const auto& terms = termsOf(*ready.job);
@@ -217,8 +257,8 @@
         urgent[service]; // Nothing now, and some before.
     for (const auto& [service, room] : urgent) {
         auto& reserve = m_reserves[service];
-        reserve.note(now(), shareOf(room, service, fleet));
-        reserveRacks(service, reserve.share(), fleet);
+        reserve.note(now(), shareOf(room, service, m_fleet));
+        reserveRacks(service, reserve.share(), m_fleet);
     }
 }
 
@@ -248,10 +288,19 @@
     std::set<WorkerId> out;
     if (started.empty())
         return out;
+    // Most jobs have no run but those of their tasks.
+    int active = 0;
+    for (const auto& [number, occurrence] : ready.job->occurrences) {
+        for (const auto& step : occurrence.steps)
+            active += step.active;
+    }
+    const auto runs = m_runsOf.find(ready.job->id());
+    if (runs == m_runsOf.end() || runs->second <= active)
+        return out;
     for (const auto& view : fleet) {
-        const auto& runs = findWorker(view.id)->runs;
+        const auto& present = findWorker(view.id)->runs;
         if (std::any_of(
-                started.begin(), started.end(), [&](const TaskId& task) { return runs.contains(task); }))
+                started.begin(), started.end(), [&](const TaskId& task) { return present.contains(task); }))
             out.insert(view.id);
     }
     return out;
@@ -299,21 +348,24 @@
             advised.insert(id);
         request.allowed = &advised;
     }
-    if (isBlocked(pass.blocked, request) && !ready.guaranteed)
-        return 0;
     const auto& spec = *step.spec;
-    auto placement = place(request, pass.fleet);
+    const auto search = [&] {
+        if (pass.unplaced.cover(request))
+            return Placement {};
+        auto found = place(request, pass.fleet);
+        if (found.empty())
+            pass.unplaced.add(request);
+        return found;
+    };
+    auto placement = search();
     if (placement.empty() && leavesRack(ready, request, pass)) {
         request.anyRack = true;
-        placement = place(request, pass.fleet);
+        placement = search();
         if (!placement.empty())
             m_hooks.log("rack-given-up",
                 { { "id", ready.job->id().str() }, { "step", ready.index }, { "rack", spec.rack },
                     { "waitedMs", (now() - step.waitingSince).count() } });
     }
-    if (placement.empty() && spec.label.empty() && spec.rack.empty() && !spec.gang && spec.maxPerWorker == 0
-        && avoid.empty() && !request.allowed)
-        pass.blocked.push_back(request);
     startPlaced(ready, placement, pass.fleet);
     return placement.size();
 }
@@ -332,6 +384,21 @@
     }
 }
 
+void Owner::Impl::addRun(Worker& worker, ActiveRun run)
+{
+    ++m_runsOf[run.task.job];
+    worker.addRun(std::move(run));
+}
+
+void Owner::Impl::removeRun(Worker& worker, const TaskId& task)
+{
+    if (!worker.runs.contains(task))
+        return;
+    if (const auto runs = m_runsOf.find(task.job); --runs->second == 0)
+        m_runsOf.erase(runs);
+    worker.removeRun(task);
+}
+
 void Owner::Impl::begin(Job& job, const TaskId& id, Worker& worker, Run number)
 {
     auto& step = *job.findStep(id);
@@ -356,7 +423,7 @@
     run.checkpoint = step.shared(id.index).checkpoint;
     if (const auto ticket = step.advice.tickets.find(worker.id()); ticket != step.advice.tickets.end())
         run.ticket = ticket->second;
-    worker.addRun(run);
+    addRun(worker, run);
     m_hooks.log("start",
         { { "task", toString(id) }, { "run", number.value }, { "worker", worker.id().str() },
             { "rack", worker.report.rack }, { "priority", run.priority },
--- a/packages/fleet/src/owner-save.cpp
+++ b/packages/fleet/src/owner-save.cpp
@@ -98,6 +98,7 @@
         }
         if (!row.open)
             m_roster[id] = false; // From now on: the write may take effect without an answer.
+        m_byRackStale = true;
         parts.roster[id] = row.open;
         rows.push_back(std::move(row));
     }
@@ -140,6 +141,7 @@
     }
     if (!parts.roster.empty()) {
         m_roster = parts.roster;
+        m_byRackStale = true;
         m_rosterRevision = revision;
         m_rosterDue = rosterDiffers();
         soon();
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -8,10 +8,9 @@
 
 namespace {
 
-    constexpr Duration tickInterval { 50 }; // Far below each bound that the owner keeps.
-    constexpr Duration lateOrderBound {
-        12'000
-    }; // The platform carries an unanswered order out so late at most.
+    constexpr Duration sweepInterval { 50 }; // Far below each bound that the owner keeps.
+    constexpr Duration wakePause { 2 }; // Joins what happens at the same moment.
+    constexpr int maxOpenTasks = 20'000; // Of one job's occurrences together; bounds what one job can take.
     constexpr Duration evacuationLead { 900 }; // A stop, its answer and a look, before a worker may exit.
 
 } // namespace
@@ -55,6 +54,7 @@
 void Owner::Impl::restoreRoster(const std::vector<RosterRow>& roster, Revision revision)
 {
     m_rosterRevision = revision;
+    m_byRackStale = true;
     for (const auto& row : roster) {
         const auto& id = row.worker.id;
         m_roster[id] = row.open;
@@ -120,6 +120,10 @@
 {
     auto& worker = m_workers[report.id];
     const auto moved = worker.report.address != report.address;
+    const auto& known = worker.report;
+    m_byRackStale = m_byRackStale || known.id.empty() || known.rack != report.rack
+        || known.service != report.service || known.labels != report.labels
+        || known.capacity != report.capacity;
     const auto wasDraining = worker.report.draining;
     worker.report = report;
     worker.listed = true;
@@ -155,62 +159,82 @@
 {
     if (m_superseded || !m_recovered)
         return;
-    const auto time = now();
+    // What runs comes first: renewals and looks are due before new work is placed.
+    if (now() >= m_nextSweep)
+        sweep();
+    if ((m_passDue && now() >= m_nextPass) || now() >= m_waitingPass)
+        pass();
+    saveDue();
+    const auto next = m_passDue ? std::min(m_nextSweep, m_nextPass) : m_nextSweep;
+    m_hooks.wakeIn(std::max(Duration(1), next - now()));
+}
+
+// Looks at all workers and jobs for what time alone makes due.
+void Owner::Impl::sweep()
+{
+    m_nextSweep = now() + sweepInterval;
     occurrencesDue();
     for (auto i = m_workers.begin(); i != m_workers.end();) {
         auto& worker = i->second;
-        const auto lapses = time >= worker.lapseTime() || !m_settings.switches.waitForLeases;
-        if (worker.misses > 0 && !worker.lapsed && !worker.runs.empty() && lapses) {
-            loseRuns(worker, "its lease has lapsed");
-            worker.lapsed = true;
-        }
-        expireLateStarts(worker);
-        const auto leaves = worker.drainingSince != TimePoint {}
-            && time - worker.drainingSince > m_settings.drainBound - evacuationLead;
-        if (worker.report.draining && leaves) {
-            for (auto& [task, run] : worker.runs) {
-                auto* job = findJob(task.job);
-                auto* step = job ? job->findStep(task) : nullptr;
-                if (step && step->spec->checkpointing && run.phase == RunPhase::Running)
-                    stop(worker, task, "its worker leaves");
-            }
-        }
-        callsDue(worker);
+        sweepWorker(worker);
         const auto gone = !worker.listed && worker.runs.empty() && worker.ends.empty()
             && !m_unresolved.contains(worker.id());
         if (gone) {
-            m_rosterDue = true;
+            m_rosterDue = m_byRackStale = true;
             i = m_workers.erase(i);
         } else
             ++i;
     }
-    if (!m_unresolved.empty() && time - m_tookOverAt > recoveryDoubt(m_settings)) {
-        m_hooks.log("doubt-over", { { "silentWorkers", m_unresolved.size() } });
-        for (const auto& id : m_unresolved) {
-            if (auto* worker = findWorker(id); worker && !worker->listed && !worker->fenced)
-                m_workers.erase(id);
-        }
-        m_unresolved.clear();
-        m_closed.clear();
-        m_rosterDue = true;
-        soon();
-    }
-    if ((m_passDue && time >= m_nextPass) || time >= m_waitingPass)
-        pass();
-    saveDue();
+    if (!m_unresolved.empty() && now() - m_tookOverAt > recoveryDoubt(m_settings))
+        endDoubt();
     for (auto i = m_jobs.begin(); i != m_jobs.end();) {
         const auto& job = i->second;
         const auto old = isFinal(job.state) && job.saved == job.changes
-            && time - job.ended > m_settings.keepFinished + m_settings.keepFinished / 4;
+            && now() - job.ended > m_settings.keepFinished + m_settings.keepFinished / 4;
         i = old ? m_jobs.erase(i) : std::next(i);
     }
-    m_hooks.wakeIn(
-        m_passDue ? std::max(Duration(1), std::min(tickInterval, m_nextPass - time)) : tickInterval);
+}
+
+void Owner::Impl::sweepWorker(Worker& worker)
+{
+    const auto lapses = now() >= worker.lapseTime() || !m_settings.switches.waitForLeases;
+    if (worker.misses > 0 && !worker.lapsed && !worker.runs.empty() && lapses) {
+        loseRuns(worker, "its lease has lapsed");
+        worker.lapsed = true;
+    }
+    expireLateStarts(worker);
+    const auto leaves = worker.drainingSince != TimePoint {}
+        && now() - worker.drainingSince > m_settings.drainBound - evacuationLead;
+    if (worker.report.draining && leaves) {
+        for (auto& [task, run] : worker.runs) {
+            auto* job = findJob(task.job);
+            auto* step = job ? job->findStep(task) : nullptr;
+            if (step && step->spec->checkpointing && run.phase == RunPhase::Running)
+                stop(worker, task, "its worker leaves");
+        }
+    }
+    callsDue(worker);
+}
+
+// What the last owner ordered on workers that stayed silent has surely ended by now.
+void Owner::Impl::endDoubt()
+{
+    m_hooks.log("doubt-over", { { "silentWorkers", m_unresolved.size() } });
+    for (const auto& id : m_unresolved) {
+        if (auto* worker = findWorker(id); worker && !worker->listed && !worker->fenced)
+            m_workers.erase(id);
+    }
+    m_unresolved.clear();
+    m_closed.clear();
+    m_rosterDue = m_byRackStale = true;
+    soon();
 }
 
 // Gives up starts of a silent worker that can neither come late nor run any more.
 void Owner::Impl::expireLateStarts(Worker& worker)
 {
+    std::erase_if(
+        worker.lateStarts, [this](const auto& late) { return now() - late.second.sentAt > lateOrderBound; });
     if (worker.misses == 0 || !worker.lapsed)
         return;
     const auto bound = lateOrderBound
@@ -230,7 +254,7 @@
     const auto wall = m_hooks.wall();
     for (const auto& id : m_open) {
         auto& job = m_jobs.at(id);
-        while (job.nextOccurrence < job.spec().repeatCount) {
+        while (job.nextOccurrence < job.spec().repeatCount && mayOpenOccurrence(job)) {
             const auto due
                 = job.spec().firstRun.milliseconds + job.nextOccurrence * job.spec().interval.count();
             if (wall.milliseconds < due)
@@ -241,6 +265,15 @@
     }
 }
 
+// The first one always; others wait where the open ones have many tasks.
+bool Owner::Impl::mayOpenOccurrence(const Job& job) const
+{
+    int tasks = 0;
+    for (const auto& step : job.spec().steps)
+        tasks += step.count;
+    return job.occurrences.empty() || static_cast<int>(job.occurrences.size() + 1) * tasks <= maxOpenTasks;
+}
+
 const Route& Owner::Impl::termsOf(const Job& job) const
 {
     const auto found = m_config->routes.find(job.record.route);
@@ -287,7 +320,7 @@
 void Owner::Impl::soon()
 {
     m_passDue = true;
-    m_hooks.wakeIn(Duration(2));
+    m_hooks.wakeIn(std::max(wakePause, m_nextPass - now()));
 }
 
 OwnerFigures Owner::Impl::figures() const
--- a/packages/fleet/src/pass.h
+++ b/packages/fleet/src/pass.h
@@ -21,8 +21,8 @@
 
 /// What one pass has found out.
 struct Owner::Impl::Pass {
-    std::vector<WorkerView> fleet;
-    std::vector<PlaceRequest> blocked; ///< Nothing as large fits anywhere.
+    std::vector<WorkerView>& fleet;
+    UnplacedRequests unplaced {};
     bool displaceable = false; ///< The views tell what may be displaced.
     int searches = 0; ///< For something to displace.
     int rackSearches = 0; ///< For a place in an empty fleet.
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <limits>
 
 namespace jujubereach::fleet {
@@ -75,28 +76,34 @@
         return request.spec->maxPerWorker == 0 || counts.on(request, views, i) < request.spec->maxPerWorker;
     }
 
-    // Places up to `request.count` tasks on the views named by `among`.
+    // Places up to `request.count` tasks on the views named by `among`. A task changes the fit of its own
+    // worker only, so that a heap of all fits serves the whole step.
     Placement placeAmong(const PlaceRequest& request, std::vector<WorkerView>& views,
         const std::vector<std::size_t>& among, double& total)
     {
         Placement placement;
         Counts counts;
-        while (static_cast<int>(placement.size()) < request.count) {
-            auto best = unfit;
-            std::size_t chosen = 0;
-            for (const auto i : among) {
-                const auto value = misfit(request, views[i]);
-                if (value < best && isWithinSpread(request, views, counts, i)) {
-                    best = value;
-                    chosen = i;
-                }
-            }
-            if (best == unfit)
-                break;
-            total += best;
+        std::vector<std::pair<double, std::size_t>> fits;
+        const auto add = [&](std::size_t i) {
+            const auto value = misfit(request, views[i]);
+            if (value != unfit && isWithinSpread(request, views, counts, i))
+                fits.emplace_back(value, i);
+        };
+        for (const auto i : among)
+            add(i);
+        std::make_heap(fits.begin(), fits.end(), std::greater {});
+        while (static_cast<int>(placement.size()) < request.count && !fits.empty()) {
+            std::pop_heap(fits.begin(), fits.end(), std::greater {});
+            const auto [value, chosen] = fits.back();
+            fits.pop_back();
+            total += value;
             views[chosen].free -= request.spec->room;
             ++counts.placed[chosen];
             placement.push_back(chosen);
+            const auto before = fits.size();
+            add(chosen);
+            if (fits.size() > before)
+                std::push_heap(fits.begin(), fits.end(), std::greater {});
         }
         return placement;
     }
@@ -118,13 +125,51 @@
         return out;
     }
 
-    std::map<std::string, std::vector<std::size_t>> byRack(
-        const std::vector<WorkerView>& views, const std::vector<std::size_t>& among)
+    // Calls `use` with the views of each rack, in the order of their names.
+    template <typename F>
+    void eachRack(const std::vector<WorkerView>& views, std::vector<std::size_t> among, F&& use)
     {
-        std::map<std::string, std::vector<std::size_t>> racks;
-        for (const auto i : among)
-            racks[views[i].rack].push_back(i);
-        return racks;
+        const auto before = [&](std::size_t a, std::size_t b) { return views[a].rack < views[b].rack; };
+        if (!std::is_sorted(among.begin(), among.end(), before))
+            std::stable_sort(among.begin(), among.end(), before);
+        std::vector<std::size_t> members;
+        for (std::size_t i = 0; i < among.size(); ++i) {
+            if (!members.empty() && views[members.back()].rack != views[among[i]].rack) {
+                use(members);
+                members.clear();
+            }
+            members.push_back(among[i]);
+        }
+        if (!members.empty())
+            use(members);
+    }
+
+    // How many tasks of a size fit into some room.
+    std::int64_t timesIn(const Room& room, const Room& task)
+    {
+        auto times = std::numeric_limits<std::int64_t>::max();
+        const auto bound = [&](std::int64_t have, std::int64_t need) {
+            if (need > 0)
+                times = std::min(times, std::max<std::int64_t>(0, have) / need);
+        };
+        bound(room.milliCores, task.milliCores);
+        bound(room.memoryMb, task.memoryMb);
+        bound(room.accelerators, task.accelerators);
+        return times;
+    }
+
+    // Whether the free room of some workers could hold the whole gang, before the spread is looked at.
+    bool mayHold(const PlaceRequest& request, const std::vector<WorkerView>& views,
+        const std::vector<std::size_t>& members)
+    {
+        std::int64_t missing = request.count;
+        for (const auto i : members) {
+            const auto times = timesIn(views[i].free, request.spec->room);
+            if (times >= missing)
+                return true;
+            missing -= times;
+        }
+        return false;
     }
 
     bool needsOneRack(const PlaceRequest& request)
@@ -138,7 +183,9 @@
     {
         Placement best;
         auto bestTotal = unfit;
-        for (const auto& [rack, members] : byRack(views, among)) {
+        eachRack(views, among, [&](const std::vector<std::size_t>& members) {
+            if (!mayHold(request, views, members))
+                return;
             double total = 0;
             auto placement = placeAmong(request, views, members, total);
             giveBack(request, views, placement);
@@ -146,7 +193,7 @@
                 bestTotal = total;
                 best = std::move(placement);
             }
-        }
+        });
         for (const auto i : best)
             views[i].free -= request.spec->room;
         return best;
@@ -161,12 +208,14 @@
         {
         }
 
-        bool run(const std::vector<std::size_t>& among)
+        /// Gives up once the loss is above `maxLoss`.
+        bool run(const std::vector<std::size_t>& among, double maxLoss)
         {
             for (const auto i : among)
                 m_free[i] = m_views[i].free;
+            const auto nearest = cheapest(among);
             while (static_cast<int>(m_found.placement.size()) < m_request.count) {
-                if (!placeOne(among))
+                if (!placeOne(nearest) || m_loss > maxLoss)
                     return false;
             }
             return true;
@@ -182,6 +231,28 @@
             std::vector<const Displaceable*> victims;
         };
 
+        // The workers where one task costs least, several for each task of the step: the search for the
+        // later tasks looks at these only.
+        std::vector<std::size_t> cheapest(const std::vector<std::size_t>& among) const
+        {
+            constexpr std::size_t choicesPerTask = 4;
+            const auto most = choicesPerTask * static_cast<std::size_t>(m_request.count);
+            if (among.size() <= most)
+                return among;
+            std::vector<std::pair<double, std::size_t>> costs;
+            for (const auto i : among) {
+                if (const auto cost = cheapestOn(i).cost; cost != unfit)
+                    costs.emplace_back(cost, i);
+            }
+            const auto kept = std::min(most, costs.size());
+            std::partial_sort(costs.begin(), costs.begin() + static_cast<std::ptrdiff_t>(kept), costs.end());
+            std::vector<std::size_t> out;
+            for (std::size_t i = 0; i < kept; ++i)
+                out.push_back(costs[i].second);
+            std::sort(out.begin(), out.end());
+            return out;
+        }
+
         bool placeOne(const std::vector<std::size_t>& among)
         {
             Choice best;
@@ -225,6 +296,8 @@
         {
             Choice choice { i, m_views[i].distrust * distrustWeight, {} };
             auto free = m_free.at(i);
+            if (free.holds(m_request.spec->room))
+                return choice;
             std::vector<std::pair<double, const Displaceable*>> options; // With the loss for each room.
             auto most = free;
             for (const auto& option : m_views[i].displaceable) {
@@ -284,6 +357,31 @@
     return placement;
 }
 
+UnplacedRequests::Shape UnplacedRequests::shapeOf(const PlaceRequest& request)
+{
+    return { request.service, request.spec->room, request.spec->gang ? request.count : 1,
+        needsOneRack(request), request.priority <= urgentPriority };
+}
+
+void UnplacedRequests::add(const PlaceRequest& request)
+{
+    const auto& spec = *request.spec;
+    const auto narrowed = !spec.label.empty() || (!spec.rack.empty() && !request.anyRack)
+        || spec.maxPerWorker > 0 || spec.fills || spec.tailTarget.count() > 0 || request.allowed
+        || (request.avoid && !request.avoid->empty());
+    if (!narrowed && !cover(request))
+        m_shapes.push_back(shapeOf(request));
+}
+
+bool UnplacedRequests::cover(const PlaceRequest& request) const
+{
+    const auto asked = shapeOf(request);
+    return std::any_of(m_shapes.begin(), m_shapes.end(), [&](const Shape& shape) {
+        return asked.room.holds(shape.room) && asked.count >= shape.count && (asked.oneRack || !shape.oneRack)
+            && (shape.urgent || !asked.urgent) && asked.service == shape.service;
+    });
+}
+
 bool fitsEmptyFleet(const PlaceRequest& request, const std::vector<WorkerView>& views)
 {
     auto emptied = views;
@@ -311,15 +409,14 @@
     auto bestLoss = unfit;
     const auto search = [&](const std::vector<std::size_t>& members) {
         Displacer displacer(request, views);
-        if (!displacer.run(members) || displacer.loss() >= bestLoss || displacer.loss() > request.maxLoss)
+        if (!displacer.run(members, std::min(bestLoss, request.maxLoss)) || displacer.loss() >= bestLoss)
             return;
         bestLoss = displacer.loss();
         best = displacer.take();
     };
-    if (needsOneRack(request)) {
-        for (const auto& [rack, members] : byRack(views, among))
-            search(members);
-    } else
+    if (needsOneRack(request))
+        eachRack(views, among, search);
+    else
         search(among);
     return best;
 }
--- a/packages/fleet/src/worker.cpp
+++ b/packages/fleet/src/worker.cpp
@@ -1,5 +1,7 @@
 #include "worker.h"
 
+#include "jujubereach/fleet/placement.h"
+
 namespace jujubereach::fleet {
 
 namespace {
@@ -54,6 +56,10 @@
 void Worker::addRun(ActiveRun run)
 {
     used += run.room;
+    if (run.priority <= urgentPriority)
+        urgent += run.room;
+    serving += run.serves;
+    filling += run.fills;
     const auto task = run.task;
     runs.emplace(task, std::move(run));
 }
@@ -63,7 +69,12 @@
     const auto found = runs.find(task);
     if (found == runs.end())
         return;
-    used -= found->second.room;
+    const auto& run = found->second;
+    used -= run.room;
+    if (run.priority <= urgentPriority)
+        urgent -= run.room;
+    serving -= run.serves;
+    filling -= run.fills;
     runs.erase(found);
 }
 
--- a/packages/fleet/src/worker.h
+++ b/packages/fleet/src/worker.h
@@ -44,6 +44,12 @@
     std::uint64_t changes = 0; ///< The job's count of changes that must be saved before.
 };
 
+/// A start without an answer, by the last time it was sent.
+struct LateStart {
+    Run run;
+    TimePoint sentAt;
+};
+
 /// How far a worker is trusted, by what became of the tasks that it ran.
 struct Trust {
     int strikes = 0; ///< Failures since the last task that was done.
@@ -64,6 +70,9 @@
     std::int64_t born = 0; ///< Of the life that answered last; 0 before an answer.
     std::map<TaskId, ActiveRun> runs;
     Room used; ///< Of `runs`.
+    Room urgent; ///< Part of `used` by tasks of the urgent priority.
+    int serving = 0; ///< Runs with a tail target.
+    int filling = 0; ///< Runs that use what others leave.
     Room booked; ///< Of plans that wait for room here.
 
     WorkerTime clock; ///< At `clockAt` or earlier.
@@ -78,6 +87,8 @@
     TimePoint nextLook;
     std::uint64_t acknowledged = 0;
     std::map<std::uint64_t, UnacknowledgedEnd> ends;
+    /// Starts that a later life may still carry out, whatever this one has ended or stopped since.
+    std::map<TaskId, LateStart> lateStarts;
     TimePoint drainingSince;
     Trust trust;
 
@@ -92,6 +103,8 @@
 
 /// Bound on the drift of a worker's clock against ours: 2 %, as the platform states, and rounding.
 constexpr double clockDrift = 0.021;
+/// The platform carries an unanswered order out so late at most.
+constexpr Duration lateOrderBound { 12'000 };
 constexpr Duration lapseMargin { 150 }; ///< For a worker's timer that fires late.
 
 } // namespace jujubereach::fleet
--- a/packages/fleet/test/fake-fleet.h
+++ b/packages/fleet/test/fake-fleet.h
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <ctime>
 #include <map>
 
 namespace jujubereach::fleet {
@@ -27,6 +28,7 @@
     bool replaced = false; ///< Another life answers at its address.
     int calls = 0;
     bool answersLost = false; ///< Calls are carried out and not answered.
+    bool listsUnreadable = false; ///< No row of its lists can be read.
     Duration lateBy { 0 }; ///< Calls are carried out so much later and not answered.
     Fence fence;
     WorkerTime deadline;
@@ -224,7 +226,7 @@
             endRuns();
             if (owner && m_wake <= m_now) {
                 m_wake = TimePoint::max();
-                owner->tick();
+                inOwner([this] { owner->tick(); });
             }
             while (!m_queue.empty() && m_queue.begin()->first <= m_now) {
                 const auto call = std::move(m_queue.begin()->second);
@@ -280,6 +282,7 @@
     std::set<WorkerId> adviserLikes;
     int adviceCalls = 0;
     std::string lastTicket;
+    double ownerSeconds = 0; ///< Processor time of the owner alone.
     Seen seen;
     std::map<std::string, double> counts; ///< By name and values of labels.
     std::map<std::string, std::vector<Duration>> times;
@@ -302,6 +305,13 @@
         return ++number;
     }
 
+    template <typename F> void inOwner(F&& call)
+    {
+        const auto begun = std::clock();
+        call();
+        ownerSeconds += static_cast<double>(std::clock() - begun) / CLOCKS_PER_SEC;
+    }
+
     void after(Duration delay, std::function<void()> call)
     {
         m_queue.emplace(m_now + delay, std::move(call));
@@ -332,7 +342,7 @@
     void answer(int term, const StoreDone& done, const StoreAnswer& result)
     {
         if (term == m_term)
-            done(result);
+            inOwner([&] { done(result); });
     }
 
     StoreAnswer apply(const StoreWrite& write)
@@ -366,7 +376,7 @@
         const auto answered = std::make_shared<bool>(false);
         const auto finish = [this, term, done, answered](const OrderAnswer& result) {
             if (!std::exchange(*answered, true) && term == m_term)
-                done(result);
+                inOwner([&] { done(result); });
         };
         after(timeout, [finish] { finish(OrderAnswer {}); });
         if (found == workers.end() || !found->second.reachable)
@@ -406,7 +416,7 @@
         if (!result.ended.empty() || result.fate != OrderFate::Done || answerWithin <= check)
             return after(latency, [this, term, done, result] {
                 if (term == m_term)
-                    done(result);
+                    inOwner([&] { done(result); });
             });
         order.wait = answerWithin - check;
         order.acknowledged = 0; // It was taken note of on arrival.
@@ -545,6 +555,11 @@
             result.ended.push_back(ended.told);
         for (const auto& [task, live] : worker.live)
             result.running.push_back({ task, live.run, live.checkpoint, percentOf(task, live), 0 });
+        if (worker.listsUnreadable) {
+            result.running.clear();
+            result.ended.clear();
+            result.listsWhole = false;
+        }
         return result;
     }
 
--- a/packages/fleet/test/owner-test.cpp
+++ b/packages/fleet/test/owner-test.cpp
@@ -26,6 +26,9 @@
     CPPUNIT_TEST(waitsForALapseOfASilentWorker);
     CPPUNIT_TEST(restartsAtOnceAfterARebirth);
     CPPUNIT_TEST(waitsForAStartThatANewLifeMayCarryOut);
+    CPPUNIT_TEST(tellsANewLifeOfStartsThatMayStillCome);
+    CPPUNIT_TEST(listsWithGapsLoseNothing);
+    CPPUNIT_TEST(aJobDueAMillionTimesAtOnceTakesBoundedRoom);
     CPPUNIT_TEST(acknowledgesNothingToALifeThatItDoesNotKnow);
     CPPUNIT_TEST(givesUpALifeThatWasReplaced);
     CPPUNIT_TEST(takeoverFindsRunningTasks);
@@ -387,6 +390,58 @@
         CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
     }
 
+    // The first start has no answer, the second has; the task is done before the worker restarts, and the
+    // first one arrives after that. Found by seed 190 of keepsPromisesWhileWorkersLeave.
+    void tellsANewLifeOfStartsThatMayStillCome()
+    {
+        FakeFleet fleet;
+        auto& worker = fleet.addWorker("a");
+        fleet.takeOver();
+        fleet.run(Duration(500));
+        fleet.workTime = [](const TaskId&) { return Duration(600); };
+        worker.lateBy = Duration(9000);
+        fleet.submit(FakeFleet::job("j", 1));
+        fleet.run(Duration(100));
+        worker.lateBy = Duration(0);
+        fleet.run(Duration(3000));
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+        fleet.rebirth("a");
+        fleet.owner->workerReported(worker.report);
+        fleet.run(Duration(20'000));
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
+    }
+
+    void listsWithGapsLoseNothing()
+    {
+        FakeFleet fleet;
+        auto& worker = fleet.addWorker("a");
+        fleet.addWorker("b");
+        fleet.takeOver();
+        fleet.workTime = [](const TaskId&) { return Duration(6000); };
+        fleet.submit(FakeFleet::job("j", 4));
+        fleet.run(Duration(1000));
+        worker.listsUnreadable = true;
+        fleet.run(Duration(3000));
+        worker.listsUnreadable = false;
+        fleet.run(Duration(10'000));
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(4, fleet.seen.startCalls);
+    }
+
+    void aJobDueAMillionTimesAtOnceTakesBoundedRoom()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a");
+        fleet.takeOver();
+        auto job = FakeFleet::job("j", 1000);
+        job.spec.repeatCount = 1'000'000;
+        fleet.submit(job);
+        fleet.run(Duration(300));
+        CPPUNIT_ASSERT(fleet.owner->figures().waitingTasks <= 20'000);
+        CPPUNIT_ASSERT(fleet.owner->figures().waitingTasks > 0);
+    }
+
     // A late start is done in the worker's next life before anyone has heard of it: its end has a number that
     // the last life's acknowledgements cover.
     void acknowledgesNothingToALifeThatItDoesNotKnow()
