Reserve workers for gangs that backfill would starve

Small tasks keep every worker of every rack partly used, only urgent work may displace, and nothing keeps a rack for a gang that waits. Besides, tasks that stand still together on one worker counted each as a fault, which set it aside for 32 s instead of 4 s.

Ruled out: a bound on how often a task is displaced.

Change: a step that has waited 1 s and is a gang, or asks for over half of a worker, gets a reservation: the workers that can take it soonest by learned run times. Others start there only if they end before; urgent work goes ahead of reservations of other work. At most a quarter of the workers are reserved, beyond the first reservation. A line `reserve` tells workers, rack and time.

--- a/bench/fleet/load.cpp
+++ b/bench/fleet/load.cpp
@@ -83,7 +83,7 @@
     // Floods of wide gangs on a thousand workers: the owner has a few hundred starts a second to decide.
     Load huge()
     {
-        Load load { "gangs-1104", 138, 8, largeWorker, {}, {}, Duration(15'000) };
+        Load load { "gangs-1104", 138, 8, largeWorker, {}, {} };
         load.classes = {
             { 0, 15.6, 4, 0.2, 2500, 8, 7500, 39'000, { 1, 2, 4, 8, 8 }, true, 0.8, 0, 1.5, Duration(500),
                 0.5 },
@@ -91,8 +91,8 @@
                 Duration(1200), 0.2 },
             { 2, 3.5, 1, 0.3, 9500, 78, 5600, 16'000, { 1 }, false, 0, 0.45, 3, Duration(3000), 0.9 },
         };
-        load.floods = { { 2, Duration(2000), Duration(5000), 2 }, { 0, Duration(4000), Duration(9000), 2 },
-            { 1, Duration(7000), Duration(10'000), 2 } };
+        load.floods = { { 2, Duration(2000), Duration(8000), 2 }, { 0, Duration(4000), Duration(12'000), 3 },
+            { 1, Duration(8000), Duration(14'000), 2 } };
         return load;
     }
 
--- a/packages/fleet/include/jujubereach/fleet/job-spec.h
+++ b/packages/fleet/include/jujubereach/fleet/job-spec.h
@@ -22,6 +22,7 @@
 
     Room& operator+=(const Room& other);
     Room& operator-=(const Room& other);
+    friend Room operator+(Room a, const Room& b) { return a += b; }
     friend bool operator==(const Room&, const Room&) = default;
     /// Whether `other` fits in here.
     bool holds(const Room& other) const;
--- a/packages/fleet/include/jujubereach/fleet/placement.h
+++ b/packages/fleet/include/jujubereach/fleet/placement.h
@@ -4,11 +4,14 @@
 
 #include "jujubereach/fleet/job-spec.h"
 
+#include <functional>
 #include <map>
 #include <set>
 
 namespace jujubereach::fleet {
 
+struct Step;
+
 /// A task that placing may displace.
 struct Displaceable {
     TaskId task;
@@ -29,6 +32,11 @@
     double rackOrder = 0; ///< Of its rack among all, from 0 to 1.
     double distrust = 0; ///< 0 for a worker without failures.
     bool reserved = false; ///< Only urgent work starts on it.
+    /// Other steps start there only if they end before `reservedUntil`; urgent ones also beside another's
+    /// reservation.
+    const Step* reservedBy = nullptr;
+    bool reservedForUrgent = false;
+    TimePoint reservedUntil;
     bool serves = false; ///< Runs a task with a tail target.
     bool fills = false; ///< Runs a task that uses what others leave.
     std::vector<Displaceable> displaceable;
@@ -47,6 +55,8 @@
     bool costlyToStop
         = false; ///< Goes to the last racks, so that urgent gangs find cheap room on the first ones.
     bool anyRack = false; ///< Give up on the rack where the data is, and on one rack for the whole gang.
+    const Step* step = nullptr; ///< For which it is; null where no reservation matters.
+    TimePoint expectedEnd; ///< Of its tasks, if they start now.
     const std::map<WorkerId, int>* onWorker = nullptr; ///< Tasks of the step that run already.
     const std::set<WorkerId>* avoid = nullptr; ///< Workers that failed the task.
     const std::set<WorkerId>* allowed = nullptr; ///< Where an adviser names them.
@@ -73,6 +83,7 @@
         int count = 1; ///< That must fit together.
         bool oneRack = false;
         bool urgent = false; ///< Could use reserved workers too.
+        TimePoint expectedEnd; ///< An earlier one could use room before a reservation.
     };
     static Shape shapeOf(const PlaceRequest& request);
 
@@ -96,4 +107,9 @@
 /// Whether the step could run on the worker if it were empty.
 bool couldRun(const PlaceRequest& request, const WorkerView& view);
 
+/// Calls `use` with the views on which the request may be placed as a whole: those of each rack where it
+/// wants one, else all of them once.
+void eachPlaceToSearch(const PlaceRequest& request, const std::vector<WorkerView>& views,
+    const std::function<void(const std::vector<std::size_t>&)>& use);
+
 } // namespace jujubereach::fleet
--- a/packages/fleet/src/job.h
+++ b/packages/fleet/src/job.h
@@ -23,6 +23,13 @@
     TimePoint expires;
 };
 
+/// Workers that are kept for a step at the head of the queue.
+struct HeldWorkers {
+    std::vector<WorkerId> workers;
+    TimePoint since;
+    TimePoint freeAt; ///< By the expected ends of what runs there.
+};
+
 /// What the adviser of a queue has said of a step.
 struct StepAdvice {
     std::map<WorkerId, std::string> tickets;
@@ -40,6 +47,7 @@
     int active = 0; ///< Tasks with a worker.
     StepAdvice advice;
     std::optional<Plan> plan;
+    std::optional<HeldWorkers> held;
     std::map<WorkerId, int> onWorker; ///< Active tasks by worker.
     TimePoint waitingSince; ///< Unset while no task waits.
     TimePoint nextRackSearch; ///< Whether its rack could take it at all.
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -4,6 +4,7 @@
 #include "job.h"
 #include "jujubereach/fleet/owner.h"
 #include "jujubereach/fleet/placement.h"
+#include "jujubereach/fleet/reservation.h"
 #include "jujubereach/fleet/reserve.h"
 #include "worker.h"
 
@@ -114,6 +115,11 @@
     Duration expectedTime(const Job& job, const StepSpec& step) const;
     double workOf(const Job& job, const StepSpec& step) const;
 
+    // owner-reserve.cpp: room for steps that backfill would starve.
+    void applyReservations(const std::vector<Ready>& waiting, Pass& pass);
+    void reserveFor(const Ready& ready, const PlaceRequest& request, Pass& pass);
+    std::vector<std::vector<ExpectedEnd>> expectedEnds() const;
+
     // owner-advice.cpp: queues whose adviser must be asked.
     bool isAdvised(const Ready& ready, const PlaceRequest& request, const std::vector<WorkerView>& fleet);
     void advised(
@@ -181,6 +187,7 @@
 
     TimePoint m_nextSweep; ///< When to look at all workers and jobs again.
     TimePoint m_nextDisplacing; ///< The search looks at every run of the fleet.
+    TimePoint m_nextReserving; ///< The same.
     bool m_passDue = false;
     TimePoint m_nextPass;
     TimePoint m_waitingPass = TimePoint::max(); ///< When to try again though nothing happened.
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -185,6 +185,7 @@
         view.free = worker.freeRoom();
         view.distrust = worker.trust.strikes + (worker.trust.proven ? 0 : distrustOfUnproven);
         view.reserved = false;
+        view.reservedBy = nullptr;
         view.serves = worker.serving > 0;
         view.fills = worker.filling > 0;
         view.displaceable.clear();
@@ -202,8 +203,10 @@
     refreshFleet();
     Pass pass { m_fleet };
     const auto waiting = readySteps();
-    if (m_settings.order == QueueOrder::ByGain)
+    if (m_settings.order == QueueOrder::ByGain) {
         keepRoomForUrgent(waiting);
+        applyReservations(waiting, pass);
+    }
     placeInOrder(waiting, pass);
     m_nextPass = now() + std::max(passPause, restAfterPass * (now() - begun));
 }
@@ -273,6 +276,8 @@
     request.rank = ready.rank;
     request.count = static_cast<int>(ready.tasks.size());
     request.onWorker = &step.onWorker;
+    request.step = &step;
+    request.expectedEnd = now() + expectedTime(*ready.job, *step.spec);
     request.costlyToStop = terms.priority > 0 && !step.spec->checkpointing;
     return request;
 }
@@ -350,7 +355,7 @@
     }
     const auto& spec = *step.spec;
     const auto search = [&] {
-        if (pass.unplaced.cover(request))
+        if (!step.held && pass.unplaced.cover(request))
             return Placement {};
         auto found = place(request, pass.fleet);
         if (found.empty())
@@ -366,6 +371,10 @@
                 { { "id", ready.job->id().str() }, { "step", ready.index }, { "rack", spec.rack },
                     { "waitedMs", (now() - step.waitingSince).count() } });
     }
+    if (placement.empty())
+        reserveFor(ready, request, pass);
+    else
+        step.held.reset();
     startPlaced(ready, placement, pass.fleet);
     return placement.size();
 }
--- /dev/null
+++ b/packages/fleet/src/owner-reserve.cpp
@@ -0,0 +1,92 @@
+// Reserves workers for steps that have waited at the head of the queue and that backfill would starve.
+#include "pass.h"
+
+#include <algorithm>
+
+namespace jujubereach::fleet {
+
+namespace {
+
+    constexpr Duration reserveAfter { 1000 }; // Most gangs find their place sooner.
+    constexpr Duration reservingPause { 100 }; // A choice looks at all runs of the fleet.
+    constexpr Duration reservationLife { 30'000 }; // Then the expected ends were wrong by far.
+    constexpr double maxHeldShare = 0.25; // Of the usable workers: the others serve the rest of the queue.
+
+} // namespace
+
+// Marks the workers that are reserved; drops reservations whose workers cannot be used any more.
+void Owner::Impl::applyReservations(const std::vector<Ready>& waiting, Pass& pass)
+{
+    std::map<WorkerId, std::size_t> indices;
+    for (const auto& ready : waiting) {
+        auto& step = ready.step();
+        if (!step.held)
+            continue;
+        if (indices.empty()) {
+            for (std::size_t i = 0; i < m_fleet.size(); ++i)
+                indices[m_fleet[i].id] = i;
+        }
+        const auto usable = std::all_of(step.held->workers.begin(), step.held->workers.end(),
+            [&](const WorkerId& id) { return indices.contains(id); });
+        if (!usable || now() - step.held->since > reservationLife) {
+            step.held.reset();
+            continue;
+        }
+        for (const auto& id : step.held->workers) {
+            auto& view = m_fleet[indices.at(id)];
+            view.reservedBy = &step;
+            view.reservedForUrgent = termsOf(*ready.job).priority <= urgentPriority;
+            view.reservedUntil = step.held->freeAt;
+            ++pass.held;
+        }
+    }
+    pass.reserves = now() >= m_nextReserving;
+}
+
+// By learned run times, as far as they are known.
+std::vector<std::vector<ExpectedEnd>> Owner::Impl::expectedEnds() const
+{
+    std::vector<std::vector<ExpectedEnd>> out(m_usable.size());
+    for (std::size_t i = 0; i < m_usable.size(); ++i) {
+        for (const auto& [task, run] : m_usable[i]->runs) {
+            const auto job = m_jobs.find(task.job);
+            const auto* spec = job == m_jobs.end() ? nullptr : job->second.specOf(task);
+            if (!spec || spec->longRunning)
+                continue;
+            const auto end = run.phase == RunPhase::Stopping
+                ? now()
+                : std::max(now(), run.runningSince + expectedTime(job->second, *spec));
+            out[i].push_back({ end, run.room });
+        }
+    }
+    return out;
+}
+
+void Owner::Impl::reserveFor(const Ready& ready, const PlaceRequest& request, Pass& pass)
+{
+    auto& step = ready.step();
+    const auto most = static_cast<std::size_t>(maxHeldShare * static_cast<double>(m_fleet.size()));
+    if (!pass.reserves || step.held || now() - step.waitingSince < reserveAfter
+        || (pass.held > 0 && pass.held >= most) || !needsReservation(request, m_fleet))
+        return;
+    pass.reserves = false;
+    m_nextReserving = now() + reservingPause;
+    const auto found = chooseReservation(request, m_fleet, expectedEnds(), now());
+    if (found.views.empty() || (pass.held > 0 && pass.held + found.views.size() > most))
+        return; // The first one is as large as it must be.
+    HeldWorkers held { {}, now(), found.freeAt };
+    for (const auto i : found.views) {
+        m_fleet[i].reservedBy = &step;
+        m_fleet[i].reservedForUrgent = request.priority <= urgentPriority;
+        m_fleet[i].reservedUntil = found.freeAt;
+        held.workers.push_back(m_fleet[i].id);
+    }
+    pass.held += found.views.size();
+    m_hooks.log("reserve",
+        { { "id", ready.job->id().str() }, { "step", ready.index }, { "workers", held.workers.size() },
+            { "rack", m_fleet[found.views.front()].rack }, { "freeInMs", (found.freeAt - now()).count() },
+            { "waitedMs", (now() - step.waitingSince).count() } });
+    step.held = std::move(held);
+}
+
+} // namespace jujubereach::fleet
--- a/packages/fleet/src/pass.h
+++ b/packages/fleet/src/pass.h
@@ -26,6 +26,8 @@
     bool displaceable = false; ///< The views tell what may be displaced.
     int searches = 0; ///< For something to displace.
     int rackSearches = 0; ///< For a place in an empty fleet.
+    std::size_t held = 0; ///< Views that are reserved for steps.
+    bool reserves = false; ///< A reservation may be made in this pass.
 };
 
 } // namespace jujubereach::fleet
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -47,6 +47,10 @@
             return false;
         if (view.reserved && request.priority > urgentPriority)
             return false;
+        const auto goesAhead = request.priority <= urgentPriority && !view.reservedForUrgent;
+        if (view.reservedBy && view.reservedBy != request.step && !goesAhead
+            && request.expectedEnd > view.reservedUntil)
+            return false;
         // A task that fills disturbs one with a tail target, by an amount that nobody knows in advance.
         if (request.spec->fills && view.serves)
             return false;
@@ -343,6 +347,16 @@
         && hasLabel(view, request.spec->label) && (!request.allowed || request.allowed->contains(view.id));
 }
 
+void eachPlaceToSearch(const PlaceRequest& request, const std::vector<WorkerView>& views,
+    const std::function<void(const std::vector<std::size_t>&)>& use)
+{
+    const auto among = candidates(request, views);
+    if (needsOneRack(request))
+        eachRack(views, among, use);
+    else
+        use(among);
+}
+
 Placement place(const PlaceRequest& request, std::vector<WorkerView>& views)
 {
     const auto among = candidates(request, views);
@@ -360,7 +374,7 @@
 UnplacedRequests::Shape UnplacedRequests::shapeOf(const PlaceRequest& request)
 {
     return { request.service, request.spec->room, request.spec->gang ? request.count : 1,
-        needsOneRack(request), request.priority <= urgentPriority };
+        needsOneRack(request), request.priority <= urgentPriority, request.expectedEnd };
 }
 
 void UnplacedRequests::add(const PlaceRequest& request)
@@ -404,20 +418,15 @@
 
 Displacement placeByDisplacing(const PlaceRequest& request, const std::vector<WorkerView>& views)
 {
-    const auto among = candidates(request, views);
     Displacement best;
     auto bestLoss = unfit;
-    const auto search = [&](const std::vector<std::size_t>& members) {
+    eachPlaceToSearch(request, views, [&](const std::vector<std::size_t>& members) {
         Displacer displacer(request, views);
         if (!displacer.run(members, std::min(bestLoss, request.maxLoss)) || displacer.loss() >= bestLoss)
             return;
         bestLoss = displacer.loss();
         best = displacer.take();
-    };
-    if (needsOneRack(request))
-        eachRack(views, among, search);
-    else
-        search(among);
+    });
     return best;
 }
 
--- a/packages/fleet/src/worker.cpp
+++ b/packages/fleet/src/worker.cpp
@@ -12,8 +12,11 @@
     }; // Shorter than most faults of a worker that the sites describe.
     constexpr int maxDoublings = 3;
 
+    // Tasks that fail or stand still together on one worker show one fault.
     void setAside(Trust& trust, TimePoint now)
     {
+        if (trust.isSetAside(now))
+            return;
         trust.setAsideUntil = now + firstSetAside * (1 << std::min(trust.timesSetAside, maxDoublings));
         ++trust.timesSetAside;
     }
--- a/packages/fleet/test/owner-test.cpp
+++ b/packages/fleet/test/owner-test.cpp
@@ -2,6 +2,7 @@
 #include "fake-fleet.h"
 
 #include "jujubereach/base/random.h"
+#include "worker.h"
 
 using namespace jujubereach;
 using namespace jujubereach::fleet;
@@ -18,6 +19,8 @@
     CPPUNIT_TEST(stopsACancelledJob);
     CPPUNIT_TEST(reclaimsGuaranteedRoom);
     CPPUNIT_TEST(urgentGangsStartAtOnceBesideAFloodOfBulk);
+    CPPUNIT_TEST(aGangOfWholeWorkersStartsBesideAStreamOfSmallTasks);
+    CPPUNIT_TEST(tasksThatStandStillTogetherShowOneFault);
     CPPUNIT_TEST(asksTheAdviserFirst);
     CPPUNIT_TEST(startsNoOccurrenceEarly);
     CPPUNIT_TEST(restartsWhatLasts);
@@ -242,6 +245,44 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
     }
 
+    // The load: small tasks come all the time and keep every worker partly used, with most of the room free.
+    void aGangOfWholeWorkersStartsBesideAStreamOfSmallTasks()
+    {
+        FakeFleet fleet;
+        for (int i = 0; i < 8; ++i)
+            fleet.addWorker("w" + std::to_string(i), "r" + std::to_string(i / 4));
+        fleet.takeOver();
+        const auto stream = [&fleet](int from, int count) {
+            for (int i = from; i < from + count; ++i) {
+                auto small = FakeFleet::job("s" + std::to_string(i), 8, { 1000, 1000, 1 }, 1);
+                small.spec.steps[0].maxPerWorker = 1;
+                fleet.submit(small);
+                fleet.run(Duration(1000));
+            }
+        };
+        stream(0, 3);
+        auto gang = FakeFleet::job("gang", 3, wholeWorker, 2);
+        gang.spec.steps[0].gang = gang.spec.steps[0].sameRack = true;
+        fleet.submit(gang);
+        stream(3, 12);
+        CPPUNIT_ASSERT(fleet.savedState("gang") == JobState::Completed);
+        fleet.run(Duration(10'000));
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
+    }
+
+    // The load: a worker on which everything stands still for a while; once it is well, gangs need it.
+    void tasksThatStandStillTogetherShowOneFault()
+    {
+        constexpr TimePoint seen { Duration(10'000) };
+        Trust trust;
+        for (int task = 0; task < 5; ++task)
+            trust.taskStalled(seen);
+        CPPUNIT_ASSERT(trust.isSetAside(seen + Duration(3900)));
+        CPPUNIT_ASSERT(!trust.isSetAside(seen + Duration(4100)));
+        trust.taskStalled(seen + Duration(5000));
+        CPPUNIT_ASSERT(trust.isSetAside(seen + Duration(12'900))); // A second fault counts for twice as long.
+    }
+
     void asksTheAdviserFirst()
     {
         FakeFleet fleet;
--- a/packages/fleet/test/queue-test.cpp
+++ b/packages/fleet/test/queue-test.cpp
@@ -1,6 +1,7 @@
 // Placing and order of the queue, by the loads that they answer.
 #include "jujubereach/fleet/placement.h"
 #include "jujubereach/fleet/queue-order.h"
+#include "jujubereach/fleet/reservation.h"
 #include "jujubereach/fleet/reserve.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -26,6 +27,8 @@
     CPPUNIT_TEST(ordersByGainForRoom);
     CPPUNIT_TEST(guaranteedWorkComesFirst);
     CPPUNIT_TEST(theBaselineServesInTheOrderOfArrival);
+    CPPUNIT_TEST(reservesTheRackThatIsFreeSoonest);
+    CPPUNIT_TEST(onlyWhatEndsBeforeStartsOnAReservedWorker);
     CPPUNIT_TEST_SUITE_END();
 
     static WorkerView worker(const std::string& name, const std::string& rack, std::int64_t accelerators = 8)
@@ -289,6 +292,43 @@
         urgent.guaranteed = true;
         CPPUNIT_ASSERT(rankOf(urgent, QueueOrder::ByArrival) > rankOf(late, QueueOrder::ByArrival));
     }
+
+    void reservesTheRackThatIsFreeSoonest()
+    {
+        std::vector<WorkerView> fleet { worker("a", "r1", 0), worker("b", "r1", 0), worker("c", "r2", 4),
+            worker("d", "r2", 8) };
+        auto gang = step(8);
+        gang.gang = gang.sameRack = true;
+        const auto request = ask(gang, 2);
+        const auto after = [](int ms, std::int64_t accelerators) {
+            return ExpectedEnd { TimePoint(Duration(ms)),
+                { 8000 * accelerators, 32'768 * accelerators, accelerators } };
+        };
+        const std::vector<std::vector<ExpectedEnd>> ends { { after(500, 8) }, { after(4000, 8) },
+            { after(3000, 2), after(2000, 2) }, {} };
+        CPPUNIT_ASSERT(needsReservation(request, fleet));
+        const auto found = chooseReservation(request, fleet, ends, TimePoint(Duration(100)));
+        CPPUNIT_ASSERT((found.views == std::vector<std::size_t> { 2, 3 }));
+        CPPUNIT_ASSERT(found.freeAt == TimePoint(Duration(3000)));
+        CPPUNIT_ASSERT(!needsReservation(ask(step(1), 3), fleet));
+    }
+
+    void onlyWhatEndsBeforeStartsOnAReservedWorker()
+    {
+        std::vector<WorkerView> fleet { worker("a", "r1") };
+        fleet[0].reservedBy = reinterpret_cast<const Step*>(&fleet);
+        fleet[0].reservedUntil = TimePoint(Duration(3000));
+        const auto small = step(1);
+        auto request = ask(small, 1);
+        request.priority = 1;
+        request.expectedEnd = TimePoint(Duration(3500));
+        CPPUNIT_ASSERT(place(request, fleet).empty());
+        request.expectedEnd = TimePoint(Duration(2500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), place(request, fleet).size());
+        request.expectedEnd = TimePoint(Duration(3500));
+        request.priority = 0;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), place(request, fleet).size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QueueTest);
