Save jobs in several writes at once; never starve the owner's wake-up

One write of 14 jobs was under way at a time: 200 jobs a second at round trips of 45 ms, and the queue was a set ordered by id, so that high ids waited longest.

Change: up to four writes with different jobs, in the order of their changes; a late wake-up stays; a pass that was cut goes on after 2 ms. A connection that is established after its call was given up sends nothing: a process that was paused could otherwise send an order on a permission that had run out.

--- a/packages/base/include/jujubereach/base/time.h
+++ b/packages/base/include/jujubereach/base/time.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 #include <functional>
 
 namespace jujubereach {
@@ -30,6 +31,14 @@
     };
 }
 
+/// The machine's clock with suspended time counted: a permission that ran out meanwhile is seen to have.
+inline TimePoint bootTime()
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(Duration(time.tv_sec * 1000 + time.tv_nsec / 1'000'000));
+}
+
 /// Milliseconds since 1970, for records that people and other hosts read.
 struct WallTime {
     std::int64_t milliseconds = 0;
--- a/packages/entry/src/ownership.cpp
+++ b/packages/entry/src/ownership.cpp
@@ -300,8 +300,8 @@
 void EntryHost::Impl::wakeIn(Duration delay)
 {
     const auto at = now() + delay;
-    if (m_wakeAt != TimePoint {} && m_wakeAt <= at && m_wakeAt > now())
-        return;
+    if (m_wakeAt != TimePoint {} && m_wakeAt <= at)
+        return; // Also where that one is late: a later one in its place would starve the owner.
     m_wakeAt = at;
     m_hooks.after(delay, [this, self = m_self, at, term = m_term] {
         if (!*self || term != m_term || !m_owner || m_wakeAt != at)
--- a/packages/fleet/src/job.h
+++ b/packages/fleet/src/job.h
@@ -78,6 +78,8 @@
     Revision progressRevision; ///< Of its progress record; 0 for none.
     std::uint64_t changes = 0; ///< Rises with each change of what is saved.
     std::uint64_t saved = 0; ///< The value of `changes` that the store has.
+    bool saving = false; ///< A write of it is under way.
+    bool inSaveQueue = false;
 
     const JobId& id() const { return record.id; }
     const JobSpec& spec() const { return record.spec; }
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -47,6 +47,8 @@
     // owner-save.cpp: what goes to the store.
     void changed(Job& job);
     void saveDue();
+    bool save();
+    void writeEnded(Job& job);
     void saveDone(const SavedParts& parts, Revision revision);
     void saveFailed(const SavedParts& parts, const StoreAnswer& answer);
     void noteSaved(Worker& worker);
@@ -172,8 +174,9 @@
     Revision m_rosterRevision;
     bool m_rosterDue = false;
 
-    std::set<JobId> m_dirty;
-    bool m_saving = false;
+    std::deque<JobId> m_saveQueue; ///< Jobs with changes that no write under way has, oldest first.
+    int m_savesInFlight = 0; ///< No two of them have a job in common.
+    bool m_savingRoster = false;
     TimePoint m_nextSave;
     int m_saveFailures = 0;
     TimePoint m_summaryAt;
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -11,8 +11,8 @@
 
     constexpr Duration passPause { 20 }; // Joins news that come together.
     constexpr Duration passSlice { 20 }; // Then answers and renewals are due before more is placed.
-    constexpr int restAfterPass = 3; // Times the length of a pass: placing gets a quarter of the processor.
-    constexpr Duration displacingPause { 100 }; // Of all steps together.
+    constexpr Duration sliceGap { 2 }; // Until a pass that was cut goes on: the loop serves what has come.
+    constexpr Duration displacingPause { 20 }; // Of all steps together.
     constexpr Duration waitingPassInterval {
         500
     }; // Time alone may give room: pauses end, racks are given up.
@@ -208,7 +208,7 @@
         applyReservations(waiting, pass);
     }
     placeInOrder(waiting, pass);
-    m_nextPass = now() + std::max(passPause, restAfterPass * (now() - begun));
+    m_nextPass = now() + (m_passDue ? sliceGap : std::max(passPause, now() - begun));
 }
 
 void Owner::Impl::placeInOrder(const std::vector<Ready>& waiting, Pass& pass)
--- a/packages/fleet/src/owner-save.cpp
+++ b/packages/fleet/src/owner-save.cpp
@@ -9,6 +9,7 @@
 
     constexpr std::size_t jobsPerWrite = (maxWriteEntries - 3) / 2; // A condition and a put each.
     constexpr Duration savePause { 25 }; // Joins what ends at the same moment.
+    constexpr int maxSavesInFlight = 4; // 14 jobs each, at round trips of 50 ms: above 1,000 jobs a second.
     constexpr Duration firstRetry { 100 };
     constexpr int maxRetryDoublings = 3;
     constexpr Duration summaryInterval { 500 }; // A quarter of the age that callers are promised.
@@ -28,40 +29,66 @@
 void Owner::Impl::changed(Job& job)
 {
     ++job.changes;
-    m_dirty.insert(job.id());
-    if (!m_saving && m_nextSave <= now())
+    if (!job.saving && !std::exchange(job.inSaveQueue, true))
+        m_saveQueue.push_back(job.id());
+    if (m_nextSave <= now())
         m_nextSave = now() + savePause;
     m_hooks.wakeIn(savePause);
 }
 
+// Writes of different jobs do not wait for each other: a far store takes longer to answer than new ends come.
 void Owner::Impl::saveDue()
 {
-    if (m_saving || m_superseded || now() < m_nextSave)
-        return;
+    while (m_savesInFlight < maxSavesInFlight && !m_superseded
+        && (now() >= m_nextSave || (m_saveQueue.size() >= jobsPerWrite && m_saveFailures == 0))) {
+        if (!save())
+            return;
+        m_nextSave = now() + savePause;
+    }
+}
+
+// Returns whether there was anything to write.
+bool Owner::Impl::save()
+{
     StoreWrite write;
     write.expected.push_back({ keys::owner, m_ownerKey });
     SavedParts parts;
-    for (const auto& id : m_dirty) {
-        if (parts.jobs.size() == jobsPerWrite)
-            break;
-        auto& job = m_jobs.at(id);
-        write.expected.push_back({ keys::progress(id), job.progressRevision });
-        write.puts.push_back({ keys::progress(id), encode(job.progress()), {} });
-        parts.jobs.emplace_back(id, job.changes);
+    while (!m_saveQueue.empty() && parts.jobs.size() < jobsPerWrite) {
+        const auto id = m_saveQueue.front();
+        m_saveQueue.pop_front();
+        auto* job = findJob(id);
+        if (!job)
+            continue;
+        job->inSaveQueue = false;
+        job->saving = true;
+        write.expected.push_back({ keys::progress(id), job->progressRevision });
+        write.puts.push_back({ keys::progress(id), encode(job->progress()), {} });
+        parts.jobs.emplace_back(id, job->changes);
     }
-    if (m_rosterDue && parts.jobs.size() < jobsPerWrite)
+    if (m_rosterDue && !m_savingRoster && parts.jobs.size() < jobsPerWrite)
         saveRoster(write, parts);
     saveSummary(write);
     if (write.puts.empty())
-        return;
-    m_saving = true;
+        return false;
+    ++m_savesInFlight;
     m_hooks.write(
         std::move(write), [this, self = m_self, parts = std::move(parts)](const StoreAnswer& answer) {
             if (!*self)
                 return;
-            m_saving = false;
+            --m_savesInFlight;
+            if (!parts.roster.empty())
+                m_savingRoster = false;
             answer.fate == StoreFate::Done ? saveDone(parts, answer.at) : saveFailed(parts, answer);
         });
+    return true;
+}
+
+// A job that changed while it was being written goes to the end of the queue.
+void Owner::Impl::writeEnded(Job& job)
+{
+    job.saving = false;
+    if (job.saved != job.changes && !std::exchange(job.inSaveQueue, true))
+        m_saveQueue.push_back(job.id());
 }
 
 bool Owner::Impl::isRosterOpen(const Worker& worker) const
@@ -102,6 +129,7 @@
         parts.roster[id] = row.open;
         rows.push_back(std::move(row));
     }
+    m_savingRoster = true;
     write.expected.push_back({ keys::roster, m_rosterRevision });
     write.puts.push_back({ keys::roster, encodeRoster(rows), {} });
 }
@@ -123,12 +151,16 @@
             m_rosterRevision = revisionOf(answer.items, keys::roster);
         m_nextSave = now();
     }
-    m_hooks.log("save-failed", { { "fate", nameOf(answer.fate) }, { "jobs", m_dirty.size() } });
+    for (const auto& [id, changes] : parts.jobs) {
+        if (auto* job = findJob(id))
+            writeEnded(*job);
+    }
+    m_hooks.log("save-failed",
+        { { "fate", nameOf(answer.fate) }, { "jobs", m_saveQueue.size() }, { "inFlight", m_savesInFlight } });
 }
 
 void Owner::Impl::saveDone(const SavedParts& parts, Revision revision)
 {
-    m_nextSave = now() + savePause;
     m_saveFailures = 0;
     for (const auto& [id, changes] : parts.jobs) {
         auto* job = findJob(id);
@@ -136,8 +168,7 @@
             continue;
         job->progressRevision = revision;
         job->saved = changes;
-        if (job->saved == job->changes)
-            m_dirty.erase(id);
+        writeEnded(*job);
     }
     if (!parts.roster.empty()) {
         m_roster = parts.roster;
@@ -148,7 +179,7 @@
     }
     for (auto& [id, worker] : m_workers)
         noteSaved(worker);
-    if (!m_dirty.empty())
+    if (!m_saveQueue.empty())
         m_hooks.wakeIn(savePause);
 }
 
--- a/packages/fleet/test/fake-fleet.h
+++ b/packages/fleet/test/fake-fleet.h
@@ -267,6 +267,7 @@
     Fence fence;
     Revision ownerRevision;
     Revision storeRevision;
+    Duration storeLatency { latency }; ///< One way.
     bool storeDown = false; ///< Writes are refused.
     bool storeAnswersLost = false; ///< Writes take effect and are not answered.
     Duration storeWritesLate {
@@ -320,13 +321,14 @@
     void writeCall(int term, StoreWrite write, StoreDone done)
     {
         if (storeDown)
-            return after(latency, [this, term, done] { answer(term, done, withFate(StoreFate::Refused)); });
+            return after(
+                storeLatency, [this, term, done] { answer(term, done, withFate(StoreFate::Refused)); });
         const auto late = storeWritesLate;
         const auto lostAnswer = storeAnswersLost || late.count() > 0;
-        after(latency + late, [this, term, write, done, lostAnswer] {
+        after(storeLatency + late, [this, term, write, done, lostAnswer] {
             auto result = apply(write);
             if (!lostAnswer)
-                after(latency, [this, term, done, result] { answer(term, done, result); });
+                after(storeLatency, [this, term, done, result] { answer(term, done, result); });
         });
         if (lostAnswer)
             after(Duration(1500), [this, term, done] { answer(term, done, withFate(StoreFate::Unknown)); });
--- a/packages/fleet/test/owner-test.cpp
+++ b/packages/fleet/test/owner-test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(aClosedWorkerIsOrderedAgainOnlyOnceThatIsSaved);
     CPPUNIT_TEST(countsRoomOfRunsThatNobodyWaitsFor);
     CPPUNIT_TEST(countsFailuresOfReplacedRuns);
+    CPPUNIT_TEST(savesAFloodOfEndsInAFarStore);
     CPPUNIT_TEST(lateWritesDoNotGoBack);
     CPPUNIT_TEST(goesOnWhileTheStoreIsDown);
     CPPUNIT_TEST(anUnconfirmedOwnerStartsNothing);
@@ -674,6 +675,28 @@
         CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Failed);
     }
 
+    // The load: hundreds of jobs end together, and the store answers from another region. Callers see an end
+    // once it is saved; a worker's next ends are asked for once the last ones are.
+    void savesAFloodOfEndsInAFarStore()
+    {
+        constexpr int jobs = 300;
+        FakeFleet fleet;
+        for (int i = 0; i < 40; ++i)
+            fleet.addWorker("w" + std::to_string(i), "r" + std::to_string(i / 8));
+        fleet.takeOver();
+        fleet.storeLatency = Duration(45);
+        fleet.run(Duration(500));
+        fleet.workTime = [](const TaskId&) { return Duration(4000); };
+        for (int i = 0; i < jobs; ++i)
+            fleet.submit(FakeFleet::job("j" + std::to_string(i), 1));
+        fleet.run(Duration(5000));
+        int saved = 0;
+        for (int i = 0; i < jobs; ++i)
+            saved += fleet.savedState("j" + std::to_string(i)) == JobState::Completed;
+        CPPUNIT_ASSERT_EQUAL(jobs, saved);
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.broken());
+    }
+
     void lateWritesDoNotGoBack()
     {
         FakeFleet fleet;
--- a/packages/net/src/http-client.cpp
+++ b/packages/net/src/http-client.cpp
@@ -44,7 +44,8 @@
         m_socket.async_connect(peer, [self = shared_from_this()](const boost::system::error_code& failed) {
             if (!self->m_done)
                 return;
-            if (failed)
+            // A process that was paused meanwhile must not send what its caller counts as given up.
+            if (failed || bootTime() >= self->m_giveUpAt)
                 return self->end(CallFate::NotSent);
             detail::setPeerOptions(self->m_socket, peerTimeoutMs);
             self->write();
@@ -91,6 +92,7 @@
         m_framing = {};
         m_sent = false;
         m_done = std::move(done);
+        m_giveUpAt = bootTime() + timeout;
         m_timer.expires_after(timeout);
         // Where the loop lags, the expired timer of an answered call may still be queued.
         m_timer.async_wait(
@@ -186,6 +188,7 @@
     detail::Framing m_framing;
     HttpResponse m_response;
     CallDone m_done; ///< Set while a call is under way.
+    TimePoint m_giveUpAt;
     std::uint64_t m_calls = 0; ///< That this connection has carried, with the one under way.
     bool m_sent = false; ///< A byte of the request may have left.
     bool m_watched = false;
--- a/packages/net/test/net-test.cpp
+++ b/packages/net/test/net-test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(refusesWhatIsTooLargeOrMalformed);
     CPPUNIT_TEST(drainsWithAnswers);
     CPPUNIT_TEST(aLaggingLoopBlamesNoLaterCall);
+    CPPUNIT_TEST(aPausedProcessSendsNothingLate);
     CPPUNIT_TEST(anExceptionCostsOneRequest);
     CPPUNIT_TEST_SUITE_END();
 
@@ -233,6 +234,32 @@
         CPPUNIT_ASSERT(next == CallFate::Answered);
     }
 
+    // The connection is established while the process stands still for longer than the call may take.
+    void aPausedProcessSendsNothingLate()
+    {
+        constexpr Duration timeout { 60 };
+        std::atomic<int> requests { 0 };
+        asio::io_context serverLoop { 1 };
+        HttpServer server(serverLoop, [&](const HttpRequest&, const Respond& respond) {
+            ++requests;
+            respond({ 200, {}, {} });
+        });
+        CPPUNIT_ASSERT(server.listen(address));
+        std::thread serving([&] { serverLoop.run_for(std::chrono::seconds(5)); });
+        Loop loop;
+        std::optional<CallFate> fate;
+        loop.client.call(address, { "POST", "/order", {}, "start" }, timeout,
+            [&](const CallResult& result) { fate = result.fate; });
+        std::this_thread::sleep_for(3 * timeout);
+        while (!fate)
+            loop.context.run_one_for(std::chrono::milliseconds(50));
+        std::this_thread::sleep_for(timeout);
+        serverLoop.stop();
+        serving.join();
+        CPPUNIT_ASSERT(fate == CallFate::NotSent);
+        CPPUNIT_ASSERT_EQUAL(0, requests.load());
+    }
+
     void anExceptionCostsOneRequest()
     {
         asio::io_context serverLoop { 1 };
