--- a/packages/fleet/src/owner-displace.cpp
+++ b/packages/fleet/src/owner-displace.cpp
@@ -10,8 +10,6 @@
 namespace {
 
     constexpr Duration planLife { 2000 }; // Of room that is being freed; above a stop and two looks.
-    constexpr int maxDisplacements
-        = 2; // Of one task or gang; more only for work that its workspace is guaranteed.
     constexpr double displacementShare
         = 0.25; // Work thrown away for a step, against the work of the step itself.
 
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -137,12 +137,12 @@
         if (!std::is_sorted(among.begin(), among.end(), before))
             std::stable_sort(among.begin(), among.end(), before);
         std::vector<std::size_t> members;
-        for (std::size_t i = 0; i < among.size(); ++i) {
-            if (!members.empty() && views[members.back()].rack != views[among[i]].rack) {
+        for (const auto i : among) {
+            if (!members.empty() && views[members.back()].rack != views[i].rack) {
                 use(members);
                 members.clear();
             }
-            members.push_back(among[i]);
+            members.push_back(i);
         }
         if (!members.empty())
             use(members);
--- a/packages/net/test/net-test.cpp
+++ b/packages/net/test/net-test.cpp
@@ -9,6 +9,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
+#include <optional>
+#include <thread>
+
 using namespace jujubereach;
 using namespace jujubereach::net;
 namespace asio = boost::asio;
