--- a/packages/entry/include/jujubereach/entry/entry-host.h
+++ b/packages/entry/include/jujubereach/entry/entry-host.h
@@ -19,6 +19,7 @@
     ZoneId zone;
     RegionId region;
     std::map<ZoneId, RegionId> zones;
+    std::string forwardAddress; ///< Where other hosts forward calls to; empty where they cannot.
     double cores = 1; ///< That this host may use: larger hosts claim a fleet sooner.
     fleet::OwnerSettings owner;
     Duration revokeBound {
@@ -38,15 +39,6 @@
 enum class CallKind { Submit, Query, Cancel };
 const char* nameOf(CallKind kind);
 
-struct CallerRequest {
-    CallKind kind = CallKind::Query;
-    std::string hostName;
-    std::string path;
-    std::string key; ///< Of the caller; empty for none.
-    Duration deadline { 0 }; ///< 0 when not told.
-    std::optional<fleet::JobSpec> spec; ///< Of a submission; nothing when its body cannot be read.
-};
-
 enum class CallOutcome {
     Accepted, ///< Stored, now or before.
     State,
@@ -68,6 +60,25 @@
     std::int64_t pending = 0;
     Duration retryAfter { 0 };
 };
+/// What became of a call that was forwarded to another host.
+struct ForwardedCall {
+    bool sent = false; ///< The other host may have carried it out.
+    std::optional<CallerAnswer> answer;
+};
+using ForwardCall = std::function<void(const std::string& address, std::uint64_t configVersion,
+    Duration timeout, std::function<void(ForwardedCall)> done)>;
+
+struct CallerRequest {
+    CallKind kind = CallKind::Query;
+    std::string hostName;
+    std::string path;
+    std::string key; ///< Of the caller; empty for none.
+    Duration deadline { 0 }; ///< 0 when not told.
+    std::optional<fleet::JobSpec> spec; ///< Of a submission; nothing when its body cannot be read.
+    ForwardCall forward; ///< Sends the same call to another host; null for one that came from a host.
+    std::uint64_t leastConfigVersion = 0; ///< An older configuration must not decide it.
+};
+
 using CallerDone = std::function<void(CallerAnswer)>;
 
 struct HostHooks {
--- a/packages/entry/src/calls.cpp
+++ b/packages/entry/src/calls.cpp
@@ -2,6 +2,8 @@
 // force.
 #include "host-impl.h"
 
+#include "open-call.h"
+
 #include <algorithm>
 
 namespace jujubereach::entry {
@@ -15,9 +17,10 @@
     }; // Three answers of a store that is a hundred times slower than usual.
     constexpr Duration readTimeout { 900 };
     constexpr Duration defaultDeadline { 3000 };
-    constexpr Duration answerReserve { 150 }; // Of the caller's time, for the way back.
     constexpr Duration outageRetryAfter { 1000 }; // Most hosts find the store again within a second or two.
-    constexpr int maxAttempts = 4;
+    // An end takes two ways between regions and a write until the store has it.
+    constexpr Duration endWait { 250 };
+    constexpr Duration endWaitSlack { 300 }; // For the answer of a watch that saw nothing.
     constexpr std::size_t maxIdBytes = 64; // Four times what callers send.
 
     std::size_t idLength(const std::string& path, const std::string& prefix)
@@ -27,22 +30,6 @@
 
 } // namespace
 
-/// A request that was read and is not answered.
-struct OpenCall {
-    CallerRequest request;
-    CallerDone done;
-    TimePoint arrived;
-    TimePoint giveUp;
-    fleet::RouteId route;
-    WorkspaceId workspace;
-    JobId id;
-    int attempts = 0;
-    bool fateOpen = false; ///< An unanswered write of ours may still take effect.
-
-    bool mayTryAgain(TimePoint now) const { return attempts < maxAttempts && giveUp - now > answerReserve; }
-    Duration timeLeft(TimePoint now, Duration bound) const { return std::min(bound, giveUp - now); }
-};
-
 void EntryHost::Impl::finish(const std::shared_ptr<OpenCall>& call, CallerAnswer answer, const char* why)
 {
     if (m_hooks.meter.add)
@@ -65,7 +52,8 @@
 
 void EntryHost::Impl::unavailable(const std::shared_ptr<OpenCall>& call, const char* why)
 {
-    finish(call, { CallOutcome::Unavailable, {}, 0, outageRetryAfter }, why);
+    finish(call,
+        { call->fateOpen ? CallOutcome::Undecided : CallOutcome::Unavailable, {}, 0, outageRetryAfter }, why);
 }
 
 void EntryHost::Impl::handle(CallerRequest request, CallerDone done)
@@ -75,11 +63,22 @@
     call->done = std::move(done);
     call->arrived = now();
     const auto deadline = call->request.deadline.count() > 0 ? call->request.deadline : defaultDeadline;
-    call->giveUp = call->arrived + std::max(answerReserve, deadline - answerReserve);
+    call->giveUp = call->arrived + std::max(OpenCall::answerReserve, deadline - OpenCall::answerReserve);
     // Also a refusal must be found by its id; the route tells later whether it is one.
     call->id = JobId(call->request.path.substr(call->request.path.rfind('/') + 1, maxIdBytes));
-    if (!newsIsFresh())
-        return unavailable(call, "the configuration is not confirmed");
+    if (newsIsFresh())
+        return decide(call);
+    confirmConfig([this, call] {
+        if (newsIsFresh())
+            return decide(call);
+        forward(call, [this, call] { unavailable(call, "the configuration is not confirmed"); });
+    });
+}
+
+void EntryHost::Impl::decide(const std::shared_ptr<OpenCall>& call)
+{
+    if (m_config->version < call->request.leastConfigVersion)
+        return unavailable(call, "the forwarding host knows a newer configuration");
     const auto* route = m_config->findRoute(call->request.hostName, call->request.path);
     if (!route)
         return finish(call, { CallOutcome::NoSuchRoute }, "no route");
@@ -152,43 +151,47 @@
                 stale = true;
             }
         }
-        if (stale && call->attempts < maxAttempts && now() < call->giveUp)
+        if (stale && call->attempts < OpenCall::maxAttempts && now() < call->giveUp)
             return submit(call);
         return finish(call,
             { call->fateOpen ? CallOutcome::Undecided : CallOutcome::NotAccepted, {}, 0, outageRetryAfter },
             "the configuration changes too fast");
     }
-    if (answer.fate == StoreFate::Refused) {
-        if (call->fateOpen)
-            return finish(call, { CallOutcome::Undecided }, "the store gave no answer to the first write");
-        return finish(
-            call, { CallOutcome::NotAccepted, {}, 0, outageRetryAfter }, "the store refuses writes");
-    }
+    if (answer.fate == StoreFate::Refused)
+        return forward(call, [this, call] {
+            finish(call,
+                { call->fateOpen ? CallOutcome::Undecided : CallOutcome::NotAccepted, {}, 0,
+                    outageRetryAfter },
+                "the store refuses writes");
+        });
     // No answer: the same conditional write again tells, unless the first is still to come.
     call->fateOpen = true;
-    if (call->mayTryAgain(now()))
-        return submit(call);
-    finish(call, { CallOutcome::Undecided }, "the store does not answer");
+    forward(call, [this, call] {
+        if (call->mayTryAgain(now()))
+            return submit(call);
+        finish(call, { CallOutcome::Undecided }, "the store does not answer");
+    });
 }
 
 void EntryHost::Impl::query(const std::shared_ptr<OpenCall>& call)
 {
     const auto failed = [this](const std::shared_ptr<OpenCall>& open, const StoreAnswer& answer) {
         ++open->attempts;
-        if (answer.fate == StoreFate::Unknown && open->mayTryAgain(now()))
-            return query(open);
-        unavailable(open, "the store does not answer");
+        const auto again = answer.fate == StoreFate::Unknown;
+        forward(open, [this, open, again] {
+            if (again && open->mayTryAgain(now()))
+                return query(open);
+            unavailable(open, "the store does not answer");
+        });
     };
     m_hooks.store.read(keys::progress(call->id), call->timeLeft(now(), readTimeout),
         [this, self = m_self, call, failed](const StoreAnswer& answer) {
             if (!*self)
                 return;
             if (answer.fate == StoreFate::Done && !answer.items.empty()) {
-                const auto progress = fleet::decodeProgress(answer.items[0].value);
-                if (!progress)
-                    m_hooks.log("record-unreadable", { { "key", keys::progress(call->id) } });
-                return finish(call, { CallOutcome::State, progress ? progress->state : JobState::Running },
-                    "in the store");
+                const auto state = stateOf(answer.items[0]);
+                return fleet::isFinal(state) ? finish(call, { CallOutcome::State, state }, "in the store")
+                                             : awaitEnd(call, state, answer.at, now() + endWait);
             }
             if (answer.fate != StoreFate::Missing)
                 return failed(call, answer);
@@ -208,6 +211,37 @@
         });
 }
 
+JobState EntryHost::Impl::stateOf(const StoreItem& item) const
+{
+    const auto progress = fleet::decodeProgress(item.value);
+    if (!progress)
+        m_hooks.log("record-unreadable", { { "key", item.key } });
+    return progress ? progress->state : JobState::Running;
+}
+
+// Callers ask when the last task ends. Answering at once would tell them `running` and cost a further query.
+void EntryHost::Impl::awaitEnd(
+    const std::shared_ptr<OpenCall>& call, JobState state, Revision seenAt, TimePoint until)
+{
+    const auto wait = std::min(until, call->giveUp - endWaitSlack) - now();
+    if (wait <= Duration(0))
+        return finish(call, { CallOutcome::State, state }, "in the store");
+    const auto key = keys::progress(call->id);
+    m_hooks.store.watch(key, seenAt, wait, wait + endWaitSlack,
+        [this, self = m_self, call, key, state, until](const StoreAnswer& answer) {
+            if (!*self)
+                return;
+            auto last = state;
+            for (const auto& event : answer.events) {
+                if (!event.deleted && event.item.key == key)
+                    last = stateOf(event.item);
+            }
+            if (answer.fate != StoreFate::Done || answer.events.empty() || fleet::isFinal(last))
+                return finish(call, { CallOutcome::State, last }, "in the store");
+            awaitEnd(call, last, answer.at, until);
+        });
+}
+
 void EntryHost::Impl::cancel(const std::shared_ptr<OpenCall>& call)
 {
     ++call->attempts;
@@ -219,9 +253,11 @@
                 return finish(call, { CallOutcome::NoSuchJob }, "not in the store");
             if (answer.fate == StoreFate::Done && !answer.items.empty())
                 return writeCancel(call, answer.items[0]);
-            if (answer.fate == StoreFate::Unknown && call->mayTryAgain(now()))
-                return cancel(call);
-            unavailable(call, "the store does not answer");
+            forward(call, [this, call, again = answer.fate == StoreFate::Unknown] {
+                if (again && call->mayTryAgain(now()))
+                    return cancel(call);
+                unavailable(call, "the store does not answer");
+            });
         });
 }
 
@@ -266,7 +302,8 @@
             if (answer.fate == StoreFate::Done && !answer.items.empty()) {
                 const auto summary = fleet::decodeSummary(answer.items[0].value);
                 // One of an earlier owner may be of any age.
-                if (summary && m_knownOwner.value != 0 && summary->owner == m_knownOwner) {
+                if (summary && m_knownOwner.value != 0 && summary->owner == m_knownOwner
+                    && isFresh(m_followedAt)) {
                     CallerAnswer counted { CallOutcome::Count };
                     for (const auto& [route, pending] : summary->pending) {
                         if (route == call->route)
--- a/packages/entry/src/entry-host.cpp
+++ b/packages/entry/src/entry-host.cpp
@@ -1,5 +1,7 @@
 #include "host-impl.h"
 
+#include "peers.h"
+
 namespace jujubereach::entry {
 
 namespace {
@@ -7,6 +9,8 @@
     // A watch may miss changes for a second before its history is dropped, and requests take time.
     constexpr Duration revokeSlack { 1500 };
 
+    constexpr Duration announceJitter { 500 }; // Hosts that start together do not call the store together.
+
     // Hosts that learn of the same thing at the same moment must not act on it at the same moment.
     std::mt19937_64 randomOf(const std::string& name)
     {
@@ -34,6 +38,8 @@
     , m_hooks(std::move(hooks))
     , m_self(std::make_shared<Impl*>(this))
     , m_random(randomOf(m_settings.name))
+    , m_ownerPlace(m_settings.name + ' ' + m_settings.forwardAddress + ' ')
+    , m_ownerName(m_ownerPlace + std::to_string(m_hooks.wall().milliseconds))
 {
 }
 
@@ -44,6 +50,8 @@
         if (follower)
             follower->stop();
     }
+    if (m_peers)
+        m_peers->stop();
 }
 
 void EntryHost::Impl::start()
@@ -69,9 +77,17 @@
         }
         owner ? ownerWritten(*owner) : ownerRemoved();
     };
-    hooks.confirmed = [this](TimePoint sentAt) { m_confirmedAt = std::max(m_confirmedAt, sentAt); };
+    hooks.confirmed = [this](TimePoint sentAt) {
+        m_followedAt = std::max(m_followedAt, sentAt);
+        m_confirmedAt = std::max(m_confirmedAt, sentAt);
+    };
     m_news = std::make_shared<Follower>(m_hooks, m_hooks.layout.newsPrefix, Duration(0), std::move(hooks));
     m_news->start();
+    if (m_settings.forwardAddress.empty())
+        return;
+    std::uniform_int_distribution<std::int64_t> jitter(0, announceJitter.count());
+    m_peers = std::make_shared<Peers>(m_hooks, m_settings, Duration(jitter(m_random)));
+    m_peers->start();
 }
 
 void EntryHost::Impl::configWritten(const StoreItem& item)
@@ -103,9 +119,9 @@
         claim();
 }
 
-bool EntryHost::Impl::newsIsFresh() const
+bool EntryHost::Impl::isFresh(TimePoint confirmedAt) const
 {
-    return m_config && now() - m_confirmedAt < m_settings.revokeBound - revokeSlack;
+    return now() - confirmedAt < m_settings.revokeBound - revokeSlack;
 }
 
 EntryHost::EntryHost(HostSettings settings, HostHooks hooks)
--- a/packages/entry/src/host-impl.h
+++ b/packages/entry/src/host-impl.h
@@ -43,6 +43,9 @@
     bool m_stopped = false;
 };
 
+class Peers;
+struct OpenCall;
+
 class EntryHost::Impl {
 public:
     Impl(HostSettings settings, HostHooks hooks);
@@ -51,23 +54,38 @@
     // entry-host.cpp
     void start();
     void configWritten(const StoreItem& item);
-    bool newsIsFresh() const;
+    bool isFresh(
+        TimePoint confirmedAt) const; ///< A key that was taken away since would still be refused in time.
+    bool newsIsFresh() const { return m_config && isFresh(m_confirmedAt); }
 
     // calls.cpp
     void handle(CallerRequest request, CallerDone done);
-    void submit(const std::shared_ptr<struct OpenCall>& call);
-    void submitAnswered(const std::shared_ptr<struct OpenCall>& call, const StoreAnswer& answer);
-    void query(const std::shared_ptr<struct OpenCall>& call);
-    void cancel(const std::shared_ptr<struct OpenCall>& call);
-    void writeCancel(const std::shared_ptr<struct OpenCall>& call, const StoreItem& item);
-    void count(const std::shared_ptr<struct OpenCall>& call);
-    void countFromRecords(const std::shared_ptr<struct OpenCall>& call);
-    void finish(const std::shared_ptr<struct OpenCall>& call, CallerAnswer answer, const char* why);
-    void unavailable(const std::shared_ptr<struct OpenCall>& call, const char* why);
+    void decide(const std::shared_ptr<OpenCall>& call);
+    void submit(const std::shared_ptr<OpenCall>& call);
+    void submitAnswered(const std::shared_ptr<OpenCall>& call, const StoreAnswer& answer);
+    void query(const std::shared_ptr<OpenCall>& call);
+    JobState stateOf(const StoreItem& item) const; ///< Of a job, by its progress record.
+    /// Answers once the job has ended, or with its state at `until`.
+    void awaitEnd(const std::shared_ptr<OpenCall>& call, JobState state, Revision seenAt, TimePoint until);
+    void cancel(const std::shared_ptr<OpenCall>& call);
+    void writeCancel(const std::shared_ptr<OpenCall>& call, const StoreItem& item);
+    void count(const std::shared_ptr<OpenCall>& call);
+    void countFromRecords(const std::shared_ptr<OpenCall>& call);
+    void finish(const std::shared_ptr<OpenCall>& call, CallerAnswer answer, const char* why);
+    void unavailable(const std::shared_ptr<OpenCall>& call, const char* why);
+
+    // forward.cpp
+    /// Asks other hosts to decide the call; runs `otherwise` when none of them does.
+    void forward(const std::shared_ptr<OpenCall>& call, std::function<void()> otherwise);
+    void tryPeers(const std::shared_ptr<OpenCall>& call, std::vector<std::string> addresses, std::size_t next,
+        std::function<void()> otherwise);
+    /// Reads the configuration, then runs `then`, also when there was no answer.
+    void confirmConfig(std::function<void()> then);
 
     // ownership.cpp
     void ownerWritten(const StoreItem& item);
     void ownerRemoved();
+    void releaseEarlierLife(const StoreItem& item);
     void claim();
     void claimAnswered(StoreLease lease, TimePoint sentAt, const StoreAnswer& answer);
     void renew();
@@ -91,9 +109,17 @@
     std::shared_ptr<Follower> m_news;
     std::shared_ptr<const FleetConfig> m_config; ///< Null before the first.
     Revision m_configRevision;
-    TimePoint m_confirmedAt; ///< What this host knows of the news was true then or later.
+    TimePoint m_confirmedAt; ///< The configuration that this host knows was in force then or later.
+    TimePoint m_followedAt; ///< The same of all news, the owner's key too.
+    std::vector<std::function<void()>> m_awaitingConfig; ///< Share one read of it.
+    TimePoint m_confirmAt; ///< When calls wait for such a read again.
+
+    std::shared_ptr<Peers> m_peers; ///< Null where other hosts cannot reach this one.
+    TimePoint m_forwardAt; ///< When calls are forwarded again.
     bool m_draining = false;
 
+    const std::string m_ownerPlace; ///< Of this host in the owner's key: the same in each of its lives.
+    const std::string m_ownerName; ///< What this life writes there.
     Fence m_knownOwner; ///< 0 for none.
     bool m_claiming = false;
     StoreLease m_lease;
--- /dev/null
+++ b/packages/entry/src/open-call.h
@@ -0,0 +1,28 @@
+// A caller's request that was read and is not answered.
+#pragma once
+
+#include "jujubereach/entry/entry-host.h"
+
+#include <algorithm>
+
+namespace jujubereach::entry {
+
+struct OpenCall {
+    static constexpr Duration answerReserve { 150 }; ///< Of the caller's time, for the way back.
+    static constexpr int maxAttempts = 4;
+
+    CallerRequest request;
+    CallerDone done;
+    TimePoint arrived;
+    TimePoint giveUp;
+    fleet::RouteId route;
+    WorkspaceId workspace;
+    JobId id;
+    int attempts = 0;
+    bool fateOpen = false; ///< An unanswered write, ours or of a host it was forwarded to, may take effect.
+
+    bool mayTryAgain(TimePoint now) const { return attempts < maxAttempts && giveUp - now > answerReserve; }
+    Duration timeLeft(TimePoint now, Duration bound) const { return std::min(bound, giveUp - now); }
+};
+
+} // namespace jujubereach::entry
--- a/packages/entry/src/ownership.cpp
+++ b/packages/entry/src/ownership.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-    constexpr Duration renewInterval { 700 };
+    constexpr Duration renewInterval { 400 };
+    constexpr Duration renewTimeout { 500 }; // A store that is a hundred times slower than usual answers.
     constexpr Duration callTimeout { 1000 };
     constexpr Duration writeTimeout { 1500 };
     constexpr Duration claimJitter { 60 }; // Spreads claims over a few round trips.
@@ -30,6 +31,23 @@
     m_knownOwner = fence;
     if (m_owner && fence.value > m_fence.value)
         stepDown("another host owns the fleet");
+    else if (!m_settings.forwardAddress.empty() && item.value != m_ownerName
+        && item.value.starts_with(m_ownerPlace))
+        releaseEarlierLife(item);
+}
+
+// Two processes cannot listen at one address: the one that wrote the key has ended.
+// Its lease would keep the fleet without an owner until it lapses.
+void EntryHost::Impl::releaseEarlierLife(const StoreItem& item)
+{
+    m_hooks.log("release-earlier-life", { { "fence", item.created.value } });
+    fleet::StoreWrite write;
+    write.expected.push_back({ keys::owner, item.revision });
+    write.removes.push_back(keys::owner);
+    m_hooks.store.write(std::move(write), callTimeout, [this, self = m_self](const StoreAnswer& answer) {
+        if (*self && answer.fate != StoreFate::Done) // Then the lease ends it.
+            m_hooks.log("release-failed", { { "fate", nameOf(answer.fate) } });
+    });
 }
 
 void EntryHost::Impl::ownerRemoved()
@@ -65,7 +83,7 @@
                         {}, sentAt, granted.fate == StoreFate::Done ? StoreAnswer {} : granted);
                 fleet::StoreWrite write;
                 write.expected.push_back({ keys::owner, {} });
-                write.puts.push_back({ keys::owner, m_settings.name, granted.lease });
+                write.puts.push_back({ keys::owner, m_ownerName, granted.lease });
                 m_hooks.store.write(std::move(write), writeTimeout,
                     [this, self, sentAt, lease = granted.lease](const StoreAnswer& answer) {
                         if (*self)
@@ -128,15 +146,16 @@
         if (!*self || term != m_term || !m_owner)
             return;
         const auto sentAt = now();
-        m_hooks.store.renewLease(m_lease, callTimeout, [this, self, term, sentAt](const StoreAnswer& answer) {
-            if (!*self || term != m_term || !m_owner)
-                return;
-            if (answer.fate == StoreFate::Missing)
-                return stepDown("the lease has ended");
-            if (answer.fate == StoreFate::Done)
-                m_owner->confirm(sentAt);
-            renew();
-        });
+        m_hooks.store.renewLease(
+            m_lease, renewTimeout, [this, self, term, sentAt](const StoreAnswer& answer) {
+                if (!*self || term != m_term || !m_owner)
+                    return;
+                if (answer.fate == StoreFate::Missing)
+                    return stepDown("the lease has ended");
+                if (answer.fate == StoreFate::Done)
+                    m_owner->confirm(sentAt);
+                renew();
+            });
     });
 }
 
--- /dev/null
+++ b/packages/entry/src/peers.h
@@ -0,0 +1,49 @@
+// The other entry hosts, as the store lists them: where a call may be forwarded that this host cannot decide.
+#pragma once
+
+#include "jujubereach/entry/entry-host.h"
+
+namespace jujubereach::entry {
+
+/// Announces this host under a lease and reads the list of all hosts now and then. The last list stays in use
+/// while the store cannot be reached: a call to a host that has left fails and costs one try.
+class Peers : public std::enable_shared_from_this<Peers> {
+public:
+    Peers(const HostHooks& host, const HostSettings& settings, Duration jitter);
+    void start();
+    void stop() { m_stopped = true; }
+
+    /// Addresses to try, best first: the last one that served a call, then by distance, then in turn.
+    std::vector<std::string> candidates(std::size_t most);
+    void served(const std::string& address) { m_lastServed = address; }
+    void failed(const std::string& address);
+
+private:
+    struct Peer {
+        std::string name;
+        std::string address;
+        int distance = 0; ///< 0 in the same availability zone, 1 in the same region, 2 elsewhere.
+    };
+
+    void announce();
+    void renew(fleet::StoreLease lease);
+    void readList();
+    void readPage(const std::string& after);
+    void listed(const std::vector<fleet::StoreItem>& items);
+    void after(Duration delay, std::function<void(Peers&)> step);
+
+    const HostHooks& m_host;
+    const std::string m_name;
+    const std::string m_address;
+    const ZoneId m_zone;
+    const RegionId m_region;
+    const std::map<ZoneId, RegionId> m_zones;
+    const Duration m_jitter; ///< Spreads the calls of hosts that start together.
+    std::vector<Peer> m_peers; ///< By distance.
+    std::vector<fleet::StoreItem> m_items; ///< Pages of a list that is being read.
+    std::string m_lastServed;
+    std::size_t m_turn = 0;
+    bool m_stopped = false;
+};
+
+} // namespace jujubereach::entry
--- a/packages/entry/test/entry-host-test.cpp
+++ b/packages/entry/test/entry-host-test.cpp
@@ -14,6 +14,10 @@
     CPPUNIT_TEST(hostsClaimAtDifferentMoments);
     CPPUNIT_TEST(largeHostsClaimBeforeSmallOnes);
     CPPUNIT_TEST(readsOnAtOnceWhenNewsIsMany);
+    CPPUNIT_TEST(aQueryLearnsOfAnEndThatIsBeingSaved);
+    CPPUNIT_TEST(aQueryOfALongRunIsAnsweredSoon);
+    CPPUNIT_TEST(aRestartedOwnerGivesItsKeyBack);
+    CPPUNIT_TEST(nobodyTakesTheKeyOfAnotherHost);
     CPPUNIT_TEST_SUITE_END();
 
     FakeTime m_time;
@@ -116,6 +120,66 @@
         m_time.run(Duration(50));
         CPPUNIT_ASSERT(m_store.watches["workers/"] > before);
     }
+
+    static std::string progressIn(JobState state)
+    {
+        fleet::ProgressRecord progress;
+        progress.state = state;
+        return encode(progress);
+    }
+
+    // Callers ask at the moment when the last task ends; the store has that end up to 200 ms later.
+    void aQueryLearnsOfAnEndThatIsBeingSaved()
+    {
+        m_store.put(FakeHost::configKey, "1 key");
+        FakeHost host(m_time, m_store);
+        m_time.run(Duration(1000));
+        const auto key = fleet::keys::progress(JobId("a"));
+        m_store.put(key, progressIn(JobState::Running));
+        m_time.after(Duration(100), [&] { m_store.put(key, progressIn(JobState::Running)); });
+        m_time.after(Duration(150), [&] { m_store.put(key, progressIn(JobState::Completed)); });
+        const auto askedAt = m_time.now();
+        const auto answer = host.call(CallKind::Query, "a", "key");
+        CPPUNIT_ASSERT(answer->state == JobState::Completed);
+        CPPUNIT_ASSERT(host.answeredAt - askedAt < Duration(200));
+    }
+
+    void aQueryOfALongRunIsAnsweredSoon()
+    {
+        m_store.put(FakeHost::configKey, "1 key");
+        FakeHost host(m_time, m_store);
+        m_time.run(Duration(1000));
+        m_store.put(fleet::keys::progress(JobId("a")), progressIn(JobState::Running));
+        const auto askedAt = m_time.now();
+        CPPUNIT_ASSERT(host.call(CallKind::Query, "a", "key")->state == JobState::Running);
+        CPPUNIT_ASSERT(host.answeredAt - askedAt < Duration(300));
+    }
+
+    // Its lease would keep the fleet without an owner; those of this store never lapse.
+    void aRestartedOwnerGivesItsKeyBack()
+    {
+        m_store.put(FakeHost::configKey, "1 key");
+        auto first = std::make_unique<FakeHost>(m_time, m_store);
+        m_time.run(Duration(1000));
+        CPPUNIT_ASSERT(first->host->ownsFleet());
+        first->host.reset();
+        FakeHost other(m_time, m_store, "h2");
+        FakeHost second(m_time, m_store);
+        m_time.run(Duration(1000));
+        CPPUNIT_ASSERT(other.host->ownsFleet() || second.host->ownsFleet());
+    }
+
+    void nobodyTakesTheKeyOfAnotherHost()
+    {
+        m_store.put(FakeHost::configKey, "1 key");
+        FakeHost owner(m_time, m_store, "h1");
+        m_time.run(Duration(1000));
+        CPPUNIT_ASSERT(owner.host->ownsFleet());
+        FakeHost other(m_time, m_store, "h11");
+        m_time.run(Duration(3000));
+        CPPUNIT_ASSERT(owner.host->ownsFleet());
+        CPPUNIT_ASSERT(!other.host->ownsFleet());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryHostTest);
--- a/packages/entry/test/fake-host.h
+++ b/packages/entry/test/fake-host.h
@@ -216,7 +216,8 @@
         HostHooks hooks;
         hooks.clock = [this] { return m_time.now(); };
         hooks.wall = [this] { return WallTime { m_time.now().time_since_epoch().count() }; };
-        hooks.store = store.calls();
+        hooks.store = cuttable(store.calls());
+        settings.forwardAddress = name + ":1";
         hooks.workers.start = [](const auto&, const auto&, Duration, const auto&) {};
         hooks.workers.stop = [](const auto&, const auto&, Duration, const auto&) {};
         hooks.workers.hold = [](const auto&, const auto&, Duration, const auto&) {};
@@ -269,8 +270,7 @@
         return config;
     }
 
-    /// The answer to a request, after at most so long; nothing when there is none by then.
-    std::optional<CallerAnswer> call(
+    static CallerRequest requestOf(
         CallKind kind, const std::string& id, const std::string& key, Duration deadline = Duration(3000))
     {
         CallerRequest request;
@@ -281,18 +281,73 @@
         request.deadline = deadline;
         request.spec = fleet::JobSpec {};
         request.spec->steps.emplace_back();
+        return request;
+    }
+
+    /// Calls that other hosts forward to this one; none of them is forwarded again.
+    void forwarded(
+        CallerRequest request, std::uint64_t configVersion, std::function<void(ForwardedCall)> done)
+    {
+        request.forward = nullptr;
+        request.leastConfigVersion = configVersion;
+        host->handle(std::move(request), [done](const CallerAnswer& answer) { done({ true, answer }); });
+    }
+
+    /// The answer to a request, after at most so long; nothing when there is none by then.
+    std::optional<CallerAnswer> call(
+        CallKind kind, const std::string& id, const std::string& key, Duration deadline = Duration(3000))
+    {
+        auto request = requestOf(kind, id, key, deadline);
+        request.forward = [this, copy = request](const std::string& address, std::uint64_t configVersion,
+                              Duration timeout, const std::function<void(ForwardedCall)>& done) {
+            forwards.push_back(address);
+            const auto peer = peers.find(address);
+            if (peer != peers.end() && peer->second)
+                return peer->second->forwarded(copy, configVersion, done);
+            const auto sent = peer != peers.end(); // It took the call and does not answer.
+            m_time.after(sent ? timeout : Duration(1), [done, sent] { done({ sent, {} }); });
+        };
         auto got = std::make_shared<std::optional<CallerAnswer>>();
-        host->handle(std::move(request), [got](const CallerAnswer& answer) { *got = answer; });
+        host->handle(std::move(request), [this, got](const CallerAnswer& answer) {
+            *got = answer;
+            answeredAt = m_time.now();
+        });
         m_time.run(deadline);
         return *got;
     }
 
     std::unique_ptr<EntryHost> host;
+    bool isCut = false; ///< The store neither gets this host's calls nor answers them.
+    bool watchesCut = false; ///< The same, of watches alone.
+    std::map<std::string, FakeHost*> peers; ///< By address; null for one that never answers.
+    std::vector<std::string> forwards; ///< Addresses that calls were forwarded to.
+    TimePoint answeredAt; ///< Of the last call.
     std::vector<Duration> delays; ///< That the host asked for.
     std::map<std::string, double> requests; ///< Counted, by workspace, outcome and reason.
     std::vector<std::string> log;
 
 private:
+    Store cuttable(Store store)
+    {
+        const auto unless = [this](const bool& cut, auto call) {
+            return [this, &cut, call](auto... arguments) {
+                if (!isCut && !cut)
+                    return call(std::move(arguments)...);
+                // The last two are the timeout and what to do with the answer.
+                const auto all = std::make_tuple(std::move(arguments)...);
+                constexpr auto size = std::tuple_size_v<decltype(all)>;
+                m_time.after(std::get<size - 2>(all), [done = std::get<size - 1>(all)] { done({}); });
+            };
+        };
+        store.read = unless(isCut, store.read);
+        store.range = unless(isCut, store.range);
+        store.watch = unless(watchesCut, store.watch);
+        store.write = unless(isCut, store.write);
+        store.grantLease = unless(isCut, store.grantLease);
+        store.renewLease = unless(isCut, store.renewLease);
+        return store;
+    }
+
     FakeTime& m_time;
 };
 
--- a/packages/fleet/include/jujubereach/fleet/owner.h
+++ b/packages/fleet/include/jujubereach/fleet/owner.h
@@ -47,7 +47,7 @@
     /// A successor counts on it: see `recoveryDoubt`.
     Duration confirmBound { 5000 };
     Duration ownerLease {
-        2500
+        1500
     }; ///< Three renewals, one of them lost. A successor comes no sooner after the last.
 };
 
--- a/packages/fleet/include/jujubereach/fleet/records.h
+++ b/packages/fleet/include/jujubereach/fleet/records.h
@@ -13,6 +13,7 @@
 
 enum class JobState { Queued, Running, Completed, Failed, Cancelled };
 const char* nameOf(JobState state);
+std::optional<JobState> stateNamed(std::string_view name);
 bool isFinal(JobState state);
 
 /// Written once by the host that accepts the job; written again only to cancel it.
--- a/packages/fleet/src/records.cpp
+++ b/packages/fleet/src/records.cpp
@@ -112,15 +112,6 @@
         return terms;
     }
 
-    std::optional<JobState> stateOf(std::string_view name)
-    {
-        for (int i = 0; i < 5; ++i) {
-            if (name == stateNames[i])
-                return static_cast<JobState>(i);
-        }
-        return std::nullopt;
-    }
-
     JobRecord readJob(const JobId& id, const json::object& in)
     {
         JobRecord record;
@@ -171,6 +162,15 @@
     return stateNames[static_cast<int>(state)];
 }
 
+std::optional<JobState> stateNamed(std::string_view name)
+{
+    for (std::size_t i = 0; i < std::size(stateNames); ++i) {
+        if (name == stateNames[i])
+            return static_cast<JobState>(i);
+    }
+    return std::nullopt;
+}
+
 bool isFinal(JobState state)
 {
     return state == JobState::Completed || state == JobState::Failed || state == JobState::Cancelled;
@@ -229,7 +229,7 @@
 {
     return decodeWith<ProgressRecord>(value, [](const json::object& in) {
         ProgressRecord record;
-        const auto state = stateOf(in.at("state").as_string());
+        const auto state = stateNamed(in.at("state").as_string());
         if (!state)
             throw std::invalid_argument("state");
         record.state = *state;
