Account for a job's time in its last line; take the forward port from the range

A job-end line tells what this owner saw: time in the queue, between the first and the last start, of the last run, starts, and whether the job was taken over. A port range of one port leaves a host without forwarding: the soak gave such ranges, and the second port would have been another's.

--- a/packages/fleet/src/job.h
+++ b/packages/fleet/src/job.h
@@ -74,6 +74,9 @@
     int nextOccurrence = 0; ///< The first that is not due yet.
     TimePoint arrived; ///< When this owner heard of it.
     TimePoint ended;
+    TimePoint firstStart; ///< Of any task, by this owner; unset before.
+    TimePoint lastStart; ///< The same.
+    int starts = 0; ///< Of tasks, by this owner.
     bool recovered = false; ///< Another owner may have started its tasks.
     Revision progressRevision; ///< Of its progress record; 0 for none.
     std::uint64_t changes = 0; ///< Rises with each change of what is saved.
--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -20,6 +20,18 @@
         return coresOf(room) * static_cast<double>(time.count()) / 1000;
     }
 
+    // Where the time of a job went, as far as this owner has seen it.
+    boost::json::object accountOf(const Job& job)
+    {
+        boost::json::object out { { "starts", job.starts }, { "recovered", job.recovered } };
+        if (job.starts == 0)
+            return out;
+        out["queuedMs"] = (job.firstStart - job.arrived).count();
+        out["startsMs"] = (job.lastStart - job.firstStart).count();
+        out["lastRunMs"] = (job.ended - job.lastStart).count();
+        return out;
+    }
+
 } // namespace
 
 void Owner::Impl::adopt(Worker& worker, const RunningTask& running, TimePoint sentAt)
@@ -309,7 +321,7 @@
     m_open.erase(job.id());
     m_hooks.log("job-end",
         { { "id", job.id().str() }, { "route", job.record.route.str() }, { "state", nameOf(state) },
-            { "why", why }, { "afterMs", (now() - job.arrived).count() } });
+            { "why", why }, { "afterMs", (now() - job.arrived).count() }, { "account", accountOf(job) } });
     countFinish(job);
     for (auto& [number, occurrence] : job.occurrences) {
         for (auto& step : occurrence.steps)
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -454,6 +454,9 @@
         { { "task", toString(id) }, { "run", number.value }, { "worker", worker.id().str() },
             { "rack", worker.report.rack }, { "priority", run.priority },
             { "waitedMs", (now() - job.arrived).count() }, { "resumes", !run.checkpoint.empty() } });
+    job.lastStart = now();
+    if (job.starts++ == 0)
+        job.firstStart = job.lastStart;
     countStart(job);
     startCall(worker, worker.runs.at(id));
     if (job.state == JobState::Queued) {
--- a/packages/fleet/test/owner-test.cpp
+++ b/packages/fleet/test/owner-test.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(leavesADrainingWorker);
     CPPUNIT_TEST(countsByWorkspaceAndPriority);
     CPPUNIT_TEST(aRecoveredJobKeepsItsAge);
+    CPPUNIT_TEST(tellsWhereTheTimeOfAJobWent);
     CPPUNIT_TEST(keepsPromisesUnderRandomFaults);
     CPPUNIT_TEST(keepsPromisesWhileWorkersLeave);
     CPPUNIT_TEST_SUITE_END();
@@ -887,6 +888,31 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.times["jujubereach_job_ms 2 cancelled w"].size());
     }
 
+    void tellsWhereTheTimeOfAJobWent()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a");
+        fleet.takeOver();
+        fleet.submit(FakeFleet::job("first", 1, wholeWorker));
+        fleet.run(Duration(1000));
+        fleet.submit(FakeFleet::job("second", 1, wholeWorker));
+        fleet.outcome = [](const TaskId& task, Run run, const WorkerId&) {
+            return task.job.str() == "second" && run.value == 1 ? EndKind::Failed : EndKind::Done;
+        };
+        std::map<std::string, boost::json::object> accounts;
+        fleet.logged = [&](const char* event, const boost::json::object& fields) {
+            if (std::string_view(event) == "job-end")
+                accounts[std::string(fields.at("id").as_string())] = fields.at("account").as_object();
+        };
+        fleet.run(Duration(10'000));
+        const auto& account = accounts.at("second");
+        const auto number = [&](const char* name) { return account.at(name).to_number<std::int64_t>(); };
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(2), number("starts"));
+        CPPUNIT_ASSERT(number("queuedMs") >= 900 && number("queuedMs") <= 1200);
+        CPPUNIT_ASSERT(number("startsMs") >= 2000 && number("startsMs") <= 2300);
+        CPPUNIT_ASSERT(number("lastRunMs") >= 2000 && number("lastRunMs") <= 2300);
+    }
+
     // Otherwise each change of owner would put jobs that are late among those that have just come.
     void aRecoveredJobKeepsItsAge()
     {
--- a/soak/daemons.cpp
+++ b/soak/daemons.cpp
@@ -20,8 +20,9 @@
     const auto address = [](unsigned short port) { return "\"127.0.0.1:" + std::to_string(port) + "\"\n"; };
     std::ofstream out(m_folder + '/' + m_name + ".toml");
     out << "NodeName = \"" << m_name << "\"\nZone = \"z\"\nRegion = \"r\"\nIp = \"127.0.0.1\"\nPortRange = ["
-        << m_ports.metrics << ", " << m_ports.metrics << "]\n[Listen]\nFront = " << address(m_ports.callers)
-        << "Ready = " << address(m_ports.ready) << "[platform]\nAddress = " << address(m_ports.store);
+        << m_ports.metrics << ", " << m_ports.metrics + 1
+        << "]\n[Listen]\nFront = " << address(m_ports.callers) << "Ready = " << address(m_ports.ready)
+        << "[platform]\nAddress = " << address(m_ports.store);
 }
 
 Daemon::~Daemon()
--- a/soak/daemons.h
+++ b/soak/daemons.h
@@ -13,7 +13,7 @@
     unsigned short callers = 0;
     unsigned short ready = 0;
     unsigned short store = 0; ///< Of the proxy before the store.
-    unsigned short metrics = 0;
+    unsigned short metrics = 0; ///< Other hosts forward calls to the next one.
 };
 
 class Daemon {
