Never say that a cancel did nothing when it may have

Cause: a cancel forwarded without an answer, or an own write without one whose second try failed, was answered 503, as if nothing had been changed. Change: both leave the fate open, and the answer is 504. Test: forward-test, anUnansweredCancelIsNeverSaidToHaveDoneNothing, fails without the change.

--- a/packages/entry/src/calls.cpp
+++ b/packages/entry/src/calls.cpp
@@ -281,6 +281,7 @@
                 return finish(call, { CallOutcome::Cancelled }, "stored");
             if (answer.fate == StoreFate::Refused)
                 return unavailable(call, "the store refuses writes");
+            call->fateOpen = call->fateOpen || answer.fate == StoreFate::Unknown;
             for (const auto& changed : answer.items) {
                 if (changed.key == m_hooks.layout.configKey)
                     configWritten(changed);
--- a/packages/entry/src/forward.cpp
+++ b/packages/entry/src/forward.cpp
@@ -55,7 +55,7 @@
             m_peers->failed(address);
             const auto mayHaveRun
                 = result.sent && (!result.answer || result.answer->outcome == CallOutcome::Undecided);
-            call->fateOpen = call->fateOpen || (mayHaveRun && call->request.kind == CallKind::Submit);
+            call->fateOpen = call->fateOpen || (mayHaveRun && call->request.kind != CallKind::Query);
             tryPeers(call, addresses, next + 1, otherwise);
         });
 }
--- a/packages/entry/src/host-impl.h
+++ b/packages/entry/src/host-impl.h
@@ -54,8 +54,8 @@
     // entry-host.cpp
     void start();
     void configWritten(const StoreItem& item);
-    bool isFresh(
-        TimePoint confirmedAt) const; ///< A key that was taken away since would still be refused in time.
+    /// Whether a key that was taken away since `confirmedAt` would still be refused in time.
+    bool isFresh(TimePoint confirmedAt) const;
     bool newsIsFresh() const { return m_config && isFresh(m_confirmedAt); }
 
     // calls.cpp
@@ -79,7 +79,7 @@
     void forward(const std::shared_ptr<OpenCall>& call, std::function<void()> otherwise);
     void tryPeers(const std::shared_ptr<OpenCall>& call, std::vector<std::string> addresses, std::size_t next,
         std::function<void()> otherwise);
-    /// Reads the configuration, then runs `then`, also when there was no answer.
+    /// Runs `then` after a read of the configuration, whether it was answered or not.
     void confirmConfig(std::function<void()> then);
 
     // ownership.cpp
--- a/packages/entry/src/ownership.cpp
+++ b/packages/entry/src/ownership.cpp
@@ -36,8 +36,8 @@
         releaseEarlierLife(item);
 }
 
-// Two processes cannot listen at one address: the one that wrote the key has ended.
-// Its lease would keep the fleet without an owner until it lapses.
+// Two processes cannot listen at one address, so the one that wrote the key has ended. Its lease would keep
+// the fleet without an owner.
 void EntryHost::Impl::releaseEarlierLife(const StoreItem& item)
 {
     m_hooks.log("release-earlier-life", { { "fence", item.created.value } });
--- a/packages/entry/test/forward-test.cpp
+++ b/packages/entry/test/forward-test.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(aCallGoesToTheHostThatServedTheLastOne);
     CPPUNIT_TEST(aHostWithAnOlderConfigurationDecidesNothing);
     CPPUNIT_TEST(anUnansweredSubmissionIsNeverSaidToBeNotAccepted);
+    CPPUNIT_TEST(anUnansweredCancelIsNeverSaidToHaveDoneNothing);
     CPPUNIT_TEST(aStoreThatFailsForAllCostsFewTries);
     CPPUNIT_TEST(lateNewsCostsOneReadForAllCallsThatWait);
     CPPUNIT_TEST(aHostThatIsAloneRefusesAtOnce);
@@ -93,6 +94,16 @@
         CPPUNIT_ASSERT(hosts.cut.call(CallKind::Submit, "a", "key")->outcome == CallOutcome::Undecided);
     }
 
+    void anUnansweredCancelIsNeverSaidToHaveDoneNothing()
+    {
+        m_store.put(FakeHost::configKey, "1 key");
+        Pair hosts(m_time, m_store);
+        hosts.cut.peers["h2:1"] = nullptr;
+        hosts.cut.isCut = hosts.cut.watchesCut = true;
+        m_time.run(untilStale);
+        CPPUNIT_ASSERT(hosts.cut.call(CallKind::Cancel, "a", "key")->outcome == CallOutcome::Undecided);
+    }
+
     void aStoreThatFailsForAllCostsFewTries()
     {
         m_store.put(FakeHost::configKey, "1 key");
