Mark reserved workers, refuse open calls and play silent peers once each

A reservation was marked on a view in two places, the outcome of a call whose fate is open was chosen in three, two tests differed in one word, and Peers kept a name and a jitter that only one function needs. Change: markReserved, refuse, outcomeAtAPeerThatNeverAnswers; Peers::start takes the jitter. No behaviour changes; the assertions are the same.

--- a/packages/entry/src/calls.cpp
+++ b/packages/entry/src/calls.cpp
@@ -52,8 +52,12 @@
 
 void EntryHost::Impl::unavailable(const std::shared_ptr<OpenCall>& call, const char* why)
 {
-    finish(call,
-        { call->fateOpen ? CallOutcome::Undecided : CallOutcome::Unavailable, {}, 0, outageRetryAfter }, why);
+    refuse(call, CallOutcome::Unavailable, why);
+}
+
+void EntryHost::Impl::refuse(const std::shared_ptr<OpenCall>& call, CallOutcome outcome, const char* why)
+{
+    finish(call, { call->fateOpen ? CallOutcome::Undecided : outcome, {}, 0, outageRetryAfter }, why);
 }
 
 void EntryHost::Impl::handle(CallerRequest request, CallerDone done)
@@ -153,17 +157,11 @@
         }
         if (stale && call->attempts < OpenCall::maxAttempts && now() < call->giveUp)
             return submit(call);
-        return finish(call,
-            { call->fateOpen ? CallOutcome::Undecided : CallOutcome::NotAccepted, {}, 0, outageRetryAfter },
-            "the configuration changes too fast");
+        return refuse(call, CallOutcome::NotAccepted, "the configuration changes too fast");
     }
     if (answer.fate == StoreFate::Refused)
-        return forward(call, [this, call] {
-            finish(call,
-                { call->fateOpen ? CallOutcome::Undecided : CallOutcome::NotAccepted, {}, 0,
-                    outageRetryAfter },
-                "the store refuses writes");
-        });
+        return forward(
+            call, [this, call] { refuse(call, CallOutcome::NotAccepted, "the store refuses writes"); });
     // No answer: the same conditional write again tells, unless the first is still to come.
     call->fateOpen = true;
     forward(call, [this, call] {
--- a/packages/entry/src/entry-host.cpp
+++ b/packages/entry/src/entry-host.cpp
@@ -86,8 +86,8 @@
     if (m_settings.forwardAddress.empty())
         return;
     std::uniform_int_distribution<std::int64_t> jitter(0, announceJitter.count());
-    m_peers = std::make_shared<Peers>(m_hooks, m_settings, Duration(jitter(m_random)));
-    m_peers->start();
+    m_peers = std::make_shared<Peers>(m_hooks, m_settings);
+    m_peers->start(Duration(jitter(m_random)));
 }
 
 void EntryHost::Impl::configWritten(const StoreItem& item)
--- a/packages/entry/src/host-impl.h
+++ b/packages/entry/src/host-impl.h
@@ -73,6 +73,8 @@
     void countFromRecords(const std::shared_ptr<OpenCall>& call);
     void finish(const std::shared_ptr<OpenCall>& call, CallerAnswer answer, const char* why);
     void unavailable(const std::shared_ptr<OpenCall>& call, const char* why);
+    /// Says that nothing was done, or that the fate is undecided where a write may still take effect.
+    void refuse(const std::shared_ptr<OpenCall>& call, CallOutcome outcome, const char* why);
 
     // forward.cpp
     /// Asks other hosts to decide the call; runs `otherwise` when none of them does.
--- a/packages/entry/src/peers.cpp
+++ b/packages/entry/src/peers.cpp
@@ -26,14 +26,13 @@
 
 } // namespace
 
-Peers::Peers(const HostHooks& host, const HostSettings& settings, Duration jitter)
+Peers::Peers(const HostHooks& host, const HostSettings& settings)
     : m_host(host)
     , m_name(settings.name)
     , m_address(settings.forwardAddress)
     , m_zone(settings.zone)
     , m_region(settings.region)
     , m_zones(settings.zones)
-    , m_jitter(jitter)
 {
 }
 
@@ -45,10 +44,10 @@
     });
 }
 
-void Peers::start()
+void Peers::start(Duration jitter)
 {
-    after(m_jitter, [](Peers& self) { self.announce(); });
-    after(m_jitter + retryInterval, [](Peers& self) { self.readList(); });
+    after(jitter, [](Peers& self) { self.announce(); });
+    after(jitter + retryInterval, [](Peers& self) { self.readList(); });
 }
 
 void Peers::announce()
@@ -109,6 +108,8 @@
 {
     std::vector<Peer> peers;
     for (const auto& item : items) {
+        if (item.key == peerPrefix + m_name)
+            continue;
         boost::system::error_code failed;
         const auto parsed = boost::json::parse(item.value, failed);
         const auto* row = failed ? nullptr : parsed.if_object();
@@ -118,16 +119,14 @@
             m_host.log("record-unreadable", { { "key", item.key } });
             continue;
         }
-        Peer peer { item.key.substr(std::string_view(peerPrefix).size()), std::string(address->get_string()),
-            2 };
+        Peer peer { std::string(address->get_string()), 2 };
         const ZoneId zoneId(std::string(zone->get_string()));
         const auto region = m_zones.find(zoneId);
         if (zoneId == m_zone)
             peer.distance = 0;
         else if (region != m_zones.end() && region->second == m_region)
             peer.distance = 1;
-        if (peer.name != m_name)
-            peers.push_back(std::move(peer));
+        peers.push_back(std::move(peer));
     }
     std::stable_sort(
         peers.begin(), peers.end(), [](const Peer& a, const Peer& b) { return a.distance < b.distance; });
--- a/packages/entry/src/peers.h
+++ b/packages/entry/src/peers.h
@@ -9,8 +9,9 @@
 /// while the store cannot be reached: a call to a host that has left fails and costs one try.
 class Peers : public std::enable_shared_from_this<Peers> {
 public:
-    Peers(const HostHooks& host, const HostSettings& settings, Duration jitter);
-    void start();
+    Peers(const HostHooks& host, const HostSettings& settings);
+    /// `jitter` spreads the calls of hosts that start together.
+    void start(Duration jitter);
     void stop() { m_stopped = true; }
 
     /// Addresses to try, best first: the last one that served a call, then by distance, then in turn.
@@ -20,7 +21,6 @@
 
 private:
     struct Peer {
-        std::string name;
         std::string address;
         int distance = 0; ///< 0 in the same availability zone, 1 in the same region, 2 elsewhere.
     };
@@ -38,7 +38,6 @@
     const ZoneId m_zone;
     const RegionId m_region;
     const std::map<ZoneId, RegionId> m_zones;
-    const Duration m_jitter; ///< Spreads the calls of hosts that start together.
     std::vector<Peer> m_peers; ///< By distance.
     std::vector<fleet::StoreItem> m_items; ///< Pages of a list that is being read.
     std::string m_lastServed;
--- a/packages/entry/test/forward-test.cpp
+++ b/packages/entry/test/forward-test.cpp
@@ -84,24 +84,24 @@
         CPPUNIT_ASSERT(answer->outcome == CallOutcome::NoSuchJob);
     }
 
-    void anUnansweredSubmissionIsNeverSaidToBeNotAccepted()
+    CallOutcome outcomeAtAPeerThatNeverAnswers(CallKind kind)
     {
         m_store.put(FakeHost::configKey, "1 key");
         Pair hosts(m_time, m_store);
         hosts.cut.peers["h2:1"] = nullptr;
         hosts.cut.isCut = hosts.cut.watchesCut = true;
         m_time.run(untilStale);
-        CPPUNIT_ASSERT(hosts.cut.call(CallKind::Submit, "a", "key")->outcome == CallOutcome::Undecided);
+        return hosts.cut.call(kind, "a", "key")->outcome;
+    }
+
+    void anUnansweredSubmissionIsNeverSaidToBeNotAccepted()
+    {
+        CPPUNIT_ASSERT(outcomeAtAPeerThatNeverAnswers(CallKind::Submit) == CallOutcome::Undecided);
     }
 
     void anUnansweredCancelIsNeverSaidToHaveDoneNothing()
     {
-        m_store.put(FakeHost::configKey, "1 key");
-        Pair hosts(m_time, m_store);
-        hosts.cut.peers["h2:1"] = nullptr;
-        hosts.cut.isCut = hosts.cut.watchesCut = true;
-        m_time.run(untilStale);
-        CPPUNIT_ASSERT(hosts.cut.call(CallKind::Cancel, "a", "key")->outcome == CallOutcome::Undecided);
+        CPPUNIT_ASSERT(outcomeAtAPeerThatNeverAnswers(CallKind::Cancel) == CallOutcome::Undecided);
     }
 
     void aStoreThatFailsForAllCostsFewTries()
--- a/packages/fleet/src/owner-reserve.cpp
+++ b/packages/fleet/src/owner-reserve.cpp
@@ -12,6 +12,13 @@
     constexpr Duration reservationLife { 30'000 }; // Then the expected ends were wrong by far.
     constexpr double maxHeldShare = 0.25; // Of the usable workers: the others serve the rest of the queue.
 
+    void markReserved(WorkerView& view, const Step& step, bool bindsUrgent, TimePoint until)
+    {
+        view.reservedBy = &step;
+        view.reservationBindsUrgent = bindsUrgent;
+        view.reservedUntil = until;
+    }
+
 } // namespace
 
 // Marks the workers that are reserved; drops reservations whose workers cannot be used any more.
@@ -32,11 +39,10 @@
             step.held.reset();
             continue;
         }
+        const auto binds = bindsUrgent(ready, pass);
         for (const auto& id : step.held->workers) {
             auto& view = m_fleet[indices.at(id)];
-            view.reservedBy = &step;
-            view.reservationBindsUrgent = bindsUrgent(ready, pass);
-            view.reservedUntil = step.held->freeAt;
+            markReserved(view, step, binds, step.held->freeAt);
             ++pass.held;
         }
     }
@@ -80,10 +86,9 @@
     if (found.views.empty() || (pass.held > 0 && pass.held + found.views.size() > most))
         return; // The first one is as large as it must be.
     HeldWorkers held { {}, now(), found.freeAt };
+    const auto binds = bindsUrgent(ready, pass);
     for (const auto i : found.views) {
-        m_fleet[i].reservedBy = &step;
-        m_fleet[i].reservationBindsUrgent = bindsUrgent(ready, pass);
-        m_fleet[i].reservedUntil = found.freeAt;
+        markReserved(m_fleet[i], step, binds, found.freeAt);
         held.workers.push_back(m_fleet[i].id);
     }
     pass.held += found.views.size();
