Record each start, and let a successor resolve what it does not see

Cause: a start was stored only with the job's first one, or after a counted crash. A successor did not know of the others: it could not tell a run that crashed its worker, or whose order was under way, from one that never began. Ruled out: counting by run numbers alone (three owners in a row used run 17); waiting for the store before each start (starts would stop with it). Change: each start is recorded with its worker and incarnation in the batches that save progress, without waiting. The record is an entry that earlier builds ignore.

--- a/packages/fleet/include/jujubereach/fleet/records.h
+++ b/packages/fleet/include/jujubereach/fleet/records.h
@@ -38,6 +38,15 @@
     friend bool operator==(const CrashHistory&, const CrashHistory&) = default;
 };
 
+/// Where the last run of a task was started.
+struct TaskStart {
+    WorkerId worker;
+    std::int64_t incarnation = 0; ///< Of the worker; 0 if unknown.
+    bool answered = false; ///< No order of this start can be executed later.
+
+    friend bool operator==(const TaskStart&, const TaskStart&) = default;
+};
+
 /// Progress of one task; that of a gang is kept under its task 0, except for its crashes.
 struct TaskProgress {
     int occurrence = 0;
@@ -48,6 +57,7 @@
     std::set<Run> failedRuns;
     std::string checkpoint;
     CrashHistory crashes {};
+    std::optional<TaskStart> start {}; ///< Of `lastRun`, unless it is known to have ended.
 };
 
 /// Written by the owner.
--- a/packages/fleet/src/job.cpp
+++ b/packages/fleet/src/job.cpp
@@ -62,7 +62,7 @@
                     || task.crashes.crashes > 0)
                     out.tasks.push_back({ number, static_cast<int>(s), static_cast<int>(i), task.done,
                         task.lastRun, task.failedRuns, task.done ? "" : task.checkpoint,
-                        task.done ? CrashHistory {} : task.crashes });
+                        task.done ? CrashHistory {} : task.crashes, task.done ? std::nullopt : task.start });
             }
         }
     }
@@ -87,8 +87,10 @@
         task.failedRuns = row.failedRuns;
         task.checkpoint = row.checkpoint;
         task.crashes = row.crashes;
-        task.mayHaveCrashedUnseen = row.crashes.crashes > 0 && row.lastRun > row.crashes.lastRun;
-        mayHaveCrashedUnseen = mayHaveCrashedUnseen || task.mayHaveCrashedUnseen;
+        task.start = row.start;
+        // Earlier builds record no starts.
+        task.startUnresolved = row.start || (row.crashes.crashes > 0 && row.lastRun > row.crashes.lastRun);
+        startUnresolved = startUnresolved || task.startUnresolved;
         if (row.done)
             ++step->done;
     }
--- a/packages/fleet/src/job.h
+++ b/packages/fleet/src/job.h
@@ -17,8 +17,9 @@
     std::set<WorkerId> failedOn;
     CrashHistory crashes;
     std::uint64_t crashVersion = 0; ///< Version of the job's progress with the last crash; 0 for none.
-    /// A previous owner may have started the task after the last crash that it recorded.
-    bool mayHaveCrashedUnseen = false;
+    std::optional<TaskStart> start; ///< Of `lastRun`, until the run is known to have ended.
+    /// A previous owner has started the task, and no worker has reported the run to this owner yet.
+    bool startUnresolved = false;
 
     bool isWaiting() const { return !done && worker.empty(); }
 };
@@ -91,7 +92,7 @@
     std::uint64_t saved = 0; ///< Version of the progress that is stored.
     bool saving = false; ///< A write of the progress is in flight.
     bool inSaveQueue = false;
-    bool mayHaveCrashedUnseen = false; ///< Whether it holds for any task.
+    bool startUnresolved = false; ///< Whether it holds for any task.
     bool awaitsCrashSave = false; ///< A task may start once the count of its crashes is stored.
 
     const JobId& id() const { return record.id; }
--- a/packages/fleet/src/owner-crashes.cpp
+++ b/packages/fleet/src/owner-crashes.cpp
@@ -44,8 +44,9 @@
 
 // The process of the worker has ended without notice: it has restarted, or another one answers at its
 // address.
-void Owner::Impl::recordCrash(Worker& worker)
+void Owner::Impl::recordCrash(Worker& worker, std::int64_t newIncarnation)
 {
+    forgetStartsBeforeRestart(worker, newIncarnation);
     // After a longer silence the leases have most likely expired before the worker ended.
     std::vector<ActiveRun> suspects = std::exchange(worker.expiredRuns, {});
     if (now() - worker.lapsedAt > maxReturnAfterLapse)
@@ -98,6 +99,11 @@
     m_hooks.log("crash-suspect",
         { { "task", toString(run.task) }, { "run", run.run.value }, { "ranMs", ranFor.count() },
             { "crashes", history.crashes }, { "confirmed", history.confirmed }, { "alone", history.alone } });
+    return shouldGiveUp(history);
+}
+
+bool Owner::Impl::shouldGiveUp(const CrashHistory& history)
+{
     return history.alone > 0
         && ((history.crashes >= crashesToGiveUp && history.confirmed >= confirmedCrashesToGiveUp)
             || history.crashes >= unconfirmedCrashesToGiveUp);
@@ -107,38 +113,12 @@
 {
     ++task.crashes.crashes;
     task.crashes.lastRun = task.lastRun;
-    task.mayHaveCrashedUnseen = false;
+    task.startUnresolved = false;
     markChanged(job);
     task.crashVersion = job.changes;
     job.awaitsCrashSave = true;
 }
 
-// All workers that the previous owner used have answered. A suspect that none of them reports may have been
-// started by that owner and have crashed its worker during the takeover. That counts towards isolation, but
-// only an observed crash gives a job up.
-void Owner::Impl::presumeUnseenCrashes(Job& job)
-{
-    job.mayHaveCrashedUnseen = false;
-    for (auto& [number, occurrence] : job.occurrences) {
-        for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-            auto& tasks = occurrence.steps[s].tasks;
-            for (std::size_t i = 0; i < tasks.size(); ++i) {
-                const TaskId id { job.id(), number, static_cast<int>(s), static_cast<int>(i) };
-                if (!tasks[i].mayHaveCrashedUnseen)
-                    continue;
-                if (mayRunUnseen(id)) {
-                    job.mayHaveCrashedUnseen = true;
-                    continue;
-                }
-                countCrash(job, tasks[i]);
-                m_hooks.log("crash-presumed",
-                    { { "task", toString(id) }, { "crashes", tasks[i].crashes.crashes },
-                        { "alone", tasks[i].crashes.alone } });
-            }
-        }
-    }
-}
-
 void Owner::Impl::beginProbation(const Task& task, ActiveRun& run, bool isolated) const
 {
     run.isolated = isolated;
--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -75,7 +75,9 @@
     if (!wanted)
         return stop(worker, running.task, "nobody waits for it");
     task->worker = worker.id();
-    task->mayHaveCrashedUnseen = false;
+    task->startUnresolved = false;
+    const auto answered = task->start && task->start->worker == worker.id() && task->start->answered;
+    task->start = { worker.id(), worker.incarnation, answered };
     step->shared(running.task.index).lastRun = running.run;
     ++step->active;
     ++step->onWorker[worker.id()];
@@ -104,6 +106,7 @@
 {
     run.phase = RunPhase::Running;
     run.reported = true;
+    markAnswered(run);
     run.carriedOver = false;
     run.confirmed = true;
     run.confirmedAt = now();
@@ -180,12 +183,12 @@
     const auto stopping = current && found->second.phase == RunPhase::Stopping;
     if (current)
         release(worker, end.task);
-    if (task)
-        task->mayHaveCrashedUnseen = false;
     if (task && !end.checkpoint.empty() && end.run >= step->shared(end.task.index).lastRun)
         step->shared(end.task.index).checkpoint = end.checkpoint;
     if (task && end.run > step->shared(end.task.index).lastRun)
         step->shared(end.task.index).lastRun = end.run;
+    if (task && end.run == step->shared(end.task.index).lastRun)
+        forgetStart(end.task, worker);
     // The success of a run that was given up as lost is ignored if another run has replaced it. Its failure
     // still counts.
     const auto replaced = task && !current && !task->worker.empty() && end.kind != EndKind::Failed;
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -27,6 +27,12 @@
     std::optional<std::map<WorkerId, bool>> roster; ///< Whether each row is open, if the roster is written.
 };
 
+/// A start of the previous owner that may still be executed. The task starts nowhere else meanwhile.
+struct LateStart {
+    WorkerId worker;
+    TimePoint expires; ///< After this no order of the previous owner is executed.
+};
+
 class Owner::Impl {
 public:
     struct ReadyStep;
@@ -103,10 +109,10 @@
     void checkProgress(Worker& worker, ActiveRun& run, const RunningTask& seen);
 
     // owner-crashes.cpp: tasks that may crash the workers on which they run.
-    void recordCrash(Worker& worker);
+    void recordCrash(Worker& worker, std::int64_t newIncarnation);
     bool isOneGang(const std::vector<ActiveRun>& runs);
-    void presumeUnseenCrashes(Job& job);
     void countCrash(Job& job, Task& task);
+    static bool shouldGiveUp(const CrashHistory& history);
     bool recordCrashOf(const ActiveRun& run, TimePoint crashedAt, bool alone);
     void clearCrashesAfterProbation(const ActiveRun& run);
     /// Whether the store has the count of its crashes. A takeover would hide two crashes if the task started
@@ -119,6 +125,17 @@
     std::set<WorkerId> workersAtCrashSites() const;
     void beginProbation(const Task& task, ActiveRun& run, bool isolated) const;
 
+    // owner-starts.cpp: what a successor knows of the starts of the previous owner.
+    Task* findTask(const TaskId& id);
+    void markAnswered(const ActiveRun& run);
+    void forgetStart(const TaskId& id, const Worker& worker);
+    void forgetStartsBeforeRestart(Worker& worker, std::int64_t newIncarnation);
+    void resolveStarts(Job& job);
+    bool resolveStart(Job& job, const TaskId& id, Task& task);
+    void awaitLateStart(const TaskId& id, const TaskStart& start);
+    void expireLateStarts();
+    bool awaitsLateStart(const Worker& worker) const;
+
     // owner-pass.cpp: placement.
     void pass();
     std::set<WorkerId> workersToAvoid(const ReadyStep& ready, Pass& pass) const;
@@ -227,6 +244,10 @@
     std::set<WorkerId> m_unresolved; ///< Workers of the roster at takeover whose runs are not known yet.
     /// Unresolved workers with a closed row, and the tasks they may run.
     std::map<WorkerId, std::vector<TaskId>> m_closed;
+    /// Workers of the roster that had been replaced at their address when this owner reached it.
+    std::set<WorkerId> m_replaced;
+    /// Starts of the previous owner that workers may still execute, in a later incarnation too.
+    std::map<TaskId, LateStart> m_lateStarts;
     std::map<WorkerId, bool> m_roster; ///< Stored rows; only workers with an open row receive starts.
     Revision m_rosterRevision;
     bool m_rosterDue = false;
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -44,6 +44,8 @@
 {
     if (!worker.runs.empty() || worker.acknowledged > 0 || !worker.ends.empty())
         return true;
+    if (awaitsLateStart(worker))
+        return true;
     if (!worker.fenced)
         return worker.listed || m_unresolved.contains(worker.id());
     // A silent worker is not used until it answers. One that has left may restart and execute a late start.
@@ -86,13 +88,15 @@
         return false;
     }
     if (answer.fate == OrderFate::OtherLife) {
-        recordCrash(worker);
+        if (m_unresolved.contains(worker.id()) && !m_closed.contains(worker.id()))
+            m_replaced.insert(worker.id());
+        recordCrash(worker, 0);
         loseRuns(worker, "another incarnation answers at its address", false);
         worker.fenced = false;
         markResolved(worker.id());
     } else if (answer.incarnation != 0 && worker.incarnation != 0
         && answer.incarnation > worker.incarnation) {
-        recordCrash(worker);
+        recordCrash(worker, answer.incarnation);
         loseRuns(worker, "its worker has restarted");
         worker.fenced = false;
         worker.nextPoll = now();
@@ -178,8 +182,10 @@
         if (run.confirmed && run.confirmedAt < sentAt && !seen.contains(task))
             absent.push_back(task);
     }
-    for (const auto& task : absent)
+    for (const auto& task : absent) {
+        forgetStart(task, worker);
         loseRun(worker, task, "its worker does not list it");
+    }
 }
 
 void Owner::Impl::startCall(Worker& worker, ActiveRun& run)
@@ -272,6 +278,7 @@
     }
     if (run.startAttempts > 1)
         return stop(*worker, task, "its start was refused after one without an answer");
+    forgetStart(task, *worker);
     loseRun(*worker, task, nameOf(answer.fate));
 }
 
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -74,7 +74,8 @@
         const auto saved = isCrashSaved(job, task);
         if (!saved && step.spec->gang)
             return std::nullopt;
-        const auto unseen = job.recovered && mayRunUnseen({ job.id(), occurrence.number, ready.index, i });
+        const TaskId id { job.id(), occurrence.number, ready.index, i };
+        const auto unseen = job.recovered && (mayRunUnseen(id) || m_lateStarts.contains(id));
         if (unseen && step.spec->gang)
             return std::nullopt;
         if (!task.done && task.worker.empty() && !unseen && saved)
@@ -122,8 +123,10 @@
         const auto guaranteed = isWithinGuarantee(*job, claimed);
         if (job->recovered && hasUnresolvedWorkers())
             continue;
-        if (job->mayHaveCrashedUnseen)
-            presumeUnseenCrashes(*job);
+        if (job->startUnresolved)
+            resolveStarts(*job);
+        if (isFinal(job->state))
+            continue;
         for (auto& [number, occurrence] : job->occurrences) {
             std::optional<double> rank;
             for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
@@ -506,10 +509,9 @@
     run.runningSince = now();
     run.progressAt = now();
     run.checkpoint = step.shared(id.index).checkpoint;
-    if (task.crashes.crashes > 0) {
+    if (task.crashes.crashes > 0)
         beginProbation(task, run, isolated);
-        markChanged(job); // A successor learns that the task was started.
-    }
+    task.start = { worker.id(), worker.incarnation, false };
     if (const auto ticket = step.advice.tickets.find(worker.id()); ticket != step.advice.tickets.end())
         run.ticket = ticket->second;
     addRun(worker, run);
@@ -522,10 +524,9 @@
         job.firstStart = job.lastStart;
     countStart(job);
     startCall(worker, worker.runs.at(id));
-    if (job.state == JobState::Queued) {
+    if (job.state == JobState::Queued)
         job.state = JobState::Running;
-        markChanged(job);
-    }
+    markChanged(job); // A successor learns of the start. The start does not wait for the store.
 }
 
 } // namespace jujubereach::fleet
--- /dev/null
+++ b/packages/fleet/src/owner-starts.cpp
@@ -0,0 +1,134 @@
+// Starts of the previous owner.
+//
+// Each start is recorded with the job's progress, without waiting for the store. A successor resolves the
+// recorded starts once it knows what all workers run. A run that is neither running nor ended may have
+// crashed its worker, or its order may still be under way.
+#include "owner-impl.h"
+
+#include <algorithm>
+
+namespace jujubereach::fleet {
+
+Task* Owner::Impl::findTask(const TaskId& id)
+{
+    auto* job = findJob(id.job);
+    auto* step = job ? job->findStep(id) : nullptr;
+    return step ? &step->tasks[static_cast<std::size_t>(id.index)] : nullptr;
+}
+
+// The worker has confirmed the run. Only the order of a single attempt cannot come again.
+void Owner::Impl::markAnswered(const ActiveRun& run)
+{
+    auto* task = findTask(run.task);
+    if (task && task->start && !run.orphaned)
+        task->start->answered = run.startAttempts == 1;
+}
+
+// The run that was started on the worker has ended or was refused.
+void Owner::Impl::forgetStart(const TaskId& id, const Worker& worker)
+{
+    auto* task = findTask(id);
+    if (!task)
+        return;
+    task->startUnresolved = false;
+    if (!task->start || task->start->worker != worker.id())
+        return;
+    task->start.reset();
+    markChanged(*findJob(id.job));
+}
+
+// A restart ends all runs. Orders without an answer may reach the new incarnation.
+void Owner::Impl::forgetStartsBeforeRestart(Worker& worker, std::int64_t newIncarnation)
+{
+    for (const auto& run : worker.expiredRuns)
+        forgetStart(run.task, worker);
+    for (const auto& [id, run] : worker.runs) {
+        const auto mayCome = run.startUnanswered || (run.phase == RunPhase::Ordered && run.callInFlight);
+        auto* task = findTask(id);
+        if (!mayCome || newIncarnation == 0)
+            forgetStart(id, worker);
+        else if (task && task->start && task->start->worker == worker.id())
+            task->start->incarnation = newIncarnation;
+    }
+}
+
+// Called when all workers have answered that the previous owner used and that may run the tasks.
+void Owner::Impl::resolveStarts(Job& job)
+{
+    job.startUnresolved = false;
+    auto givenUp = false;
+    for (auto& [number, occurrence] : job.occurrences) {
+        for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+            auto& tasks = occurrence.steps[s].tasks;
+            for (std::size_t i = 0; i < tasks.size(); ++i) {
+                const TaskId id { job.id(), number, static_cast<int>(s), static_cast<int>(i) };
+                if (!tasks[i].startUnresolved)
+                    continue;
+                if (mayRunUnseen(id))
+                    job.startUnresolved = true;
+                else
+                    givenUp = resolveStart(job, id, tasks[i]) || givenUp;
+            }
+        }
+    }
+    if (givenUp)
+        finish(job, JobState::Failed, "a task has crashed its workers");
+}
+
+// Returns whether the job is to be given up.
+bool Owner::Impl::resolveStart(Job& job, const TaskId& id, Task& task)
+{
+    const auto start = std::exchange(task.start, std::nullopt);
+    task.startUnresolved = false;
+    const auto* worker = start ? findWorker(start->worker) : nullptr;
+    const auto incarnation = worker ? std::max(worker->incarnation, worker->report.incarnation) : 0;
+    const auto sameIncarnation = worker && worker->fenced && incarnation == start->incarnation;
+    const auto restarted = start && start->incarnation != 0
+        && (incarnation > start->incarnation || m_replaced.contains(start->worker));
+    auto& history = task.crashes;
+    if (restarted || (history.crashes > 0 && !sameIncarnation)) {
+        history.alone += restarted && mustIsolate(task);
+        history.confirmed += restarted && start->answered;
+        countCrash(job, task);
+        m_hooks.log("crash-presumed",
+            { { "task", toString(id) }, { "worker", start ? start->worker.str() : "" },
+                { "restarted", restarted }, { "crashes", history.crashes },
+                { "confirmed", history.confirmed }, { "alone", history.alone } });
+    }
+    if (start && (sameIncarnation || !start->answered))
+        awaitLateStart(id, *start);
+    return restarted && shouldGiveUp(history);
+}
+
+void Owner::Impl::awaitLateStart(const TaskId& id, const TaskStart& start)
+{
+    const auto expires = m_tookOverAt + m_settings.ownershipTimeout - m_settings.ownerLease + maxOrderDelay;
+    if (now() >= expires)
+        return;
+    m_lateStarts[id] = { start.worker, expires };
+    m_hooks.log("late-start-awaited",
+        { { "task", toString(id) }, { "worker", start.worker.str() },
+            { "forMs", (expires - now()).count() } });
+}
+
+void Owner::Impl::expireLateStarts()
+{
+    const auto erased = std::erase_if(m_lateStarts, [this](const auto& entry) {
+        const auto& late = entry.second;
+        const auto* worker = findWorker(late.worker);
+        // The run of a worker that does not answer lasts as long as its lease.
+        const auto silent = worker && (!worker->fenced || worker->missedPolls > 0);
+        return now() > late.expires + (silent ? longestHold() + lapseMargin : Duration(0));
+    });
+    if (erased > 0)
+        schedulePass();
+}
+
+// Polls bring the fence to a new incarnation, which then refuses the late start.
+bool Owner::Impl::awaitsLateStart(const Worker& worker) const
+{
+    return std::any_of(m_lateStarts.begin(), m_lateStarts.end(),
+        [&](const auto& entry) { return entry.second.worker == worker.id(); });
+}
+
+} // namespace jujubereach::fleet
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -133,7 +133,8 @@
     auto& worker = m_workers[report.id];
     const auto restarted = worker.incarnation != 0 && report.incarnation > worker.incarnation;
     if (restarted)
-        recordCrash(worker); // By what the earlier incarnation reported: it may have drained.
+        recordCrash(
+            worker, report.incarnation); // By what the earlier incarnation reported: it may have drained.
     const auto moved = worker.report.address != report.address;
     const auto& known = worker.report;
     m_byRackStale = m_byRackStale || known.id.empty() || known.rack != report.rack
@@ -209,6 +210,7 @@
     if ((m_rosterUnreadable || !m_unresolved.empty())
         && now() - m_tookOverAt > recoveryGracePeriod(m_settings))
         endRecoveryGracePeriod();
+    expireLateStarts();
     for (auto i = m_jobs.begin(); i != m_jobs.end();) {
         const auto& job = i->second;
         const auto old = isFinal(job.state) && job.saved == job.changes
--- a/packages/fleet/src/records.cpp
+++ b/packages/fleet/src/records.cpp
@@ -161,6 +161,11 @@
                 crashes.at(2).to_number<int>(), Duration(crashes.at(3).to_number<std::int64_t>()),
                 { crashes.at(4).to_number<std::uint64_t>() } };
         }
+        if (row.size() > 8) { // Earlier builds ignore it.
+            const auto& start = row.at(8).as_array();
+            task.start = { WorkerId(std::string(start.at(0).as_string())),
+                start.at(1).to_number<std::int64_t>(), start.at(2).to_number<int>() != 0 };
+        }
         return task;
     }
 
@@ -221,11 +226,15 @@
             failed.push_back(run.value);
         json::array row { task.occurrence, task.step, task.index, task.done ? 1 : 0, task.lastRun.value,
             std::move(failed) };
-        if (!task.checkpoint.empty() || task.crashes.crashes > 0)
+        const auto hasCrashes = task.crashes.crashes > 0 || task.start; // Entries are found by position.
+        if (!task.checkpoint.empty() || hasCrashes)
             row.push_back(json::string(task.checkpoint));
-        if (task.crashes.crashes > 0)
+        if (hasCrashes)
             row.push_back(json::array { task.crashes.crashes, task.crashes.confirmed, task.crashes.alone,
                 task.crashes.longestRun.count(), task.crashes.lastRun.value });
+        if (task.start)
+            row.push_back(json::array {
+                task.start->worker.str(), task.start->incarnation, task.start->answered ? 1 : 0 });
         tasks.push_back(std::move(row));
     }
     if (!tasks.empty())
