Start no task elsewhere while an order of its start may still come

Callers would see: two runs of one task (TWICE). Shown in virtual time only: the first attempt of a start gets no answer, its stop is confirmed, the task starts on another worker; the first worker restarts while it is cut off, and the new incarnation, which knows neither the stop nor the fence, executes the first attempt. Cause: the owner counted a confirmed stop as the end of the start; it covers one incarnation. The same class as a late start of the previous owner. Ruled out: ordering the new incarnation to refuse the start, as before: nothing reaches a worker that is cut off. Before: returning-test restartsATaskElsewhereWhileItsLateStartMayReachANewIncarnation failed ("two runs of j.0.0.0"). After: passes, with owner-test, successor-test, crash-test, leaving-test, capacity-test, silence-test.

--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -231,6 +231,9 @@
     --step->active;
     if (--step->onWorker[worker.id()] <= 0)
         step->onWorker.erase(worker.id());
+    const auto late = worker.unansweredStarts.find(id);
+    if (m_settings.switches.trackUnansweredStarts && late != worker.unansweredStarts.end())
+        awaitLateStart(id, worker.id(), late->second.sentAt + maxOrderDelay);
     schedulePass();
 }
 
@@ -283,6 +286,8 @@
     const auto trackStarts = mayReturn && m_settings.switches.trackUnansweredStarts;
     if (trackStarts)
         restoreUnansweredStarts(worker);
+    if (!mayReturn)
+        worker.unansweredStarts.clear(); // Orders to a replaced incarnation are refused at its address.
     std::vector<TaskId> gone;
     for (auto& [task, run] : worker.runs) {
         const auto mayCome = run.startUnanswered || (run.phase == RunPhase::Ordered && run.callInFlight);
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -27,10 +27,11 @@
     std::optional<std::map<WorkerId, bool>> roster; ///< Whether each row is open, if the roster is written.
 };
 
-/// A start of the previous owner that may still be executed. The task starts nowhere else meanwhile.
+/// A start that may still be executed, by a later incarnation of the worker too, although the task no longer
+/// runs there. The task starts nowhere else meanwhile.
 struct LateStart {
     WorkerId worker;
-    TimePoint expires; ///< After this no order of the previous owner is executed.
+    TimePoint expires; ///< After this no order of the start is executed.
 };
 
 class Owner::Impl {
@@ -132,7 +133,7 @@
     void forgetStartsBeforeRestart(Worker& worker, std::int64_t newIncarnation);
     void resolveStarts(Job& job);
     bool resolveStart(Job& job, const TaskId& id, Task& task);
-    void awaitLateStart(const TaskId& id, const TaskStart& start);
+    void awaitLateStart(const TaskId& id, const WorkerId& worker, TimePoint expires);
     void expireLateStarts();
     bool awaitsLateStart(const Worker& worker) const;
 
@@ -246,7 +247,6 @@
     std::map<WorkerId, std::vector<TaskId>> m_closed;
     /// Workers of the roster that had been replaced at their address when this owner reached it.
     std::set<WorkerId> m_replaced;
-    /// Starts of the previous owner that workers may still execute, in a later incarnation too.
     std::map<TaskId, LateStart> m_lateStarts;
     std::map<WorkerId, bool> m_roster; ///< Stored rows; only workers with an open row receive starts.
     Revision m_rosterRevision;
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -75,7 +75,7 @@
         if (!saved && step.spec->gang)
             return std::nullopt;
         const TaskId id { job.id(), occurrence.number, ready.index, i };
-        const auto unseen = job.recovered && (mayRunUnseen(id) || m_lateStarts.contains(id));
+        const auto unseen = (job.recovered && mayRunUnseen(id)) || m_lateStarts.contains(id);
         if (unseen && step.spec->gang)
             return std::nullopt;
         if (!task.done && task.worker.empty() && !unseen && saved)
@@ -491,7 +491,7 @@
     auto& task = step.tasks[static_cast<std::size_t>(id.index)];
     // An earlier run is still stopping there, or a plan of this pass has started the task; the next pass
     // chooses again.
-    if (worker.runs.contains(id) || !task.isWaiting())
+    if (worker.runs.contains(id) || !task.isWaiting() || m_lateStarts.contains(id))
         return;
     task.worker = worker.id();
     task.lastRun = number;
--- a/packages/fleet/src/owner-starts.cpp
+++ b/packages/fleet/src/owner-starts.cpp
@@ -1,4 +1,4 @@
-// Starts of the previous owner.
+// Starts that may be executed unseen.
 //
 // Each start is recorded with the job's progress, without waiting for the store. A successor resolves the
 // recorded starts once it knows what all workers run. A run that is neither running nor ended may have
@@ -33,7 +33,10 @@
     task->startUnresolved = false;
     if (!task->start || task->start->worker != worker.id())
         return;
-    task->start.reset();
+    if (worker.unansweredStarts.contains(id))
+        task->start->answered = false;
+    else
+        task->start.reset();
     markChanged(*findJob(id.job));
 }
 
@@ -50,6 +53,11 @@
         else if (task && task->start && task->start->worker == worker.id())
             task->start->incarnation = newIncarnation;
     }
+    for (const auto& [id, late] : worker.unansweredStarts) {
+        auto* task = findTask(id);
+        if (task && task->start && task->start->worker == worker.id())
+            task->start->incarnation = newIncarnation;
+    }
 }
 
 // Called when all workers have answered that the previous owner used and that may run the tasks.
@@ -95,33 +103,40 @@
                 { "restarted", restarted }, { "crashes", history.crashes },
                 { "confirmed", history.confirmed }, { "alone", history.alone } });
     }
-    if (start && (sameIncarnation || !start->answered))
-        awaitLateStart(id, *start);
+    if (start && (sameIncarnation || !start->answered)) {
+        task.start = start;
+        awaitLateStart(id, start->worker,
+            m_tookOverAt + m_settings.ownershipTimeout - m_settings.ownerLease + maxOrderDelay);
+    }
     return restarted && shouldGiveUp(history);
 }
 
-void Owner::Impl::awaitLateStart(const TaskId& id, const TaskStart& start)
+void Owner::Impl::awaitLateStart(const TaskId& id, const WorkerId& worker, TimePoint expires)
 {
-    const auto expires = m_tookOverAt + m_settings.ownershipTimeout - m_settings.ownerLease + maxOrderDelay;
     if (now() >= expires)
         return;
-    m_lateStarts[id] = { start.worker, expires };
+    m_lateStarts[id] = { worker, expires };
     m_hooks.log("late-start-awaited",
-        { { "task", toString(id) }, { "worker", start.worker.str() },
-            { "forMs", (expires - now()).count() } });
+        { { "task", toString(id) }, { "worker", worker.str() }, { "forMs", (expires - now()).count() } });
 }
 
 void Owner::Impl::expireLateStarts()
 {
-    const auto erased = std::erase_if(m_lateStarts, [this](const auto& entry) {
-        const auto& late = entry.second;
+    for (auto i = m_lateStarts.begin(); i != m_lateStarts.end();) {
+        const auto& [id, late] = *i;
         const auto* worker = findWorker(late.worker);
         // The run of a worker that does not answer lasts as long as its lease.
         const auto silent = worker && (!worker->fenced || worker->missedPolls > 0);
-        return now() > late.expires + (silent ? longestHold() + lapseMargin : Duration(0));
-    });
-    if (erased > 0)
+        if (now() <= late.expires + (silent ? longestHold() + lapseMargin : Duration(0))) {
+            ++i;
+            continue;
+        }
+        const auto* task = findTask(id);
+        if (worker && task && task->isWaiting())
+            forgetStart(id, *worker);
+        i = m_lateStarts.erase(i);
         schedulePass();
+    }
 }
 
 // Polls bring the fence to a new incarnation, which then refuses the late start.
--- a/packages/fleet/test/returning-test.cpp
+++ b/packages/fleet/test/returning-test.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(startsATaskOfAPlanThatRunsAlready);
     CPPUNIT_TEST(restartsATaskWhoseLeaseALateRenewalHasExtended);
     CPPUNIT_TEST(restartsATaskWhoseLateStartALateRenewalHasExtended);
+    CPPUNIT_TEST(restartsATaskElsewhereWhileItsLateStartMayReachANewIncarnation);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Resources wholeWorker { 64'000, 262'144, 8 };
@@ -114,6 +115,30 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), fleet.firstViolation());
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.workers.at(WorkerId("b")).live.size());
     }
+
+    // The stop of the unanswered start is confirmed by an incarnation that ends before the start arrives.
+    void restartsATaskElsewhereWhileItsLateStartMayReachANewIncarnation()
+    {
+        FakeFleet fleet;
+        auto& worker = fleet.addWorker("a");
+        fleet.workTime = [](const TaskId&) { return Duration(20'000); };
+        fleet.takeOver();
+        fleet.run(Duration(500));
+        worker.callDelay = Duration(8000);
+        fleet.submit(FakeFleet::job("j", 1));
+        fleet.run(Duration(100));
+        worker.callDelay = Duration(0);
+        worker.reachable = false;
+        fleet.owner->workerReported(fleet.addWorker("A").report);
+        fleet.run(Duration(2800));
+        worker.reachable = true;
+        fleet.run(Duration(4500));
+        fleet.restartWorker("a");
+        fleet.workers.at(WorkerId("a")).reachable = false;
+        fleet.run(Duration(50'000));
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.firstViolation());
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReturningTest);
