Count a job as pending until a worker has begun one of its tasks

Cause: the summary took a job for begun once a start had been ordered. Ruled out by reading only: a summary that is too old; it is written twice a second. Change: a job has begun when a worker has reported a run or an end of it; after a takeover, when its record tells of one. Before: successor-test reportsAJobAsBegunWhoseStartsGotNoAnswer failed (1 pending of 2). After: passes, with queue-test and owner-test.

--- a/packages/fleet/src/job.cpp
+++ b/packages/fleet/src/job.cpp
@@ -75,6 +75,7 @@
     if (isFinal(state))
         return;
     nextOccurrence = progress.occurrencesDone;
+    begun = nextOccurrence > 0;
     for (const auto& row : progress.tasks) {
         while (nextOccurrence <= row.occurrence)
             addOccurrence(nextOccurrence);
@@ -88,6 +89,7 @@
         task.checkpoint = row.checkpoint;
         task.crashes = row.crashes;
         task.start = row.start;
+        begun = begun || row.done || !row.start || row.start->answered;
         // Earlier builds record no starts.
         task.startUnresolved = row.start || (row.crashes.crashes > 0 && row.lastRun > row.crashes.lastRun);
         startUnresolved = startUnresolved || task.startUnresolved;
--- a/packages/fleet/src/job.h
+++ b/packages/fleet/src/job.h
@@ -92,6 +92,7 @@
     std::uint64_t saved = 0; ///< Version of the progress that is stored.
     bool saving = false; ///< A write of the progress is in flight.
     bool inSaveQueue = false;
+    bool begun = false; ///< A worker has begun one of its tasks, as far as this owner knows.
     bool startUnresolved = false; ///< Whether it holds for any task.
     bool awaitsCrashSave = false; ///< A task may start once the count of its crashes is stored.
 
--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -61,6 +61,8 @@
     if (known != worker.runs.end())
         release(worker, running.task);
     setRequirements(job, worker, run);
+    if (job)
+        job->begun = true;
     auto* task = step ? &step->tasks[static_cast<std::size_t>(running.task.index)] : nullptr;
     const auto wanted = task && !task->done && task->worker.empty() && !isFinal(job->state)
         && running.run >= step->shared(running.task.index).lastRun;
@@ -107,6 +109,8 @@
     run.phase = RunPhase::Running;
     run.reported = true;
     markAnswered(run);
+    if (auto* job = findJob(run.task.job))
+        job->begun = true;
     run.carriedOver = false;
     run.confirmed = true;
     run.confirmedAt = now();
@@ -183,6 +187,8 @@
     const auto stopping = current && found->second.phase == RunPhase::Stopping;
     if (current)
         release(worker, end.task);
+    if (job)
+        job->begun = true;
     if (task && !end.checkpoint.empty() && end.run >= step->shared(end.task.index).lastRun)
         step->shared(end.task.index).checkpoint = end.checkpoint;
     if (task && end.run > step->shared(end.task.index).lastRun)
--- a/packages/fleet/src/owner-save.cpp
+++ b/packages/fleet/src/owner-save.cpp
@@ -229,7 +229,7 @@
     std::map<RouteId, std::int64_t> pending;
     for (const auto& id : m_open) {
         const auto& job = m_jobs.at(id);
-        if (job.state == JobState::Queued)
+        if (!job.begun)
             ++pending[job.record.route];
     }
     summary.pending = { pending.begin(), pending.end() };
--- a/packages/fleet/test/successor-test.cpp
+++ b/packages/fleet/test/successor-test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(startsATaskElsewhereWhileALateStartMayReachACutOffIncarnation);
     CPPUNIT_TEST(delaysATaskWhoseRunHasEndedKnown);
     CPPUNIT_TEST(countsARestartAfterTheEndOfARunAsACrash);
+    CPPUNIT_TEST(reportsAJobAsBegunWhoseStartsGotNoAnswer);
     CPPUNIT_TEST_SUITE_END();
 
     static TaskId taskOf(const std::string& job) { return { JobId(job), 0, 0, 0 }; }
@@ -119,6 +120,37 @@
         };
         CPPUNIT_ASSERT(std::none_of(fleet.log.begin(), fleet.log.end(), isSuspect));
     }
+
+    static std::int64_t pendingJobs(const FakeFleet& fleet)
+    {
+        const auto summary = decodeSummary(fleet.store.at(keys::summary).first);
+        CPPUNIT_ASSERT(summary);
+        std::int64_t jobs = 0;
+        for (const auto& [route, count] : summary->pending)
+            jobs += count;
+        return jobs;
+    }
+
+    // Its task waits until the start can no longer be executed, also after a takeover.
+    void reportsAJobAsBegunWhoseStartsGotNoAnswer()
+    {
+        FakeFleet fleet;
+        auto& worker = fleet.addWorker("a");
+        fleet.takeOver();
+        fleet.run(Duration(500));
+        worker.reachable = false;
+        fleet.submit(FakeFleet::job("j", 1));
+        fleet.submit(FakeFleet::job("k", 1, { 64'000, 1000, 8 }));
+        fleet.run(Duration(5000));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(2), pendingJobs(fleet));
+        fleet.takeOver();
+        fleet.run(Duration(3000));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(2), pendingJobs(fleet));
+        worker.reachable = true;
+        fleet.run(Duration(60'000));
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), pendingJobs(fleet));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SuccessorTest);
