Add a failing test of a late start across two takeovers

Seen: "two runs of j.0.0.0". The owner that awaits a late start takes it out of its copy of the progress; with the next change of the job the store forgets it, and the owner after that starts the task while the order is still under way.

--- /dev/null
+++ b/packages/fleet/test/handover-test.cpp
@@ -0,0 +1,39 @@
+// Starts, crashes and late orders of one owner, seen by the owners after it.
+#include "fake-fleet.h"
+
+using namespace jujubereach;
+using namespace jujubereach::fleet;
+
+class HandoverTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(HandoverTest);
+    CPPUNIT_TEST(forgetsALateStartAtASecondTakeover);
+    CPPUNIT_TEST_SUITE_END();
+
+    // The second owner stores another start of the job during the wait; the third one takes over.
+    void forgetsALateStartAtASecondTakeover()
+    {
+        FakeFleet fleet;
+        fleet.workTime = [](const TaskId&) { return Duration(20'000); };
+        auto& late = fleet.addWorker("a");
+        fleet.takeOver();
+        fleet.run(Duration(30'000)); // The clocks of later incarnations are behind.
+        late.callDelay = Duration(11'000);
+        fleet.submit(FakeFleet::job("j", 2, { 40'000, 1000, 1 }));
+        fleet.run(Duration(100));
+        late.callDelay = Duration(0);
+        fleet.takeOver();
+        fleet.run(Duration(2000));
+        fleet.owner->workerReported(fleet.addWorker("b").report);
+        fleet.owner->workerReported(fleet.addWorker("c").report);
+        fleet.run(Duration(1000));
+        fleet.takeOver();
+        fleet.run(Duration(2000));
+        fleet.restartWorker("a");
+        late.reachable = false;
+        fleet.run(Duration(60'000));
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.firstViolation());
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HandoverTest);
