Keep a late start in the record while it is awaited

Cause: resolveStart removed the start from the task for good. Now it stays until its time is over. Its incarnation is set to 0 once a crash under it has been counted, so that the next owner does not count the same crash again. Each takeover still begins the wait anew: owners that change more often than every 15.5 s keep such a task waiting.

--- a/packages/fleet/include/jujubereach/fleet/records.h
+++ b/packages/fleet/include/jujubereach/fleet/records.h
@@ -41,7 +41,7 @@
 /// Where the last run of a task was started.
 struct TaskStart {
     WorkerId worker;
-    std::int64_t incarnation = 0; ///< Of the worker; 0 if unknown.
+    std::int64_t incarnation = 0; ///< Of the worker; 0 if its restart is no crash under the run.
     bool answered = false; ///< No order of this start can be executed later.
 
     friend bool operator==(const TaskStart&, const TaskStart&) = default;
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -132,7 +132,7 @@
     void forgetStartsBeforeRestart(Worker& worker, std::int64_t newIncarnation);
     void resolveStarts(Job& job);
     bool resolveStart(Job& job, const TaskId& id, Task& task);
-    void awaitLateStart(const TaskId& id, const TaskStart& start);
+    bool awaitLateStart(const TaskId& id, const WorkerId& worker);
     void expireLateStarts();
     bool awaitsLateStart(const Worker& worker) const;
 
--- a/packages/fleet/src/owner-starts.cpp
+++ b/packages/fleet/src/owner-starts.cpp
@@ -86,7 +86,9 @@
     const auto restarted = start && start->incarnation != 0
         && (incarnation > start->incarnation || m_replaced.contains(start->worker));
     auto& history = task.crashes;
-    if (restarted || (history.crashes > 0 && !sameIncarnation)) {
+    const auto mayHaveCrashed
+        = restarted || (history.crashes > 0 && !sameIncarnation && (!start || start->incarnation != 0));
+    if (mayHaveCrashed) {
         history.alone += restarted && mustIsolate(task);
         history.confirmed += restarted && start->answered;
         countCrash(job, task);
@@ -95,32 +97,42 @@
                 { "restarted", restarted }, { "crashes", history.crashes },
                 { "confirmed", history.confirmed }, { "alone", history.alone } });
     }
-    if (start && (sameIncarnation || !start->answered))
-        awaitLateStart(id, *start);
+    if (start && (sameIncarnation || !start->answered) && awaitLateStart(id, start->worker))
+        task.start = { start->worker, mayHaveCrashed ? 0 : start->incarnation, start->answered };
     return restarted && shouldGiveUp(history);
 }
 
-void Owner::Impl::awaitLateStart(const TaskId& id, const TaskStart& start)
+// Returns false if the start can no longer be executed.
+bool Owner::Impl::awaitLateStart(const TaskId& id, const WorkerId& worker)
 {
     const auto expires = m_tookOverAt + m_settings.ownershipTimeout - m_settings.ownerLease + maxOrderDelay;
     if (now() >= expires)
-        return;
-    m_lateStarts[id] = { start.worker, expires };
+        return false;
+    m_lateStarts[id] = { worker, expires };
     m_hooks.log("late-start-awaited",
-        { { "task", toString(id) }, { "worker", start.worker.str() },
-            { "forMs", (expires - now()).count() } });
+        { { "task", toString(id) }, { "worker", worker.str() }, { "forMs", (expires - now()).count() } });
+    return true;
 }
 
 void Owner::Impl::expireLateStarts()
 {
-    const auto erased = std::erase_if(m_lateStarts, [this](const auto& entry) {
-        const auto& late = entry.second;
+    auto expired = false;
+    for (auto i = m_lateStarts.begin(); i != m_lateStarts.end();) {
+        const auto& late = i->second;
         const auto* worker = findWorker(late.worker);
         // The run of a worker that does not answer lasts as long as its lease.
         const auto silent = worker && (!worker->fenced || worker->missedPolls > 0);
-        return now() > late.expires + (silent ? longestHold() + lapseMargin : Duration(0));
-    });
-    if (erased > 0)
+        if (now() <= late.expires + (silent ? longestHold() + lapseMargin : Duration(0))) {
+            ++i;
+            continue;
+        }
+        auto* task = findTask(i->first);
+        if (task && task->isWaiting() && std::exchange(task->start, std::nullopt))
+            markChanged(*findJob(i->first.job));
+        i = m_lateStarts.erase(i);
+        expired = true;
+    }
+    if (expired)
         schedulePass();
 }
 
