Add failing tests of waits that end while a late run may last

Seen in both: "two runs of j.0.0.0". A run that is executed just before no order can come any more lasts as long as its lease. The wait does not include that time if the worker has left the list, or if the start is resolved only after 15.5 s, because passes were held up.

--- a/packages/fleet/test/handover-test.cpp
+++ b/packages/fleet/test/handover-test.cpp
@@ -7,8 +7,25 @@
 class HandoverTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(HandoverTest);
     CPPUNIT_TEST(forgetsALateStartAtASecondTakeover);
+    CPPUNIT_TEST(startsATaskElsewhereWhileAWorkerThatLeftTheListMayRunIt);
+    CPPUNIT_TEST(startsATaskElsewhereAfterPassesWereHeldUpDuringTheWait);
     CPPUNIT_TEST_SUITE_END();
 
+    // Orders a start at "a" that is executed `delay` late; "b" is added for all later starts.
+    static FakeWorker& orderLateStart(FakeFleet& fleet, Duration delay, JobRecord job)
+    {
+        auto& late = fleet.addWorker("a");
+        fleet.takeOver();
+        fleet.run(Duration(30'000)); // The clocks of later incarnations are behind.
+        late.callDelay = delay;
+        fleet.submit(std::move(job));
+        fleet.run(Duration(100));
+        late.callDelay = Duration(0);
+        fleet.owner->workerReported(fleet.addWorker("b").report);
+        fleet.run(Duration(200));
+        return late;
+    }
+
     // The second owner stores another start of the job during the wait; the third one takes over.
     void forgetsALateStartAtASecondTakeover()
     {
@@ -34,6 +51,42 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), fleet.firstViolation());
         CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
     }
+
+    // The worker restarts while it is cut off, and its entry expires.
+    void startsATaskElsewhereWhileAWorkerThatLeftTheListMayRunIt()
+    {
+        FakeFleet fleet;
+        fleet.workTime = [](const TaskId&) { return Duration(20'000); };
+        auto& late = orderLateStart(fleet, Duration(11'000), FakeFleet::job("j", 1));
+        fleet.takeOver();
+        fleet.run(Duration(1000));
+        fleet.restartWorker("a");
+        late.reachable = false;
+        fleet.unlisted.insert(late.id());
+        fleet.owner->workerUnlisted(late.id());
+        fleet.run(Duration(60'000));
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.firstViolation());
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+    }
+
+    // The new owner may not start anything at first, because it does not know the closed zones.
+    void startsATaskElsewhereAfterPassesWereHeldUpDuringTheWait()
+    {
+        FakeFleet fleet;
+        fleet.settings.closeZoneBound = Duration(4000);
+        fleet.workTime = [](const TaskId&) { return Duration(20'000); };
+        auto& late = orderLateStart(fleet, Duration(11'500), FakeFleet::job("j", 1));
+        fleet.restartWorker("a");
+        late.reachable = false;
+        fleet.takeOver();
+        fleet.run(Duration(500));
+        fleet.confirmsClosedZones = false;
+        fleet.run(Duration(15'600));
+        fleet.confirmsClosedZones = true;
+        fleet.run(Duration(60'000));
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.firstViolation());
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HandoverTest);
