Let the wait for a late start outlast its run

Cause: a worker without an entry was taken for one that answers, and a start that was resolved after the last possible order was not awaited at all. Now both waits include the longest lease unless the worker answers.

--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -133,6 +133,8 @@
     void resolveStarts(Job& job);
     bool resolveStart(Job& job, const TaskId& id, Task& task);
     bool awaitLateStart(const TaskId& id, const WorkerId& worker);
+    bool isOver(const LateStart& late);
+    TimePoint lastEarlierOrder() const; ///< The previous owner issues no orders later.
     void expireLateStarts();
     bool awaitsLateStart(const Worker& worker) const;
 
--- a/packages/fleet/src/owner-starts.cpp
+++ b/packages/fleet/src/owner-starts.cpp
@@ -102,27 +102,37 @@
     return restarted && shouldGiveUp(history);
 }
 
-// Returns false if the start can no longer be executed.
+TimePoint Owner::Impl::lastEarlierOrder() const
+{
+    return m_tookOverAt + m_settings.ownershipTimeout - m_settings.ownerLease;
+}
+
+// Returns false if the start can no longer be executed, and its run has ended.
 bool Owner::Impl::awaitLateStart(const TaskId& id, const WorkerId& worker)
 {
-    const auto expires = m_tookOverAt + m_settings.ownershipTimeout - m_settings.ownerLease + maxOrderDelay;
-    if (now() >= expires)
+    const LateStart late { worker, lastEarlierOrder() + maxOrderDelay };
+    if (isOver(late))
         return false;
-    m_lateStarts[id] = { worker, expires };
+    m_lateStarts[id] = late;
     m_hooks.log("late-start-awaited",
-        { { "task", toString(id) }, { "worker", worker.str() }, { "forMs", (expires - now()).count() } });
+        { { "task", toString(id) }, { "worker", worker.str() },
+            { "forMs", (late.expires - now()).count() } });
     return true;
 }
 
+// The run of a worker that does not answer, or has left the list, lasts as long as its lease.
+bool Owner::Impl::isOver(const LateStart& late)
+{
+    const auto* worker = findWorker(late.worker);
+    const auto answers = worker && worker->fenced && worker->missedPolls == 0;
+    return now() > late.expires + (answers ? Duration(0) : longestHold() + lapseMargin);
+}
+
 void Owner::Impl::expireLateStarts()
 {
     auto expired = false;
     for (auto i = m_lateStarts.begin(); i != m_lateStarts.end();) {
-        const auto& late = i->second;
-        const auto* worker = findWorker(late.worker);
-        // The run of a worker that does not answer lasts as long as its lease.
-        const auto silent = worker && (!worker->fenced || worker->missedPolls > 0);
-        if (now() <= late.expires + (silent ? longestHold() + lapseMargin : Duration(0))) {
+        if (!isOver(i->second)) {
             ++i;
             continue;
         }
