Add failing tests of needless waits for starts long answered

Where a burst of starts fills a write, or the answer takes longer than the batch of 25 ms, the start is stored as unanswered and never corrected. After a lost answer it is never taken for answered, though an order cannot come after 12 s.

--- a/packages/fleet/test/handover-test.cpp
+++ b/packages/fleet/test/handover-test.cpp
@@ -9,6 +9,8 @@
     CPPUNIT_TEST(forgetsALateStartAtASecondTakeover);
     CPPUNIT_TEST(startsATaskElsewhereWhileAWorkerThatLeftTheListMayRunIt);
     CPPUNIT_TEST(startsATaskElsewhereAfterPassesWereHeldUpDuringTheWait);
+    CPPUNIT_TEST(waitsForTheStartOfARunThatWasConfirmed);
+    CPPUNIT_TEST(waitsForAStartThatIsTooOldToCome);
     CPPUNIT_TEST_SUITE_END();
 
     // Orders a start at "a" that is executed `delay` late; "b" is added for all later starts.
@@ -87,6 +89,50 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), fleet.firstViolation());
         CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
     }
+
+    // The worker restarts together with the owner, a minute after it has confirmed the run.
+    static void assertStartsAgainAtOnce(FakeFleet& fleet, Duration age = Duration(60'000))
+    {
+        fleet.run(age);
+        const auto before = fleet.observed.starts[taskOf("j")];
+        CPPUNIT_ASSERT_EQUAL(1, before);
+        fleet.restartWorker("a");
+        fleet.takeOver();
+        fleet.run(Duration(3000));
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.firstViolation());
+        CPPUNIT_ASSERT_EQUAL(2, fleet.observed.starts[taskOf("j")]);
+    }
+
+    // So many jobs start at once that their starts are stored before they are answered.
+    void waitsForTheStartOfARunThatWasConfirmed()
+    {
+        FakeFleet fleet;
+        fleet.addWorker("a");
+        fleet.workTime = [](const TaskId&) { return Duration(200'000); };
+        fleet.takeOver();
+        fleet.run(Duration(500));
+        for (int i = 0; i < 20; ++i) {
+            auto job = FakeFleet::job(i == 0 ? "j" : "other" + std::to_string(i), 1, { 1000, 1000, 0 });
+            job.spec.steps[0].longRunning = true;
+            fleet.submit(std::move(job));
+        }
+        assertStartsAgainAtOnce(fleet);
+    }
+
+    // The answer to the first attempt of the start was lost.
+    void waitsForAStartThatIsTooOldToCome()
+    {
+        FakeFleet fleet;
+        auto& worker = fleet.addWorker("a");
+        fleet.workTime = [](const TaskId&) { return Duration(200'000); };
+        fleet.takeOver();
+        fleet.run(Duration(500));
+        worker.answersLost = true;
+        fleet.submit(FakeFleet::job("j", 1));
+        fleet.run(Duration(100));
+        worker.answersLost = false;
+        assertStartsAgainAtOnce(fleet);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HandoverTest);
