Store that a start has been answered once its run lasts

An answer that came after the start was stored is saved with the first poll that lists the run a second later, and an unanswered start counts as answered once no order of it can come.

--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -131,6 +131,7 @@
     if (step && !seen.checkpoint.empty())
         step->shared(seen.task.index).checkpoint = seen.checkpoint;
     clearCrashesAfterProbation(run);
+    confirmStart(run);
     if (run.phase == RunPhase::Running && step)
         checkProgress(worker, run, seen);
 }
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -127,7 +127,8 @@
 
     // owner-starts.cpp: what a successor knows of the starts of the previous owner.
     Task* findTask(const TaskId& id);
-    void markAnswered(const ActiveRun& run);
+    void markAnswered(ActiveRun& run);
+    void confirmStart(ActiveRun& run);
     void forgetStart(const TaskId& id, const Worker& worker);
     void forgetStartsBeforeRestart(Worker& worker, std::int64_t newIncarnation);
     void resolveStarts(Job& job);
--- a/packages/fleet/src/owner-starts.cpp
+++ b/packages/fleet/src/owner-starts.cpp
@@ -9,6 +9,13 @@
 
 namespace jujubereach::fleet {
 
+namespace {
+
+    // Most runs end sooner, and their ends are saved anyway.
+    constexpr Duration answerSaveDelay { 1000 };
+
+} // namespace
+
 Task* Owner::Impl::findTask(const TaskId& id)
 {
     auto* job = findJob(id.job);
@@ -17,11 +24,29 @@
 }
 
 // The worker has confirmed the run. Only the order of a single attempt cannot come again.
-void Owner::Impl::markAnswered(const ActiveRun& run)
+void Owner::Impl::markAnswered(ActiveRun& run)
+{
+    auto* task = findTask(run.task);
+    if (!task || !task->start || run.orphaned)
+        return;
+    task->start->answered = run.startAttempts == 1;
+    run.answerUnsaved = task->start->answered && !findJob(run.task.job)->inSaveQueue;
+}
+
+// The worker lists the run again.
+void Owner::Impl::confirmStart(ActiveRun& run)
 {
     auto* task = findTask(run.task);
-    if (task && task->start && !run.orphaned)
-        task->start->answered = run.startAttempts == 1;
+    if (!task || !task->start || run.orphaned)
+        return;
+    const auto lastSent = run.adopted ? lastEarlierOrder() : run.startSentAt;
+    const auto confirmed = !task->start->answered && now() - lastSent > maxOrderDelay;
+    const auto unsaved = run.answerUnsaved && now() - run.runningSince >= answerSaveDelay;
+    if (!confirmed && !unsaved)
+        return;
+    task->start->answered = true;
+    run.answerUnsaved = false;
+    markChanged(*findJob(run.task.job));
 }
 
 // The run that was started on the worker has ended or was refused.
--- a/packages/fleet/src/worker.h
+++ b/packages/fleet/src/worker.h
@@ -32,6 +32,7 @@
     int startAttempts = 0;
     /// A start got no answer: it may be executed later, by a later incarnation too.
     bool startUnanswered = false;
+    bool answerUnsaved = false; ///< The start was stored before it was answered.
     TimePoint orderedAt;
     TimePoint startSentAt; ///< When the last attempt was sent.
     TimePoint runningSince;
