Add a failing test of an adopted run that is not stored

Seen: "j.0.0.0 started three times after three crashes". A start that the store refused is known to the next owner, which adopts the run, and still not stored: the owner after it does not know that the run crashed its worker.

--- a/packages/fleet/test/handover-test.cpp
+++ b/packages/fleet/test/handover-test.cpp
@@ -11,8 +11,11 @@
     CPPUNIT_TEST(startsATaskElsewhereAfterPassesWereHeldUpDuringTheWait);
     CPPUNIT_TEST(waitsForTheStartOfARunThatWasConfirmed);
     CPPUNIT_TEST(waitsForAStartThatIsTooOldToCome);
+    CPPUNIT_TEST(hidesACrashOfAnAdoptedRunThatIsNotStored);
     CPPUNIT_TEST_SUITE_END();
 
+    static TaskId taskOf(const std::string& job, int index = 0) { return { JobId(job), 0, 0, index }; }
+
     // Orders a start at "a" that is executed `delay` late; "b" is added for all later starts.
     static FakeWorker& orderLateStart(FakeFleet& fleet, Duration delay, JobRecord job)
     {
@@ -133,6 +136,42 @@
         worker.answersLost = false;
         assertStartsAgainAtOnce(fleet);
     }
+
+    // The store refuses each start; the next owner adopts the run and is replaced right after the crash.
+    void hidesACrashOfAnAdoptedRunThatIsNotStored()
+    {
+        FakeFleet fleet;
+        for (int i = 0; i < 8; ++i)
+            fleet.addWorker("w" + std::to_string(i), "r" + std::to_string(i / 4));
+        fleet.workTime = [](const TaskId&) { return Duration(20'000); };
+        fleet.crashDelay = Duration(1500);
+        fleet.takeOver();
+        fleet.run(Duration(500));
+        fleet.submit(FakeFleet::job("j", 2));
+        fleet.run(Duration(500));
+        fleet.deadlyTasks.insert(taskOf("j"));
+        for (auto& [id, worker] : fleet.workers) {
+            if (worker.live.contains(taskOf("j")))
+                fleet.crashWorker(id); // The job is running from now on.
+        }
+        for (int i = 0; i < 8; ++i) {
+            const auto starts = fleet.observed.starts[taskOf("j")];
+            fleet.storeDown = true;
+            for (int t = 0; t < 3000 && fleet.observed.starts[taskOf("j")] == starts; ++t) {
+                fleet.storeDown = false;
+                fleet.run(Duration(10));
+            }
+            fleet.storeDown = true;
+            fleet.run(Duration(300));
+            fleet.storeDown = false;
+            fleet.takeOver();
+            fleet.run(Duration(2000)); // Adopts the run; the worker crashes.
+            fleet.takeOver();
+        }
+        fleet.run(Duration(60'000));
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.firstViolation());
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Failed);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HandoverTest);
