--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -77,8 +77,12 @@
     task->worker = worker.id();
     task->startUnresolved = false;
     const auto answered = task->start && task->start->worker == worker.id() && task->start->answered;
-    task->start = { worker.id(), worker.incarnation, answered };
-    step->shared(running.task.index).lastRun = running.run;
+    const TaskStart start { worker.id(), worker.incarnation, answered };
+    auto& lastRun = step->shared(running.task.index).lastRun;
+    if (task->start != start || lastRun != running.run)
+        markChanged(*job); // A start that the previous owner has not stored.
+    task->start = start;
+    lastRun = running.run;
     ++step->active;
     ++step->onWorker[worker.id()];
     if (!running.checkpoint.empty())
