Add a failing test of a start that has expired before a takeover

Seen: a crash is presumed under a task whose start never reached its worker: the owner had given the start up, but not removed it from the record. The worker restarted a minute later.

--- a/packages/fleet/test/handover-test.cpp
+++ b/packages/fleet/test/handover-test.cpp
@@ -12,10 +12,18 @@
     CPPUNIT_TEST(waitsForTheStartOfARunThatWasConfirmed);
     CPPUNIT_TEST(waitsForAStartThatIsTooOldToCome);
     CPPUNIT_TEST(hidesACrashOfAnAdoptedRunThatIsNotStored);
+    CPPUNIT_TEST(countsARestartAfterAnExpiredStartAsACrash);
     CPPUNIT_TEST_SUITE_END();
 
     static TaskId taskOf(const std::string& job, int index = 0) { return { JobId(job), 0, 0, index }; }
 
+    static bool isSuspect(const FakeFleet& fleet, const std::string& job)
+    {
+        return std::any_of(fleet.log.begin(), fleet.log.end(), [&](const std::string& line) {
+            return line.find("crash-") == 0 && line.find('"' + job + '.') != std::string::npos;
+        });
+    }
+
     // Orders a start at "a" that is executed `delay` late; "b" is added for all later starts.
     static FakeWorker& orderLateStart(FakeFleet& fleet, Duration delay, JobRecord job)
     {
@@ -172,6 +180,28 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), fleet.firstViolation());
         CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Failed);
     }
+
+    // No attempt of the start has reached the worker; it restarts a minute later, and then the owner changes.
+    void countsARestartAfterAnExpiredStartAsACrash()
+    {
+        FakeFleet fleet;
+        auto& worker = fleet.addWorker("a");
+        fleet.takeOver();
+        fleet.run(Duration(500));
+        worker.answersLost = true;
+        fleet.submit(FakeFleet::job("j", 1));
+        fleet.run(Duration(10));
+        worker.reachable = false;
+        fleet.run(Duration(60'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet.liveRuns());
+        fleet.owner->workerUnlisted(WorkerId("a"));
+        fleet.run(Duration(1000));
+        fleet.restartWorker("a");
+        fleet.takeOver();
+        fleet.run(Duration(5000));
+        CPPUNIT_ASSERT(!isSuspect(fleet, "j"));
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HandoverTest);
