--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -272,8 +272,10 @@
         if (run.startUnanswered)
             expired.push_back(task);
     }
-    for (const auto& task : expired)
+    for (const auto& task : expired) {
+        forgetStart(task, worker);
         loseRun(worker, task, "its unanswered start has expired");
+    }
 }
 
 Duration Owner::Impl::longestHold() const
