Add a failing test of a restart that this owner has seen itself

Seen: a crash is presumed under a task whose start never reached its worker. The worker answered the new owner without the run and restarted while the owner waited for another worker.

--- a/packages/fleet/test/handover-test.cpp
+++ b/packages/fleet/test/handover-test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(waitsForAStartThatIsTooOldToCome);
     CPPUNIT_TEST(hidesACrashOfAnAdoptedRunThatIsNotStored);
     CPPUNIT_TEST(countsARestartAfterAnExpiredStartAsACrash);
+    CPPUNIT_TEST(countsARestartAfterAPollThatDidNotListTheRunAsACrash);
     CPPUNIT_TEST_SUITE_END();
 
     static TaskId taskOf(const std::string& job, int index = 0) { return { JobId(job), 0, 0, index }; }
@@ -202,6 +203,28 @@
         CPPUNIT_ASSERT(!isSuspect(fleet, "j"));
         CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
     }
+
+    // The start never reaches the worker, which restarts after its first answer to the new owner.
+    void countsARestartAfterAPollThatDidNotListTheRunAsACrash()
+    {
+        FakeFleet fleet;
+        auto& worker = fleet.addWorker("a");
+        auto& silent = fleet.addWorker("b");
+        fleet.takeOver();
+        fleet.run(Duration(500));
+        silent.reachable = false;
+        worker.callDelay = Duration(11'900);
+        fleet.submit(FakeFleet::job("j", 1));
+        fleet.run(Duration(100));
+        worker.callDelay = Duration(0);
+        fleet.takeOver();
+        fleet.run(Duration(1000)); // Polls "a" and waits for "b".
+        fleet.restartWorker("a");
+        fleet.owner->workerReported(worker.report);
+        fleet.run(Duration(60'000));
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.firstViolation());
+        CPPUNIT_ASSERT(!isSuspect(fleet, "j"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HandoverTest);
