--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -128,6 +128,8 @@
         return false;
     }
     worker.fenced = true;
+    if (worker.firstIncarnation == 0)
+        worker.firstIncarnation = worker.incarnation;
     worker.acknowledged = 0;
     worker.ends.clear();
     markResolved(worker.id());
--- a/packages/fleet/src/owner-starts.cpp
+++ b/packages/fleet/src/owner-starts.cpp
@@ -107,9 +107,11 @@
     task.startUnresolved = false;
     const auto* worker = start ? findWorker(start->worker) : nullptr;
     const auto incarnation = worker ? std::max(worker->incarnation, worker->report.incarnation) : 0;
-    const auto sameIncarnation = worker && worker->fenced && incarnation == start->incarnation;
+    // A worker that did not list the run in its first answer has not crashed under it later.
+    const auto first = worker && worker->firstIncarnation != 0 ? worker->firstIncarnation : incarnation;
+    const auto sameIncarnation = worker && worker->fenced && first == start->incarnation;
     const auto restarted = start && start->incarnation != 0
-        && (incarnation > start->incarnation || m_replaced.contains(start->worker));
+        && (first > start->incarnation || m_replaced.contains(start->worker));
     auto& history = task.crashes;
     const auto mayHaveCrashed
         = restarted || (history.crashes > 0 && !sameIncarnation && (!start || start->incarnation != 0));
--- a/packages/fleet/src/worker.h
+++ b/packages/fleet/src/worker.h
@@ -86,6 +86,7 @@
     bool listed = false; ///< Has an entry in the store.
     bool fenced = false; ///< This incarnation has accepted the owner's fence and its runs are known.
     std::int64_t incarnation = 0; ///< Latest incarnation that answered; 0 before the first answer.
+    std::int64_t firstIncarnation = 0; ///< The first that accepted the owner's fence.
     std::map<TaskId, ActiveRun> runs;
     Resources used; ///< By `runs`.
     Resources urgent; ///< The part of `used` taken by urgent tasks.
