--- a/packages/fleet/test/handover-test.cpp
+++ b/packages/fleet/test/handover-test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(hidesACrashOfAnAdoptedRunThatIsNotStored);
     CPPUNIT_TEST(countsARestartAfterAnExpiredStartAsACrash);
     CPPUNIT_TEST(countsARestartAfterAPollThatDidNotListTheRunAsACrash);
+    CPPUNIT_TEST(countsTheExitOfADrainedWorkerAsACrash);
     CPPUNIT_TEST_SUITE_END();
 
     static TaskId taskOf(const std::string& job, int index = 0) { return { JobId(job), 0, 0, index }; }
@@ -225,6 +226,28 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), fleet.firstViolation());
         CPPUNIT_ASSERT(!isSuspect(fleet, "j"));
     }
+
+    // A long-running task runs until its drained worker exits, and the owner changes meanwhile.
+    void countsTheExitOfADrainedWorkerAsACrash()
+    {
+        FakeFleet fleet;
+        auto& worker = fleet.addWorker("a");
+        fleet.workTime = [](const TaskId&) { return Duration(600'000); };
+        fleet.takeOver();
+        fleet.run(Duration(500));
+        auto job = FakeFleet::job("j", 1);
+        job.spec.steps[0].longRunning = true;
+        fleet.submit(job);
+        fleet.run(Duration(5000));
+        worker.report.draining = true;
+        fleet.owner->workerReported(worker.report);
+        fleet.run(Duration(3000));
+        worker.report.draining = false;
+        fleet.restartWorker("a");
+        fleet.takeOver();
+        fleet.run(Duration(20'000));
+        CPPUNIT_ASSERT(!isSuspect(fleet, "j"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HandoverTest);
