--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -129,6 +129,7 @@
     Task* findTask(const TaskId& id);
     void markAnswered(ActiveRun& run);
     void confirmStart(ActiveRun& run);
+    void markLeaving(const Worker& worker);
     void forgetStart(const TaskId& id, const Worker& worker);
     void forgetStartsBeforeRestart(Worker& worker, std::int64_t newIncarnation);
     void resolveStarts(Job& job);
--- a/packages/fleet/src/owner-starts.cpp
+++ b/packages/fleet/src/owner-starts.cpp
@@ -49,6 +49,18 @@
     markChanged(*findJob(run.task.job));
 }
 
+// The runs that are left when the worker leaves end with it, so that its restart is no crash under them.
+void Owner::Impl::markLeaving(const Worker& worker)
+{
+    for (const auto& [id, run] : worker.runs) {
+        auto* task = findTask(id);
+        if (!task || !task->start || task->start->worker != worker.id() || run.orphaned)
+            continue;
+        task->start->incarnation = 0;
+        markChanged(*findJob(id.job));
+    }
+}
+
 // The run that was started on the worker has ended or was refused.
 void Owner::Impl::forgetStart(const TaskId& id, const Worker& worker)
 {
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -145,10 +145,12 @@
     worker.listed = true;
     if (report.draining && (report.leavesIn.count() > 0 || !wasDraining))
         worker.leavesAt = now() + (report.leavesIn.count() > 0 ? report.leavesIn : m_settings.drainBound);
-    if (report.draining && !wasDraining)
+    if (report.draining && !wasDraining) {
         m_hooks.log("worker-drains",
             { { "worker", report.id.str() }, { "runs", worker.runs.size() },
                 { "leavesInMs", (worker.leavesAt - now()).count() } });
+        markLeaving(worker);
+    }
     if (restarted) {
         loseRuns(worker, "its worker has restarted");
         worker.incarnation = report.incarnation;
