--- a/packages/fleet/src/owner-starts.cpp
+++ b/packages/fleet/src/owner-starts.cpp
@@ -65,12 +65,11 @@
 void Owner::Impl::forgetStart(const TaskId& id, const Worker& worker)
 {
     auto* task = findTask(id);
-    if (!task)
+    if (!task || (task->start && task->start->worker != worker.id()))
         return;
     task->startUnresolved = false;
-    if (!task->start || task->start->worker != worker.id())
+    if (!std::exchange(task->start, std::nullopt))
         return;
-    task->start.reset();
     markChanged(*findJob(id.job));
 }
 
