--- a/packages/fleet/src/owner-starts.cpp
+++ b/packages/fleet/src/owner-starts.cpp
@@ -121,8 +121,8 @@
     // A worker that did not list the run in its first answer has not crashed under it later.
     const auto first = worker && worker->firstIncarnation != 0 ? worker->firstIncarnation : incarnation;
     const auto sameIncarnation = worker && worker->fenced && first == start->incarnation;
-    const auto restarted = start && start->incarnation != 0
-        && (first > start->incarnation || m_replaced.contains(start->worker));
+    const auto replaced = start && m_replaced.contains(start->worker);
+    const auto restarted = start && start->incarnation != 0 && (first > start->incarnation || replaced);
     auto& history = task.crashes;
     const auto mayHaveCrashed
         = restarted || (history.crashes > 0 && !sameIncarnation && (!start || start->incarnation != 0));
@@ -135,7 +135,7 @@
                 { "restarted", restarted }, { "crashes", history.crashes },
                 { "confirmed", history.confirmed }, { "alone", history.alone } });
     }
-    if (start && (sameIncarnation || !start->answered) && awaitLateStart(id, start->worker))
+    if (start && !replaced && (sameIncarnation || !start->answered) && awaitLateStart(id, start->worker))
         task.start = { start->worker, mayHaveCrashed ? 0 : start->incarnation, start->answered };
     return restarted && shouldGiveUp(history);
 }
