--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -252,6 +252,7 @@
     std::set<WorkerId> m_replaced;
     /// Starts of the previous owner that workers may still execute, in a later incarnation too.
     std::map<TaskId, LateStart> m_lateStarts;
+    std::set<WorkerId> m_lateStartWorkers; ///< Workers of `m_lateStarts`.
     std::map<WorkerId, bool> m_roster; ///< Stored rows; only workers with an open row receive starts.
     Revision m_rosterRevision;
     bool m_rosterDue = false;
--- a/packages/fleet/src/owner-starts.cpp
+++ b/packages/fleet/src/owner-starts.cpp
@@ -152,6 +152,7 @@
     if (isOver(late))
         return false;
     m_lateStarts[id] = late;
+    m_lateStartWorkers.insert(worker);
     m_hooks.log("late-start-awaited",
         { { "task", toString(id) }, { "worker", worker.str() },
             { "forMs", (late.expires - now()).count() } });
@@ -180,15 +181,18 @@
         i = m_lateStarts.erase(i);
         expired = true;
     }
-    if (expired)
-        schedulePass();
+    if (!expired)
+        return;
+    m_lateStartWorkers.clear();
+    for (const auto& [task, late] : m_lateStarts)
+        m_lateStartWorkers.insert(late.worker);
+    schedulePass();
 }
 
 // Polls bring the fence to a new incarnation, which then refuses the late start.
 bool Owner::Impl::awaitsLateStart(const Worker& worker) const
 {
-    return std::any_of(m_lateStarts.begin(), m_lateStarts.end(),
-        [&](const auto& entry) { return entry.second.worker == worker.id(); });
+    return m_lateStartWorkers.contains(worker.id());
 }
 
 } // namespace jujubereach::fleet
