Add failing tests of a stopped start that a later incarnation runs

No attempt of a start is answered and its stop is confirmed, so the task starts elsewhere and the record names that start only. The worker restarts under its id while it is cut off and executes the first attempt. Not fixed: the only safe way is to hold the task for 12 s after each start without an answer.

--- a/packages/fleet/test/handover-test.cpp
+++ b/packages/fleet/test/handover-test.cpp
@@ -9,6 +9,8 @@
     CPPUNIT_TEST(forgetsALateStartAtASecondTakeover);
     CPPUNIT_TEST(startsATaskElsewhereWhileAWorkerThatLeftTheListMayRunIt);
     CPPUNIT_TEST(startsATaskElsewhereAfterPassesWereHeldUpDuringTheWait);
+    CPPUNIT_TEST(forgetsALateStartAfterItsStopWasConfirmed);
+    CPPUNIT_TEST(startsATaskElsewhereWhileItsStoppedStartMayStillCome);
     CPPUNIT_TEST(waitsForTheStartOfARunThatWasConfirmed);
     CPPUNIT_TEST(waitsForAStartThatIsTooOldToCome);
     CPPUNIT_TEST(hidesACrashOfAnAdoptedRunThatIsNotStored);
@@ -103,6 +105,33 @@
         CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
     }
 
+    // Only the last attempts of the start are answered or stopped; the first one is still under way.
+    static void assertAwaitsStoppedStart(bool takeOver)
+    {
+        FakeFleet fleet;
+        fleet.workTime = [](const TaskId&) { return Duration(20'000); };
+        auto& late = fleet.addWorker("a");
+        fleet.takeOver();
+        fleet.run(Duration(500));
+        late.callDelay = Duration(8000);
+        fleet.submit(FakeFleet::job("j", 1));
+        fleet.run(Duration(2300)); // All three attempts.
+        late.callDelay = Duration(0);
+        fleet.owner->workerReported(fleet.addWorker("b").report);
+        fleet.run(Duration(1500));
+        if (takeOver)
+            fleet.takeOver();
+        fleet.run(Duration(1500));
+        fleet.restartWorker("a");
+        late.reachable = false;
+        fleet.run(Duration(60'000));
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.firstViolation());
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+    }
+
+    void forgetsALateStartAfterItsStopWasConfirmed() { assertAwaitsStoppedStart(true); }
+    void startsATaskElsewhereWhileItsStoppedStartMayStillCome() { assertAwaitsStoppedStart(false); }
+
     // The worker restarts together with the owner, a minute after it has confirmed the run.
     static void assertStartsAgainAtOnce(FakeFleet& fleet, Duration age = Duration(60'000))
     {
