Add a failing test of a start that gives a job up without arriving

Seen: the job is shown as failed. The start of a task that stood beside two crashes was under way when its worker restarted and the owner changed; the new owner counts it as a crash of a worker that ran nothing else.

--- a/packages/fleet/test/handover-test.cpp
+++ b/packages/fleet/test/handover-test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(countsARestartAfterAnExpiredStartAsACrash);
     CPPUNIT_TEST(countsARestartAfterAPollThatDidNotListTheRunAsACrash);
     CPPUNIT_TEST(countsTheExitOfADrainedWorkerAsACrash);
+    CPPUNIT_TEST(givesUpAJobBecauseOfAStartThatNeverArrived);
     CPPUNIT_TEST_SUITE_END();
 
     static TaskId taskOf(const std::string& job, int index = 0) { return { JobId(job), 0, 0, index }; }
@@ -277,6 +278,44 @@
         fleet.run(Duration(20'000));
         CPPUNIT_ASSERT(!isSuspect(fleet, "j"));
     }
+
+    // Two workers have crashed beside the task; its third start is still under way when its worker restarts.
+    void givesUpAJobBecauseOfAStartThatNeverArrived()
+    {
+        FakeFleet fleet;
+        for (int i = 0; i < 6; ++i)
+            fleet.addWorker("w" + std::to_string(i));
+        fleet.workTime = [](const TaskId&) { return Duration(8000); };
+        fleet.takeOver();
+        fleet.run(Duration(500));
+        fleet.submit(FakeFleet::job("j", 1));
+        fleet.submit(FakeFleet::job("other", 12));
+        for (int i = 0; i < 2; ++i) {
+            fleet.run(Duration(1500));
+            for (auto& [id, worker] : fleet.workers) {
+                if (worker.live.contains(taskOf("j")))
+                    fleet.crashWorker(id);
+            }
+            if (i == 1) {
+                for (auto& [id, worker] : fleet.workers)
+                    worker.callDelay = Duration(11'900);
+            }
+            fleet.run(fleet.restartTime + Duration(100));
+        }
+        const auto& lines = fleet.log;
+        const auto start = std::find_if(lines.rbegin(), lines.rend(), [](const std::string& line) {
+            return line.find("start ") == 0 && line.find("\"j.") != std::string::npos;
+        });
+        const auto name = start->substr(start->find("\"worker\":\"") + 10, 2);
+        fleet.run(Duration(100));
+        for (auto& [id, worker] : fleet.workers)
+            worker.callDelay = Duration(0);
+        fleet.restartWorker(name);
+        fleet.takeOver();
+        fleet.run(Duration(60'000));
+        CPPUNIT_ASSERT_EQUAL(std::string(), fleet.firstViolation());
+        CPPUNIT_ASSERT(fleet.savedState("j") == JobState::Completed);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HandoverTest);
