Count a presumed crash as alone only under a run that was reported

The record says whether a worker has confirmed or listed the run; that several attempts were sent no longer hides it.

--- a/packages/fleet/include/jujubereach/fleet/records.h
+++ b/packages/fleet/include/jujubereach/fleet/records.h
@@ -43,6 +43,7 @@
     WorkerId worker;
     std::int64_t incarnation = 0; ///< Of the worker; 0 if its restart is no crash under the run.
     bool answered = false; ///< No order of this start can be executed later.
+    bool reported = false; ///< The worker has confirmed or listed the run.
 
     friend bool operator==(const TaskStart&, const TaskStart&) = default;
 };
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -511,7 +511,7 @@
     run.checkpoint = step.shared(id.index).checkpoint;
     if (task.crashes.crashes > 0)
         beginProbation(task, run, isolated);
-    task.start = { worker.id(), worker.incarnation, false };
+    task.start = { worker.id(), worker.incarnation, false, false };
     if (const auto ticket = step.advice.tickets.find(worker.id()); ticket != step.advice.tickets.end())
         run.ticket = ticket->second;
     addRun(worker, run);
--- a/packages/fleet/src/owner-starts.cpp
+++ b/packages/fleet/src/owner-starts.cpp
@@ -30,7 +30,8 @@
     if (!task || !task->start || run.orphaned)
         return;
     task->start->answered = run.startAttempts == 1;
-    run.answerUnsaved = task->start->answered && !findJob(run.task.job)->inSaveQueue;
+    task->start->reported = true;
+    run.answerUnsaved = !findJob(run.task.job)->inSaveQueue;
 }
 
 // The worker lists the run again.
@@ -44,7 +45,7 @@
     const auto unsaved = run.answerUnsaved && now() - run.runningSince >= answerSaveDelay;
     if (!confirmed && !unsaved)
         return;
-    task->start->answered = true;
+    task->start->answered = task->start->answered || confirmed;
     run.answerUnsaved = false;
     markChanged(*findJob(run.task.job));
 }
@@ -127,8 +128,8 @@
     const auto mayHaveCrashed
         = restarted || (history.crashes > 0 && !sameIncarnation && (!start || start->incarnation != 0));
     if (mayHaveCrashed) {
-        history.alone += restarted && mustIsolate(task);
-        history.confirmed += restarted && start->answered;
+        history.alone += restarted && start->reported && mustIsolate(task);
+        history.confirmed += restarted && start->reported;
         countCrash(job, task);
         m_hooks.log("crash-presumed",
             { { "task", toString(id) }, { "worker", start ? start->worker.str() : "" },
@@ -136,7 +137,8 @@
                 { "confirmed", history.confirmed }, { "alone", history.alone } });
     }
     if (start && !replaced && (sameIncarnation || !start->answered) && awaitLateStart(id, start->worker))
-        task.start = { start->worker, mayHaveCrashed ? 0 : start->incarnation, start->answered };
+        task.start
+            = { start->worker, mayHaveCrashed ? 0 : start->incarnation, start->answered, start->reported };
     return restarted && shouldGiveUp(history);
 }
 
--- a/packages/fleet/src/records.cpp
+++ b/packages/fleet/src/records.cpp
@@ -164,7 +164,8 @@
         if (row.size() > 8) { // Earlier builds ignore it.
             const auto& start = row.at(8).as_array();
             task.start = { WorkerId(std::string(start.at(0).as_string())),
-                start.at(1).to_number<std::int64_t>(), start.at(2).to_number<int>() != 0 };
+                start.at(1).to_number<std::int64_t>(), start.at(2).to_number<int>() != 0,
+                start.size() > 3 && start.at(3).to_number<int>() != 0 };
         }
         return task;
     }
@@ -233,8 +234,8 @@
             row.push_back(json::array { task.crashes.crashes, task.crashes.confirmed, task.crashes.alone,
                 task.crashes.longestRun.count(), task.crashes.lastRun.value });
         if (task.start)
-            row.push_back(json::array {
-                task.start->worker.str(), task.start->incarnation, task.start->answered ? 1 : 0 });
+            row.push_back(json::array { task.start->worker.str(), task.start->incarnation,
+                task.start->answered ? 1 : 0, task.start->reported ? 1 : 0 });
         tasks.push_back(std::move(row));
     }
     if (!tasks.empty())
