--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -79,8 +79,12 @@
     task->worker = worker.id();
     task->startUnresolved = false;
     const auto answered = task->start && task->start->worker == worker.id() && task->start->answered;
-    task->start = { worker.id(), worker.incarnation, answered };
-    step->shared(running.task.index).lastRun = running.run;
+    const TaskStart start { worker.id(), worker.report.draining ? 0 : worker.incarnation, answered, true };
+    auto& lastRun = step->shared(running.task.index).lastRun;
+    if (task->start != start || lastRun != running.run)
+        markChanged(*job); // A start that the previous owner has not stored.
+    task->start = start;
+    lastRun = running.run;
     ++step->active;
     ++step->onWorker[worker.id()];
     if (!running.checkpoint.empty())
@@ -135,6 +139,7 @@
     if (step && !seen.checkpoint.empty())
         step->shared(seen.task.index).checkpoint = seen.checkpoint;
     clearCrashesAfterProbation(run);
+    confirmStart(run);
     if (run.phase == RunPhase::Running && step)
         checkProgress(worker, run, seen);
 }
@@ -292,8 +297,6 @@
     const auto trackStarts = mayReturn && m_settings.switches.trackUnansweredStarts;
     if (trackStarts)
         restoreUnansweredStarts(worker);
-    if (!mayReturn)
-        worker.unansweredStarts.clear(); // Orders to a replaced incarnation are refused at its address.
     std::vector<TaskId> gone;
     for (auto& [task, run] : worker.runs) {
         const auto mayCome = run.startUnanswered || (run.phase == RunPhase::Ordered && run.callInFlight);
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -128,12 +128,16 @@
 
     // owner-starts.cpp: what a successor knows of the starts of the previous owner.
     Task* findTask(const TaskId& id);
-    void markAnswered(const ActiveRun& run);
+    void markAnswered(ActiveRun& run);
+    void confirmStart(ActiveRun& run);
+    void markLeaving(const Worker& worker);
     void forgetStart(const TaskId& id, const Worker& worker);
     void forgetStartsBeforeRestart(Worker& worker, std::int64_t newIncarnation);
     void resolveStarts(Job& job);
     bool resolveStart(Job& job, const TaskId& id, Task& task);
-    void awaitLateStart(const TaskId& id, const WorkerId& worker, TimePoint expires);
+    bool awaitLateStart(const TaskId& id, const WorkerId& worker, TimePoint expires);
+    bool isOver(const LateStart& late);
+    TimePoint lastEarlierOrder() const; ///< The previous owner issues no orders later.
     void expireLateStarts();
     bool awaitsLateStart(const Worker& worker) const;
 
@@ -248,6 +252,7 @@
     /// Workers of the roster that had been replaced at their address when this owner reached it.
     std::set<WorkerId> m_replaced;
     std::map<TaskId, LateStart> m_lateStarts;
+    std::set<WorkerId> m_lateStartWorkers; ///< Workers of `m_lateStarts`.
     std::map<WorkerId, bool> m_roster; ///< Stored rows; only workers with an open row receive starts.
     Revision m_rosterRevision;
     bool m_rosterDue = false;
--- a/packages/fleet/src/owner-starts.cpp
+++ b/packages/fleet/src/owner-starts.cpp
@@ -9,6 +9,13 @@
 
 namespace jujubereach::fleet {
 
+namespace {
+
+    // Most runs end sooner, and their ends are saved anyway.
+    constexpr Duration answerSaveDelay { 1000 };
+
+} // namespace
+
 Task* Owner::Impl::findTask(const TaskId& id)
 {
     auto* job = findJob(id.job);
@@ -17,24 +24,56 @@
 }
 
 // The worker has confirmed the run. Only the order of a single attempt cannot come again.
-void Owner::Impl::markAnswered(const ActiveRun& run)
+void Owner::Impl::markAnswered(ActiveRun& run)
 {
     auto* task = findTask(run.task);
-    if (task && task->start && !run.orphaned)
-        task->start->answered = run.startAttempts == 1;
+    if (!task || !task->start || run.orphaned)
+        return;
+    task->start->answered = run.startAttempts == 1;
+    task->start->reported = true;
+    run.answerUnsaved = !findJob(run.task.job)->inSaveQueue;
 }
 
-// The run that was started on the worker has ended or was refused.
+// The worker lists the run again.
+void Owner::Impl::confirmStart(ActiveRun& run)
+{
+    auto* task = findTask(run.task);
+    if (!task || !task->start || run.orphaned)
+        return;
+    const auto lastSent = run.adopted ? lastEarlierOrder() : run.startSentAt;
+    const auto confirmed = !task->start->answered && now() - lastSent > maxOrderDelay;
+    const auto unsaved = run.answerUnsaved && now() - run.runningSince >= answerSaveDelay;
+    if (!confirmed && !unsaved)
+        return;
+    task->start->answered = task->start->answered || confirmed;
+    run.answerUnsaved = false;
+    markChanged(*findJob(run.task.job));
+}
+
+// The runs that are left when the worker leaves end with it, so that its restart is no crash under them.
+void Owner::Impl::markLeaving(const Worker& worker)
+{
+    for (const auto& [id, run] : worker.runs) {
+        auto* task = findTask(id);
+        if (!task || !task->start || task->start->worker != worker.id() || run.orphaned)
+            continue;
+        task->start->incarnation = 0;
+        markChanged(*findJob(id.job));
+    }
+}
+
+// The run that was started on the worker has ended or was refused. An attempt without an answer stays
+// recorded.
 void Owner::Impl::forgetStart(const TaskId& id, const Worker& worker)
 {
     auto* task = findTask(id);
-    if (!task)
+    if (!task || (task->start && task->start->worker != worker.id()))
         return;
     task->startUnresolved = false;
-    if (!task->start || task->start->worker != worker.id())
+    if (!task->start)
         return;
     if (worker.unansweredStarts.contains(id))
-        task->start->answered = false;
+        task->start = { worker.id(), 0, false, false };
     else
         task->start.reset();
     markChanged(*findJob(id.job));
@@ -43,6 +82,8 @@
 // A restart ends all runs. Orders without an answer may reach the new incarnation.
 void Owner::Impl::forgetStartsBeforeRestart(Worker& worker, std::int64_t newIncarnation)
 {
+    if (newIncarnation == 0)
+        worker.unansweredStarts.clear(); // The worker that answers at its address refuses them.
     for (const auto& run : worker.expiredRuns)
         forgetStart(run.task, worker);
     for (const auto& [id, run] : worker.runs) {
@@ -53,11 +94,6 @@
         else if (task && task->start && task->start->worker == worker.id())
             task->start->incarnation = newIncarnation;
     }
-    for (const auto& [id, late] : worker.unansweredStarts) {
-        auto* task = findTask(id);
-        if (task && task->start && task->start->worker == worker.id())
-            task->start->incarnation = newIncarnation;
-    }
 }
 
 // Called when all workers have answered that the previous owner used and that may run the tasks.
@@ -90,60 +126,83 @@
     task.startUnresolved = false;
     const auto* worker = start ? findWorker(start->worker) : nullptr;
     const auto incarnation = worker ? std::max(worker->incarnation, worker->report.incarnation) : 0;
-    const auto sameIncarnation = worker && worker->fenced && incarnation == start->incarnation;
-    const auto restarted = start && start->incarnation != 0
-        && (incarnation > start->incarnation || m_replaced.contains(start->worker));
+    // A worker that did not list the run in its first answer has not crashed under it later.
+    const auto first = worker && worker->firstIncarnation != 0 ? worker->firstIncarnation : incarnation;
+    const auto sameIncarnation = worker && worker->fenced && first == start->incarnation;
+    const auto replaced = start && m_replaced.contains(start->worker);
+    const auto restarted = start && start->incarnation != 0 && (first > start->incarnation || replaced);
     auto& history = task.crashes;
-    if (restarted || (history.crashes > 0 && !sameIncarnation)) {
-        history.alone += restarted && mustIsolate(task);
-        history.confirmed += restarted && start->answered;
+    const auto mayHaveCrashed
+        = restarted || (history.crashes > 0 && !sameIncarnation && (!start || start->incarnation != 0));
+    if (mayHaveCrashed) {
+        history.alone += restarted && start->reported && mustIsolate(task);
+        history.confirmed += restarted && start->reported;
         countCrash(job, task);
         m_hooks.log("crash-presumed",
             { { "task", toString(id) }, { "worker", start ? start->worker.str() : "" },
                 { "restarted", restarted }, { "crashes", history.crashes },
                 { "confirmed", history.confirmed }, { "alone", history.alone } });
     }
-    if (start && (sameIncarnation || !start->answered)) {
-        task.start = start;
-        awaitLateStart(id, start->worker,
-            m_tookOverAt + m_settings.ownershipTimeout - m_settings.ownerLease + maxOrderDelay);
-    }
+    if (start && !replaced && (sameIncarnation || !start->answered)
+        && awaitLateStart(id, start->worker, lastEarlierOrder() + maxOrderDelay))
+        task.start
+            = { start->worker, mayHaveCrashed ? 0 : start->incarnation, start->answered, start->reported };
     return restarted && shouldGiveUp(history);
 }
 
-void Owner::Impl::awaitLateStart(const TaskId& id, const WorkerId& worker, TimePoint expires)
+TimePoint Owner::Impl::lastEarlierOrder() const
 {
-    if (now() >= expires)
-        return;
-    m_lateStarts[id] = { worker, expires };
+    return m_tookOverAt + m_settings.ownershipTimeout - m_settings.ownerLease;
+}
+
+// Returns false if the start can no longer be executed, and its run has ended.
+bool Owner::Impl::awaitLateStart(const TaskId& id, const WorkerId& worker, TimePoint expires)
+{
+    const LateStart late { worker, expires };
+    if (isOver(late))
+        return false;
+    m_lateStarts[id] = late;
+    m_lateStartWorkers.insert(worker);
     m_hooks.log("late-start-awaited",
-        { { "task", toString(id) }, { "worker", worker.str() }, { "forMs", (expires - now()).count() } });
+        { { "task", toString(id) }, { "worker", worker.str() },
+            { "forMs", (late.expires - now()).count() } });
+    return true;
+}
+
+// The run of a worker that does not answer, or has left the list, lasts as long as its lease.
+bool Owner::Impl::isOver(const LateStart& late)
+{
+    const auto* worker = findWorker(late.worker);
+    const auto answers = worker && worker->fenced && worker->missedPolls == 0;
+    return now() > late.expires + (answers ? Duration(0) : longestHold() + lapseMargin);
 }
 
 void Owner::Impl::expireLateStarts()
 {
+    auto expired = false;
     for (auto i = m_lateStarts.begin(); i != m_lateStarts.end();) {
-        const auto& [id, late] = *i;
-        const auto* worker = findWorker(late.worker);
-        // The run of a worker that does not answer lasts as long as its lease.
-        const auto silent = worker && (!worker->fenced || worker->missedPolls > 0);
-        if (now() <= late.expires + (silent ? longestHold() + lapseMargin : Duration(0))) {
+        if (!isOver(i->second)) {
             ++i;
             continue;
         }
-        const auto* task = findTask(id);
-        if (worker && task && task->isWaiting())
-            forgetStart(id, *worker);
+        auto* task = findTask(i->first);
+        if (task && task->isWaiting() && std::exchange(task->start, std::nullopt))
+            markChanged(*findJob(i->first.job));
         i = m_lateStarts.erase(i);
-        schedulePass();
+        expired = true;
     }
+    if (!expired)
+        return;
+    m_lateStartWorkers.clear();
+    for (const auto& [task, late] : m_lateStarts)
+        m_lateStartWorkers.insert(late.worker);
+    schedulePass();
 }
 
 // Polls bring the fence to a new incarnation, which then refuses the late start.
 bool Owner::Impl::awaitsLateStart(const Worker& worker) const
 {
-    return std::any_of(m_lateStarts.begin(), m_lateStarts.end(),
-        [&](const auto& entry) { return entry.second.worker == worker.id(); });
+    return m_lateStartWorkers.contains(worker.id());
 }
 
 } // namespace jujubereach::fleet
