Bound the restarts of a job that loses worker after worker

Callers saw (by test, not in the field): a restartable job that crashes its workers is started for ever, and each crash ends what runs beside it. Cause: a crash reports no end, so finishAttempt queued the job again as if the attempt had not been; nothing counted it. Ruled out: the limit of failures, which counts reported failures and failed starts only, and in memory. Change: Gang tells a lost worker (restarted without the task, or silent and not back with it) from a cut one and from a lapsed lease; the owner counts such attempts in a row in JobSpec, journals the count with a Progress event and puts it into the labels, so the next owner continues it. At Policy::maxWorkerLosses (3) the scheduler ends the job as worker_lost with the new reason workers_lost. A checkpoint ends the row. One attempt counts once, however many workers an outage takes. The entry "lost" is written only when set. Records without it are read as zero; decoders ignore unknown entries, so earlier builds read it, and drop it with their next write.

--- a/packages/jobs/include/jujubereach/jobs/owner.h
+++ b/packages/jobs/include/jujubereach/jobs/owner.h
@@ -67,7 +67,7 @@
     Claimed, ///< A non-restartable job is about to start; it starts once this event is committed.
     Unclaimed, ///< The claimed attempt did not run, or ended with its progress saved.
     Started, ///< Every member of the gang runs.
-    Progress, ///< An attempt ended at a checkpoint; the job waits for the next attempt.
+    Progress, ///< An attempt ended at a checkpoint or lost a worker; the job waits for the next attempt.
     Ended,
 };
 
@@ -76,7 +76,7 @@
     std::uint64_t number = 0; ///< For onEventCommitted() and onEventRejected(); increases within one owner.
     JobEventKind kind = JobEventKind::Started;
     std::uint64_t term = 0; ///< Term of the owner; the journal rejects claims of an older term.
-    scheduling::JobSpec job; ///< Includes the attempt count and progress so far.
+    scheduling::JobSpec job; ///< Includes the attempt count, progress and losses so far.
     GangId gang; ///< Gang id used by the workers; empty when no gang was started.
     scheduling::EndKind end = scheduling::EndKind::Completed; ///< For Ended only.
     std::optional<scheduling::RefusalReason> refusal; ///< For Ended only.
@@ -86,7 +86,7 @@
 
 /// A job as recorded in the journal.
 struct JournaledJob {
-    scheduling::JobSpec job; ///< Includes the attempt count and progress of the last event.
+    scheduling::JobSpec job; ///< Includes the attempt count, progress and losses of the last event.
     bool claimed = false; ///< An attempt of a non-restartable job may have started.
     bool ended = false;
 };
--- a/packages/jobs/src/gang.cpp
+++ b/packages/jobs/src/gang.cpp
@@ -65,6 +65,10 @@
         else
             onMemberEnded(worker, std::nullopt, now);
     }
+    // If a member has ended, its owner may already have told the other workers to drop their tasks.
+    if (std::ranges::any_of(
+            reports, [](const auto& entry) { return platform::hasEnded(entry.second.state); }))
+        m_lostWorker.reset();
 }
 
 Gang Gang::orphan(GangId id, const OwnerConfig& config, TimePoint now)
@@ -184,6 +188,8 @@
     auto& member = entry->second;
     if (!report)
         return onAbsent(worker, member, now);
+    if (m_lostWorker == worker)
+        m_lostWorker.reset();
     member.progress = report->progress;
     if (platform::hasEnded(report->state))
         return onMemberEnded(worker, report->state, now);
@@ -207,6 +213,8 @@
     auto& member = m_members[worker];
     member.ended = true;
     member.endState = state;
+    if (!state && m_phase < GangPhase::Stopping)
+        m_lostWorker = worker;
     bool live = m_phase == GangPhase::Running || m_phase == GangPhase::Checkpointing;
     if (m_phase == GangPhase::Starting && state == TaskState::Completed)
         member.running = true;
@@ -230,6 +238,7 @@
     auto entry = m_members.find(worker);
     if (entry == m_members.end() || entry->second.ended || m_phase >= GangPhase::Stopping)
         return;
+    m_lostWorker = worker;
     bool ran = m_phase == GangPhase::Running || m_phase == GangPhase::Checkpointing;
     fail(ran ? EndKind::WorkerLost : EndKind::StartFailed, { worker }, now);
     advance(now);
@@ -320,15 +329,25 @@
     return m_members.empty() ? Duration(0) : least;
 }
 
+// Only saved progress ends a row of losses: an attempt that was preempted or failed may have been ended
+// before it could crash its worker.
+std::uint32_t Gang::workerLosses(EndKind kind) const
+{
+    if (kind == EndKind::Checkpointed && ran() != Ran::No)
+        return 0;
+    return m_job.workerLosses + (m_lostWorker && ran() != Ran::No ? 1 : 0);
+}
+
 scheduling::GangEnd Gang::end() const
 {
-    scheduling::GangEnd end { m_schedulerId, m_endKind, m_job.progress, m_faultyWorkers };
+    scheduling::GangEnd end { m_schedulerId, m_endKind, m_job.progress, m_faultyWorkers, 0 };
     if (hasCompleted()) {
         end.kind = EndKind::Completed;
         end.faultyWorkers.clear();
     }
     if (end.kind == EndKind::Checkpointed)
         end.progress = m_job.progress + ranFor();
+    end.workerLosses = workerLosses(end.kind);
     return end;
 }
 
--- a/packages/jobs/src/gang.h
+++ b/packages/jobs/src/gang.h
@@ -98,6 +98,7 @@
     void advance(TimePoint now);
     void fail(scheduling::EndKind kind, std::vector<std::uint32_t> faultyWorkers, TimePoint now);
     std::vector<std::uint32_t> lateMembers() const;
+    std::uint32_t workerLosses(scheduling::EndKind kind) const;
     template <typename F> bool all(F&& test) const;
 
     GangId m_id;
@@ -115,6 +116,8 @@
     TimePoint m_deadline;
     scheduling::EndKind m_endKind = scheduling::EndKind::Completed; ///< Set when Stopping begins.
     std::vector<std::uint32_t> m_faultyWorkers;
+    /// Worker whose loss ended the attempt. Reset if it turns out to have kept the task, as after a cut.
+    std::optional<std::uint32_t> m_lostWorker;
 };
 
 } // namespace jujubereach::jobs
--- a/packages/jobs/src/job-codec.cpp
+++ b/packages/jobs/src/job-codec.cpp
@@ -28,6 +28,8 @@
             json.set("shape", job.shape->str());
         json.set("done", job.progress.count());
         json.set("try", job.attempt);
+        if (job.workerLosses > 0)
+            json.set("lost", job.workerLosses);
         return json;
     }
 
@@ -48,6 +50,8 @@
             job.shape = ShapeId(json.getValue<std::string>("shape"));
         job.progress = Duration(json.getValue<std::int64_t>("done"));
         job.attempt = json.getValue<std::uint32_t>("try");
+        if (json.has("lost"))
+            job.workerLosses = json.getValue<std::uint32_t>("lost");
         return job;
     }
 
--- a/packages/jobs/src/owner-gangs.cpp
+++ b/packages/jobs/src/owner-gangs.cpp
@@ -181,13 +181,15 @@
     if (gang.ran() != Ran::No || end.kind == EndKind::Checkpointed)
         ++job.spec.attempt;
     job.spec.progress = end.progress;
+    bool lostWorker = end.workerLosses > job.spec.workerLosses;
+    job.spec.workerLosses = end.workerLosses;
     m_retainUntil[gang.id()] = noEvent;
     m_awaitingScheduler.insert(gang.id());
     bool safeToRepeat = gang.ran() == Ran::No || end.kind == EndKind::Checkpointed;
     if (job.claimed && safeToRepeat) {
         job.claimed = false;
         m_retainUntil[gang.id()] = emit(JobEventKind::Unclaimed, job, gang.id()).number;
-    } else if (end.kind == EndKind::Checkpointed) {
+    } else if (end.kind == EndKind::Checkpointed || (lostWorker && job.spec.restartable)) {
         m_retainUntil[gang.id()] = emit(JobEventKind::Progress, job, gang.id()).number;
     } else if (job.claimed && end.kind == EndKind::StartFailed) {
         end.kind = EndKind::Unknown; // Some members may have run, and a retry would repeat their work.
--- a/packages/jobs/src/owner-recovery.cpp
+++ b/packages/jobs/src/owner-recovery.cpp
@@ -156,12 +156,15 @@
 
 void DomainOwner::Impl::enqueueFoundJob(Job& job, const ReportedEnd* reported, TimePoint now)
 {
+    bool lostWorker = false;
     if (reported) {
         job.spec.attempt += reported->ran == Ran::No ? 0 : 1;
         job.spec.progress = reported->end.progress;
+        lostWorker = reported->end.workerLosses > job.spec.workerLosses;
+        job.spec.workerLosses = reported->end.workerLosses;
     }
     bool saved = reported && reported->end.kind == EndKind::Checkpointed;
-    if (job.claimed || saved) {
+    if (job.claimed || saved || lostWorker) {
         auto kind = job.claimed ? JobEventKind::Unclaimed : JobEventKind::Progress;
         m_retainUntil[job.lastGang] = emit(kind, job, job.lastGang).number;
         job.claimed = false;
--- a/packages/jobs/test/jobs-test.cpp
+++ b/packages/jobs/test/jobs-test.cpp
@@ -1,4 +1,5 @@
 // Tests single behaviours of a domain's owner.
+#include "fake-journal.h"
 #include "fake-scheduler.h"
 #include "fake-worker.h"
 
@@ -20,15 +21,33 @@
     scheduling::JobSpec job;
     job.id = JobId(id);
     job.accelerators = accelerators;
+    job.workspace = WorkspaceId("w");
+    job.workClass = ClassId("k");
     job.declaredRunTime = Duration(1'000);
     job.restartable = restartable;
     return job;
 }
 
+SchedulerHooks fakeScheduler()
+{
+    return FakeScheduler::hooks(workerCount, perWorker);
+}
+
+SchedulerHooks realScheduler()
+{
+    manifest::Manifest manifest;
+    manifest.zones = { { ZoneId("z"), RegionId("g"),
+        { { DomainId("d"), { { RackId("r"), workerCount, perWorker } } } } } };
+    manifest.classes = { { ClassId("k") } };
+    manifest.workspaces = { { WorkspaceId("w"), 1, 0, {} } };
+    return hooksOf(std::make_shared<scheduling::Scheduler>(manifest, ZoneId("z"), DomainId("d")));
+}
+
 /// An owner whose syncs are answered by the workers without delay.
 struct OwnerFixture {
-    explicit OwnerFixture(const std::string& holder = "h#1")
-        : owner(configOf(holder), [] { return FakeScheduler::hooks(workerCount, perWorker); })
+    explicit OwnerFixture(
+        const std::string& holder = "h#1", const SchedulerFactory& makeScheduler = fakeScheduler)
+        : owner(configOf(holder), makeScheduler)
     {
     }
 
@@ -79,6 +98,16 @@
     CPPUNIT_TEST(deferredJobStartsWhenJournalIsAvailable);
     CPPUNIT_TEST(cancelledJobEndsOnce);
     CPPUNIT_TEST(lostWorkerEndsTheGang);
+    CPPUNIT_TEST(jobThatCrashesItsWorkersIsGivenUp);
+    CPPUNIT_TEST(takeoversDoNotRestartTheCountOfLostWorkers);
+    CPPUNIT_TEST(adoptedGangKeepsTheCountOfLostWorkers);
+    CPPUNIT_TEST(lossFoundByTheNextOwnerCounts);
+    CPPUNIT_TEST(partlyForgottenAttemptIsNoLoss);
+    CPPUNIT_TEST(rackOutageIsOneLoss);
+    CPPUNIT_TEST(workerThatStaysAwayIsALoss);
+    CPPUNIT_TEST(cutWorkerThatKeepsTheTaskIsNoLoss);
+    CPPUNIT_TEST(savedProgressEndsTheRowOfLosses);
+    CPPUNIT_TEST(recordWithoutLossesIsReadable);
     CPPUNIT_TEST_SUITE_END();
 
     /// An owner freezes with a renewal ready to send. The next owner cannot reach that worker and restarts
@@ -284,6 +313,208 @@
         CPPUNIT_ASSERT(fixture.events.back().end == scheduling::EndKind::WorkerLost);
     }
 
+    static scheduling::JobSpec longJob(const char* id, std::uint32_t accelerators)
+    {
+        auto job = jobOf(id, accelerators);
+        job.declaredRunTime = Duration(60'000);
+        return job;
+    }
+
+    /// Restarts every worker on which the job runs. Returns their number.
+    std::uint32_t crashWorkersOf(const JobId& job)
+    {
+        std::uint32_t crashes = 0;
+        for (auto& worker : m_workers) {
+            bool runs = std::ranges::any_of(worker.tasks,
+                [&](const auto& entry) { return entry.second.job == job && isRunning(entry.second.state); });
+            if (runs)
+                worker.restart(m_now);
+            crashes += runs ? 1 : 0;
+        }
+        return crashes;
+    }
+
+    /// Lets the job crash each worker that runs it, until the limit or the end of the job.
+    std::uint32_t crashUntilEnded(OwnerFixture& fixture, const JobId& job, std::uint32_t limit)
+    {
+        std::uint32_t crashes = 0;
+        for (auto end = m_now + Duration(300'000); m_now < end && crashes < limit && !endOf(fixture, job);) {
+            fixture.runFor(Duration(100), m_workers, m_now);
+            crashes += crashWorkersOf(job);
+        }
+        return crashes;
+    }
+
+    static const JobEvent* endOf(const OwnerFixture& fixture, const JobId& job)
+    {
+        auto end = std::ranges::find_if(fixture.events,
+            [&](const JobEvent& event) { return event.kind == JobEventKind::Ended && event.job.id == job; });
+        return end == fixture.events.end() ? nullptr : &*end;
+    }
+
+    void jobThatCrashesItsWorkersIsGivenUp()
+    {
+        OwnerFixture fixture("h#1", realScheduler);
+        fixture.owner.setOwning(true, m_now);
+        fixture.runFor(Duration(200), m_workers, m_now);
+        auto job = longJob("deadly", 2);
+        fixture.owner.submit(job, m_now);
+        fixture.owner.submit(longJob("beside", 2), m_now);
+        CPPUNIT_ASSERT_EQUAL(3u, crashUntilEnded(fixture, job.id, 20));
+        fixture.runFor(Duration(1'000), m_workers, m_now);
+        const auto* end = endOf(fixture, job.id);
+        CPPUNIT_ASSERT(end && end->end == scheduling::EndKind::WorkerLost && end->ran == Ran::Yes);
+        CPPUNIT_ASSERT(end->refusal == scheduling::RefusalReason::WorkersLost);
+        CPPUNIT_ASSERT_EQUAL(std::string("ended"), fixture.owner.explain(job.id, m_now).state);
+        fixture.runFor(Duration(70'000), m_workers, m_now);
+        CPPUNIT_ASSERT(endOf(fixture, JobId("beside"))->end == scheduling::EndKind::Completed);
+    }
+
+    void takeoversDoNotRestartTheCountOfLostWorkers()
+    {
+        FakeJournal journal;
+        auto job = longJob("deadly", 2);
+        journal.accept(job, 0);
+        std::uint32_t crashes = 0;
+        for (int owner = 0; owner < 8 && !journal.jobs.at(job.id).job.ended; ++owner) {
+            OwnerFixture fixture("h#" + std::to_string(owner), realScheduler);
+            fixture.owner.setOwning(true, m_now);
+            fixture.runFor(Duration(2'500), m_workers, m_now);
+            fixture.owner.onJournaledJobs(journal.list(), m_now, JournalView::Complete);
+            crashes += crashUntilEnded(fixture, job.id, 1);
+            fixture.runFor(Duration(3'500), m_workers, m_now);
+            for (const auto& event : fixture.events) {
+                if (event.kind != JobEventKind::Started) // The daemon does not journal it.
+                    journal.apply(event);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(3u, crashes);
+        CPPUNIT_ASSERT(journal.jobs.at(job.id).end == scheduling::EndKind::WorkerLost);
+    }
+
+    /// Starts the job under a new owner.
+    void start(OwnerFixture& fixture, const scheduling::JobSpec& job)
+    {
+        fixture.owner.setOwning(true, m_now);
+        fixture.runFor(Duration(200), m_workers, m_now);
+        fixture.owner.submit(job, m_now);
+        fixture.runFor(Duration(600), m_workers, m_now);
+        CPPUNIT_ASSERT(m_workers[0].isHeld());
+    }
+
+    void restartWorkers(const std::vector<std::uint32_t>& workers)
+    {
+        for (auto worker : workers)
+            m_workers[worker].restart(m_now);
+    }
+
+    static std::uint32_t lossesOf(const OwnerFixture& fixture)
+    {
+        return fixture.events.back().job.workerLosses;
+    }
+
+    void adoptedGangKeepsTheCountOfLostWorkers()
+    {
+        OwnerFixture first("a#1");
+        auto job = longJob("j", 2);
+        job.workerLosses = 2;
+        start(first, job);
+        OwnerFixture second("b#1", realScheduler);
+        second.owner.setOwning(true, m_now);
+        second.runFor(Duration(2'500), m_workers, m_now);
+        CPPUNIT_ASSERT_EQUAL(1u, crashUntilEnded(second, job.id, 5));
+        CPPUNIT_ASSERT(endOf(second, job.id)->end == scheduling::EndKind::WorkerLost);
+    }
+
+    void lossFoundByTheNextOwnerCounts()
+    {
+        OwnerFixture first("a#1");
+        auto job = longJob("j", 4);
+        start(first, job);
+        restartWorkers({ 1 });
+        OwnerFixture second("b#1");
+        second.owner.setOwning(true, m_now);
+        second.runFor(Duration(2'500), m_workers, m_now);
+        second.owner.onJournaledJobs({ { job, false, false } }, m_now, JournalView::Complete);
+        second.runFor(Duration(1'000), m_workers, m_now);
+        CPPUNIT_ASSERT_EQUAL(1u, lossesOf(second));
+    }
+
+    void partlyForgottenAttemptIsNoLoss()
+    {
+        OwnerFixture first("a#1");
+        auto job = longJob("j", 4);
+        start(first, job);
+        m_workers[0].tasks.clear();
+        m_workers[1].tasks.begin()->second.state = TaskState::Stopped;
+        OwnerFixture second("b#1");
+        second.owner.setOwning(true, m_now);
+        second.runFor(Duration(2'500), m_workers, m_now);
+        second.owner.onJournaledJobs({ { job, false, false } }, m_now, JournalView::Complete);
+        second.runFor(Duration(1'000), m_workers, m_now);
+        CPPUNIT_ASSERT(second.events.back().kind == JobEventKind::Started);
+        CPPUNIT_ASSERT_EQUAL(0u, lossesOf(second));
+    }
+
+    void rackOutageIsOneLoss()
+    {
+        OwnerFixture fixture;
+        start(fixture, longJob("j", 6));
+        restartWorkers({ 1 });
+        fixture.runFor(Duration(300), m_workers, m_now);
+        restartWorkers({ 2 });
+        fixture.runFor(Duration(4'000), m_workers, m_now);
+        CPPUNIT_ASSERT(fixture.events.back().kind == JobEventKind::Started);
+        CPPUNIT_ASSERT_EQUAL(1u, lossesOf(fixture));
+    }
+
+    void workerThatStaysAwayIsALoss()
+    {
+        OwnerFixture fixture;
+        start(fixture, longJob("j", 6));
+        fixture.owner.setReachable(2, false, m_now);
+        fixture.runFor(Duration(22'000), m_workers, m_now);
+        CPPUNIT_ASSERT_EQUAL(1u, lossesOf(fixture));
+    }
+
+    void cutWorkerThatKeepsTheTaskIsNoLoss()
+    {
+        OwnerFixture fixture;
+        start(fixture, longJob("j", 6));
+        fixture.owner.setReachable(2, false, m_now);
+        fixture.runFor(Duration(5'000), m_workers, m_now);
+        CPPUNIT_ASSERT(!m_workers[0].isHeld());
+        fixture.owner.setReachable(2, true, m_now);
+        fixture.runFor(Duration(4'000), m_workers, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), fixture.events.size()); // Started twice.
+        CPPUNIT_ASSERT_EQUAL(0u, lossesOf(fixture));
+    }
+
+    void savedProgressEndsTheRowOfLosses()
+    {
+        OwnerFixture fixture;
+        auto job = longJob("j", 2);
+        job.checkpointable = true;
+        job.workerLosses = 2;
+        start(fixture, job);
+        m_workers[0].tasks.begin()->second.state = TaskState::Checkpointed;
+        fixture.runFor(Duration(700), m_workers, m_now);
+        CPPUNIT_ASSERT_EQUAL(0u, lossesOf(fixture));
+    }
+
+    void recordWithoutLossesIsReadable()
+    {
+        auto job = jobOf("j", 2);
+        auto before = encodeJob(job);
+        CPPUNIT_ASSERT(before.find("lost") == std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(0u, decodeJob(before)->workerLosses);
+        CPPUNIT_ASSERT(
+            outcomeOf([&] { return decodeJob(before.substr(0, before.size() - 1) + R"(,"later":1})"); }));
+        job.workerLosses = 2;
+        CPPUNIT_ASSERT_EQUAL(2u, decodeJob(encodeJob(job))->workerLosses);
+        CPPUNIT_ASSERT_EQUAL(2u, decodeLabel(encodeLabel({ job, { 0, 2 } }))->job.workerLosses);
+    }
+
     void handOverTakesLessThanASecond()
     {
         OwnerFixture first("a#1");
--- a/packages/scheduling/include/jujubereach/scheduling/policy.h
+++ b/packages/scheduling/include/jujubereach/scheduling/policy.h
@@ -20,6 +20,8 @@
     std::uint32_t maxMigrationSearches = 4; ///< Per decision; jobs at the front of the queue use them first.
     std::uint32_t maxReservations = 1; ///< Reservations that may exist at the same time.
     std::uint32_t maxFailures = 4; ///< Failed attempts after which a job ends with FailsEverywhere.
+    /// Attempts in a row that may end with the loss of a worker before the job ends with WorkersLost.
+    std::uint32_t maxWorkerLosses = 3;
     /// Before a job is retried on a worker where it failed, while other workers are not usable.
     Duration sameWorkerRetryDelay { 5 * 1000 };
     /// Consecutive first failures of different jobs that quarantine a worker.
--- a/packages/scheduling/include/jujubereach/scheduling/scheduler.h
+++ b/packages/scheduling/include/jujubereach/scheduling/scheduler.h
@@ -33,6 +33,7 @@
     std::optional<ShapeId> shape; ///< Requests a guaranteed shape of its workspace.
     Duration progress { 0 }; ///< Run time saved by an earlier attempt.
     std::uint32_t attempt = 0; ///< Number of attempts started so far.
+    std::uint32_t workerLosses = 0; ///< Attempts in a row that ended with the loss of a worker.
 };
 
 enum class EndKind {
@@ -53,6 +54,7 @@
     EndKind kind = EndKind::Completed;
     Duration progress { 0 }; ///< Total run time saved, earlier attempts included.
     std::vector<std::uint32_t> faultyWorkers; ///< Indexes of the workers at fault; may be empty.
+    std::uint32_t workerLosses = 0; ///< As in JobSpec, this attempt included.
 };
 
 struct StartGang {
@@ -76,6 +78,7 @@
     FailsEverywhere,
     Cancelled,
     OutcomeUnknown,
+    WorkersLost, ///< As many attempts in a row as the policy allows ended with the loss of a worker.
 };
 
 const char* nameOf(RefusalReason reason);
--- a/packages/scheduling/src/ends.cpp
+++ b/packages/scheduling/src/ends.cpp
@@ -89,6 +89,7 @@
 {
     if (job->spec.checkpointable)
         job->spec.progress = std::max(job->spec.progress, end.progress);
+    job->spec.workerLosses = end.workerLosses;
     if (end.kind == EndKind::Completed)
         return endJob(job, end.kind, std::nullopt, "The job completed.");
     if (end.kind == EndKind::Unknown)
@@ -98,6 +99,8 @@
         return endJob(job, EndKind::Stopped, RefusalReason::Cancelled, "The job was cancelled while it ran.");
     if (end.kind == EndKind::Checkpointed)
         return requeue(job, now);
+    if (hasLostTooManyWorkers(job->spec))
+        return endJob(job, EndKind::WorkerLost, RefusalReason::WorkersLost, workersLostText(job->spec));
     if (isFailure(end.kind))
         return finishFailedAttempt(job, end, now);
     if (job->spec.restartable)
--- a/packages/scheduling/src/impl.cpp
+++ b/packages/scheduling/src/impl.cpp
@@ -196,6 +196,9 @@
         return std::nullopt;
     if (auto refusal = refusalOf(spec))
         return refusal;
+    if (hasLostTooManyWorkers(spec))
+        return EndJob { spec.id, EndKind::WorkerLost, RefusalReason::WorkersLost, false,
+            workersLostText(spec) };
     if (m_state.lanes.size() >= m_state.policy.maxQueued)
         return refuse(spec, RefusalReason::QueueFull,
             "The domain's queue holds " + std::to_string(m_state.lanes.size()) + " jobs; try again later.");
@@ -204,6 +207,17 @@
     return std::nullopt;
 }
 
+bool Scheduler::Impl::hasLostTooManyWorkers(const JobSpec& spec) const
+{
+    return spec.workerLosses >= m_state.policy.maxWorkerLosses;
+}
+
+std::string Scheduler::Impl::workersLostText(const JobSpec& spec)
+{
+    return std::to_string(spec.workerLosses)
+        + " times in a row a worker was lost while the job ran; it is not started again.";
+}
+
 Job* Scheduler::Impl::newJob(const JobSpec& spec)
 {
     auto job = std::make_unique<Job>();
--- a/packages/scheduling/src/impl.h
+++ b/packages/scheduling/src/impl.h
@@ -33,6 +33,8 @@
 private:
     // Events.
     std::optional<EndJob> refusalOf(const JobSpec& spec) const;
+    bool hasLostTooManyWorkers(const JobSpec& spec) const;
+    static std::string workersLostText(const JobSpec& spec);
     void applyManifest(const manifest::Manifest& manifest);
     void endInvalidJobs();
     void updateRevocable(); ///< After a change of the reclaim bound.
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -44,6 +44,8 @@
         return "cancelled";
     case RefusalReason::OutcomeUnknown:
         return "outcome_unknown";
+    case RefusalReason::WorkersLost:
+        return "workers_lost";
     }
     return "unknown";
 }
--- a/packages/scheduling/test/fixture.h
+++ b/packages/scheduling/test/fixture.h
@@ -94,11 +94,11 @@
     }
 
     void endGang(const GangId& gang, EndKind kind, std::vector<std::uint32_t> faultyWorkers = {},
-        Duration progress = {})
+        Duration progress = {}, std::uint32_t workerLosses = 0)
     {
         auto entry = gangs.extract(gang);
         preempts.erase(gang);
-        scheduler.gangEnded({ gang, kind, progress, std::move(faultyWorkers) }, now);
+        scheduler.gangEnded({ gang, kind, progress, std::move(faultyWorkers), workerLosses }, now);
     }
     void end(const std::string& job, EndKind kind, Duration progress = {})
     {
--- a/packages/scheduling/test/scheduling-test.cpp
+++ b/packages/scheduling/test/scheduling-test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(unknownOutcomeIsNeverStartedAgain);
     CPPUNIT_TEST(failingWorkerIsQuarantinedAndProbed);
     CPPUNIT_TEST(jobThatFailsEverywhereEnds);
+    CPPUNIT_TEST(jobWithTooManyLostWorkersIsNotQueuedAgain);
     CPPUNIT_TEST(failedWorkerIsAvoidedWhileOthersHaveNotReported);
     CPPUNIT_TEST(jobThatFailsOnAllRemainingWorkersEnds);
     CPPUNIT_TEST(adoptedGangKeepsItsRun);
@@ -286,6 +287,27 @@
         CPPUNIT_ASSERT_EQUAL(0u, f.scheduler.usage().down); // no worker is quarantined
     }
 
+    void jobWithTooManyLostWorkersIsNotQueuedAgain()
+    {
+        Fixture f;
+        f.submit(f.restartable("deadly", 8));
+        for (std::uint32_t losses = 1; losses <= 3; ++losses) {
+            f.decide();
+            CPPUNIT_ASSERT(f.runs("deadly"));
+            f.endGang(f.startOf("deadly").gang, EndKind::WorkerLost, { 0 }, {}, losses);
+        }
+        f.decide();
+        CPPUNIT_ASSERT(f.endOf("deadly").kind == EndKind::WorkerLost);
+        CPPUNIT_ASSERT(f.endOf("deadly").refusal == RefusalReason::WorkersLost);
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("3 times in a row a worker was lost while the job ran; it is not started again."),
+            f.textOf("deadly"));
+        auto found = f.restartable("found", 8); // As restored from the journal by the next owner.
+        found.workerLosses = 3;
+        auto end = f.scheduler.submit(found, f.now);
+        CPPUNIT_ASSERT(end && end->refusal == RefusalReason::WorkersLost && !end->neverRan);
+    }
+
     // After a change of owner, workers report one by one. A job that fails on the first ones to report must
     // not end with FailsEverywhere.
     void failedWorkerIsAvoidedWhileOthersHaveNotReported()
