Count crashes of workers that take the majority with them

Cause: the owner loses the majority (2 s) before a silent worker counts as lost (3 s), and with the term it drops what ran; in the next term no worker reports the attempt, so the job looks as if it had not been started. Ruled out: workers that return sooner; their reports still end the gang in the old term. Change: an owner that loses the majority keeps the presumed ends of the restartable attempts that ran. In its next term, once all workers have reported or 17 s have passed, they apply to jobs of which no worker reports that attempt; reported ends and adopted gangs go first.

--- a/packages/jobs/src/owner-impl.h
+++ b/packages/jobs/src/owner-impl.h
@@ -132,6 +132,7 @@
     void onFoundGangEnded(const Gang& gang, TimePoint now);
     void resolveFoundJobs(TimePoint now);
     void resolveFoundJob(const FoundJob& found, TimePoint now);
+    void rememberRuns();
     void enqueueFoundJob(Job& job, const ReportedEnd* reported, TimePoint now);
     bool hasGang(const JobId& job) const;
 
@@ -166,6 +167,9 @@
     bool m_journalViewComplete = false; ///< A complete view of the journal was received in this term.
     /// Jobs from the journal or reports, until it is certain that no worker runs them.
     std::map<JobId, FoundJob> m_foundJobs;
+    /// Ends of the attempts of restartable jobs that ran when the majority was lost. They apply if no worker
+    /// reports the attempt in the next term, since a crash may have taken the majority of the workers.
+    std::map<JobId, ReportedEnd> m_presumedEnds;
 
     friend class DomainOwner;
 };
--- a/packages/jobs/src/owner-recovery.cpp
+++ b/packages/jobs/src/owner-recovery.cpp
@@ -25,6 +25,8 @@
     }
     if (m_recovered)
         resolveFoundJobs(now);
+    if (m_recovered && m_journalViewComplete && m_foundJobs.empty())
+        m_presumedEnds.clear();
 }
 
 void DomainOwner::Impl::recoverGang(const Recovery::FoundGang& found, TimePoint now)
@@ -60,6 +62,7 @@
     auto found = m_foundJobs.find(job.spec.id);
     bool cancelled = found != m_foundJobs.end() && found->second.cancelled;
     m_foundJobs.erase(job.spec.id);
+    m_presumedEnds.erase(job.spec.id);
     auto id = job.spec.id;
     addGang(std::move(gang));
     if (cancelled)
@@ -97,6 +100,22 @@
     recover(now);
 }
 
+void DomainOwner::Impl::rememberRuns()
+{
+    for (const auto& [id, gang] : m_gangs) {
+        const auto& job = gang.job();
+        if (!gang.isAdopted() || !job.restartable || gang.ran() == Ran::No)
+            continue;
+        auto end = gang.end();
+        bool lostWorker = end.workerLosses > job.workerLosses;
+        if (gang.phase() >= GangPhase::Stopping && !lostWorker)
+            continue;
+        end.kind = EndKind::WorkerLost;
+        end.workerLosses = job.workerLosses + 1;
+        m_presumedEnds[job.id] = ReportedEnd { job, end, id, gang.ran() };
+    }
+}
+
 bool DomainOwner::Impl::hasGang(const JobId& job) const
 {
     return std::ranges::any_of(m_gangs, [&](const auto& entry) { return entry.second.job().id == job; });
@@ -125,6 +144,13 @@
         m_retainUntil.erase(reported->gang);
     if (found.journaled && found.journaled->ended)
         return;
+    const JobId id = reported ? reported->spec.id : found.journaled->job.id;
+    if (auto presumed = m_presumedEnds.extract(id); !presumed.empty()) {
+        const auto& end = presumed.mapped();
+        bool isNewer = !reported || reported->spec.attempt < end.spec.attempt;
+        if (isNewer && !(reported && reported->end.kind == EndKind::Completed))
+            reported = end;
+    }
     // Unless it completed the job, a reported end of an attempt older than the journaled one is outdated.
     if (reported && found.journaled && reported->spec.attempt < found.journaled->job.attempt
         && reported->end.kind != EndKind::Completed)
--- a/packages/jobs/src/owner.cpp
+++ b/packages/jobs/src/owner.cpp
@@ -66,6 +66,7 @@
 {
     appendLog(why);
     dropTerm();
+    m_presumedEnds.clear();
     m_role = Role::Releasing;
 }
 
@@ -157,6 +158,7 @@
     if (!(m_config.switches.majority ? m_leases.hasMajority(now) : m_leases.holdsAny(now))) {
         appendLog("lost the majority of worker leases in term " + std::to_string(m_term));
         bool draining = m_role == Role::Draining;
+        rememberRuns();
         dropTerm();
         return draining ? startReleasing("hands over") : becomeContender(now);
     }
--- a/packages/jobs/test/jobs-test.cpp
+++ b/packages/jobs/test/jobs-test.cpp
@@ -100,6 +100,8 @@
     CPPUNIT_TEST(lostWorkerEndsTheGang);
     CPPUNIT_TEST(jobThatCrashesItsWorkersIsGivenUp);
     CPPUNIT_TEST(takeoversDoNotRestartTheCountOfLostWorkers);
+    CPPUNIT_TEST(crashesThatTakeTheMajorityCount);
+    CPPUNIT_TEST(lossOfTheMajorityAloneIsNoLoss);
     CPPUNIT_TEST(adoptedGangKeepsTheCountOfLostWorkers);
     CPPUNIT_TEST(lossFoundByTheNextOwnerCounts);
     CPPUNIT_TEST(partlyForgottenAttemptIsNoLoss);
@@ -370,6 +372,14 @@
         CPPUNIT_ASSERT(endOf(fixture, JobId("beside"))->end == scheduling::EndKind::Completed);
     }
 
+    static void journalEvents(const OwnerFixture& fixture, FakeJournal& journal)
+    {
+        for (const auto& event : fixture.events) {
+            if (event.kind != JobEventKind::Started) // The daemon does not journal it.
+                journal.apply(event);
+        }
+    }
+
     void takeoversDoNotRestartTheCountOfLostWorkers()
     {
         FakeJournal journal;
@@ -383,15 +393,60 @@
             fixture.owner.onJournaledJobs(journal.list(), m_now, JournalView::Complete);
             crashes += crashUntilEnded(fixture, job.id, 1);
             fixture.runFor(Duration(3'500), m_workers, m_now);
-            for (const auto& event : fixture.events) {
-                if (event.kind != JobEventKind::Started) // The daemon does not journal it.
-                    journal.apply(event);
-            }
+            journalEvents(fixture, journal);
         }
         CPPUNIT_ASSERT_EQUAL(3u, crashes);
         CPPUNIT_ASSERT(journal.jobs.at(job.id).end == scheduling::EndKind::WorkerLost);
     }
 
+    void setAllReachable(OwnerFixture& fixture, bool reachable)
+    {
+        for (std::uint32_t worker = 0; worker < workerCount; ++worker)
+            fixture.owner.setReachable(worker, reachable, m_now);
+    }
+
+    void crashesThatTakeTheMajorityCount()
+    {
+        FakeJournal journal;
+        auto job = longJob("deadly", 2 * workerCount);
+        journal.accept(job, 0);
+        OwnerFixture fixture("h#1", realScheduler);
+        fixture.owner.setOwning(true, m_now);
+        std::uint32_t crashes = 0;
+        for (int round = 0; round < 8 && !endOf(fixture, job.id); ++round) {
+            setAllReachable(fixture, true);
+            fixture.runFor(Duration(3'000), m_workers, m_now);
+            journalEvents(fixture, journal);
+            fixture.owner.onJournaledJobs(journal.list(), m_now, JournalView::Complete);
+            fixture.runFor(Duration(2'000), m_workers, m_now);
+            crashes += crashWorkersOf(job.id) > 0 ? 1 : 0;
+            setAllReachable(fixture, false);
+            fixture.runFor(Duration(5'000), m_workers, m_now);
+        }
+        CPPUNIT_ASSERT_EQUAL(3u, crashes);
+        CPPUNIT_ASSERT(endOf(fixture, job.id)->refusal == scheduling::RefusalReason::WorkersLost);
+    }
+
+    void lossOfTheMajorityAloneIsNoLoss()
+    {
+        for (auto away : { Duration(5'000), Duration(30'000) }) {
+            m_workers = std::vector<FakeWorker>(workerCount);
+            FakeJournal journal;
+            auto job = longJob("j", 2 * workerCount);
+            journal.accept(job, 0);
+            OwnerFixture fixture;
+            start(fixture, job);
+            setAllReachable(fixture, false);
+            fixture.runFor(away, m_workers, m_now);
+            setAllReachable(fixture, true);
+            fixture.runFor(Duration(3'000), m_workers, m_now);
+            fixture.owner.onJournaledJobs(journal.list(), m_now, JournalView::Complete);
+            fixture.runFor(Duration(100'000), m_workers, m_now);
+            CPPUNIT_ASSERT(endOf(fixture, job.id)->end == scheduling::EndKind::Completed);
+            CPPUNIT_ASSERT_EQUAL(0u, lossesOf(fixture));
+        }
+    }
+
     /// Starts the job under a new owner.
     void start(OwnerFixture& fixture, const scheduling::JobSpec& job)
     {
