Refuse no call whose unanswered write may take effect

Callers saw: 401 for a submission whose job then ran (REFUSED). Cause: tryPeers made any decided answer of a peer final, whatever was known of the call's own writes. A cancel that was begun anew after a conflict lost that knowledge too. Each place that refuses had to look at it, and not all did. Ruled out: the peer (its refusal is true of its own attempt); the store; the owner. Change: one place, EntryHost::Impl::finish, turns no unknown outcome into a refusal. It reads the job's record instead: present (of a cancel: cancelled) is the answer; absent is a refusal only if a configuration later than the one which the write expects was known before the read, since the write's condition can then hold no more; else undecided. What a write of another host expects is not known here, so there only a record that is present decides. A retried cancel keeps the call and its deadline.

--- a/packages/entry/src/calls.cpp
+++ b/packages/entry/src/calls.cpp
@@ -20,6 +20,26 @@
     constexpr Duration completionWaitSlack { 300 }; // For the answer of a watch without events.
     constexpr std::size_t maxIdBytes = 64; // Four times the length of the ids that callers send.
 
+    bool isRefusal(CallOutcome outcome)
+    {
+        switch (outcome) {
+        case CallOutcome::NoSuchRoute:
+        case CallOutcome::NoSuchJob:
+        case CallOutcome::UnknownKey:
+        case CallOutcome::Malformed:
+        case CallOutcome::NotAccepted:
+        case CallOutcome::Unavailable:
+            return true;
+        case CallOutcome::Accepted:
+        case CallOutcome::State:
+        case CallOutcome::Cancelled:
+        case CallOutcome::Count:
+        case CallOutcome::Undecided:
+            break;
+        }
+        return false;
+    }
+
     std::size_t idLength(const std::string& path, const std::string& prefix)
     {
         return path.size() - std::min(path.size(), prefix.size());
@@ -28,6 +48,51 @@
 } // namespace
 
 void EntryHost::Impl::finish(const std::shared_ptr<OpenCall>& call, CallerAnswer answer, const char* why)
+{
+    if (call->outcomeUnknown() && isRefusal(answer.outcome))
+        return findOut(call, answer, why);
+    answerCall(call, answer, why);
+}
+
+void EntryHost::Impl::findOut(const std::shared_ptr<OpenCall>& call, CallerAnswer refusal, const char* why)
+{
+    // Before the call is routed, its id is not certain.
+    if (call->route.empty() || now() >= call->expiresAt)
+        return answerCall(call, { CallOutcome::Undecided }, why);
+    const auto under = *call->unansweredUnder;
+    const auto read = [this, call, under, refusal, why] {
+        // A write that expects an older configuration is carried out before this read, or never.
+        const auto mayTakeEffect = m_configRevision.value <= under.value;
+        ++call->attempts;
+        m_hooks.store.read(keys::job(call->id), call->timeLeft(now(), readTimeout),
+            [this, self = m_self, call, mayTakeEffect, refusal, why](const StoreAnswer& answer) {
+                if (*self)
+                    outcomeRead(call, answer, mayTakeEffect, refusal, why);
+            });
+    };
+    if (m_configRevision.value > under.value || under == OpenCall::anyRevision)
+        return read();
+    confirmConfig(read);
+}
+
+void EntryHost::Impl::outcomeRead(const std::shared_ptr<OpenCall>& call, const StoreAnswer& record,
+    bool mayTakeEffect, CallerAnswer refusal, const char* why)
+{
+    if (record.fate == StoreFate::Unknown && call->canRetry(now()))
+        return findOut(call, refusal, why);
+    const auto present = record.fate == StoreFate::Done && !record.items.empty();
+    if (present && call->request.kind == CallKind::Submit)
+        return answerCall(call, { CallOutcome::Accepted }, "stored, as a read shows");
+    const auto job = present ? fleet::decodeJob(call->id, record.items[0].value) : std::nullopt;
+    if (job && job->cancelled)
+        return answerCall(call, { CallOutcome::Cancelled }, "stored, as a read shows");
+    const auto isRead = record.fate == StoreFate::Missing || job;
+    if (isRead && !mayTakeEffect)
+        return answerCall(call, refusal, why);
+    answerCall(call, { CallOutcome::Undecided }, why);
+}
+
+void EntryHost::Impl::answerCall(const std::shared_ptr<OpenCall>& call, CallerAnswer answer, const char* why)
 {
     if (m_hooks.meter.add)
         m_hooks.meter.add("jujubereach_requests_total",
@@ -54,7 +119,7 @@
 
 void EntryHost::Impl::refuse(const std::shared_ptr<OpenCall>& call, CallOutcome outcome, const char* why)
 {
-    finish(call, { call->outcomeUnknown ? CallOutcome::Undecided : outcome, {}, 0, outageRetryAfter }, why);
+    finish(call, { outcome, {}, 0, outageRetryAfter }, why);
 }
 
 void EntryHost::Impl::handle(CallerRequest request, CallerDone done)
@@ -107,38 +172,48 @@
     }
 }
 
+const fleet::Route* EntryHost::Impl::allowedRoute(const std::shared_ptr<OpenCall>& call)
+{
+    const auto route = m_config->routes.find(call->route);
+    if (route == m_config->routes.end()) {
+        finish(call, { CallOutcome::NoSuchRoute }, "no route");
+        return nullptr;
+    }
+    if (!route->second.isPublic && !m_config->keys.contains(call->request.key)) {
+        finish(call, { CallOutcome::UnknownKey }, "no workspace has this key");
+        return nullptr;
+    }
+    return &route->second;
+}
+
 void EntryHost::Impl::submit(const std::shared_ptr<OpenCall>& call)
 {
     if (!call->request.spec)
         return finish(call, { CallOutcome::Malformed }, "the body is no job");
-    // The configuration may have changed since the last attempt.
-    const auto route = m_config->routes.find(call->route);
-    if (route == m_config->routes.end())
-        return finish(
-            call, { call->outcomeUnknown ? CallOutcome::Undecided : CallOutcome::NoSuchRoute }, "no route");
-    if (!route->second.isPublic && !m_config->keys.contains(call->request.key))
-        return finish(call, { call->outcomeUnknown ? CallOutcome::Undecided : CallOutcome::UnknownKey },
-            "no workspace has this key");
+    const auto* route = allowedRoute(call); // The configuration may have changed since the last attempt.
+    if (!route)
+        return;
     fleet::JobRecord record;
     record.id = call->id;
     record.route = call->route;
     record.workspace = call->workspace;
     record.acceptedAt = m_hooks.wall();
     record.spec = *call->request.spec;
-    record.terms = route->second;
+    record.terms = *route;
     fleet::StoreWrite write;
     write.expected.push_back({ keys::job(call->id), {} });
     write.expected.push_back({ m_hooks.layout.configKey, m_configRevision });
     write.puts.push_back({ keys::job(call->id), encode(record), {} });
     ++call->attempts;
     m_hooks.store.write(std::move(write), call->timeLeft(now(), writeTimeout),
-        [this, self = m_self, call](const StoreAnswer& answer) {
+        [this, self = m_self, call, expectedConfig = m_configRevision](const StoreAnswer& answer) {
             if (*self)
-                submitAnswered(call, answer);
+                submitAnswered(call, expectedConfig, answer);
         });
 }
 
-void EntryHost::Impl::submitAnswered(const std::shared_ptr<OpenCall>& call, const StoreAnswer& answer)
+void EntryHost::Impl::submitAnswered(
+    const std::shared_ptr<OpenCall>& call, Revision expectedConfig, const StoreAnswer& answer)
 {
     if (answer.fate == StoreFate::Done)
         return finish(call, { CallOutcome::Accepted }, "stored");
@@ -160,7 +235,7 @@
         return forward(
             call, [this, call] { refuse(call, CallOutcome::NotAccepted, "the store refuses writes"); });
     // The write may have taken effect; repeating it shows whether it has, unless it is still in flight.
-    call->outcomeUnknown = true;
+    call->wroteWithoutAnswer(expectedConfig);
     forward(call, [this, call] {
         if (call->canRetry(now()))
             return submit(call);
@@ -269,20 +344,21 @@
     write.expected.push_back({ m_hooks.layout.configKey, m_configRevision });
     write.puts.push_back({ item.key, encode(*record), {} });
     m_hooks.store.write(std::move(write), call->timeLeft(now(), writeTimeout),
-        [this, self = m_self, call](const StoreAnswer& answer) {
+        [this, self = m_self, call, expectedConfig = m_configRevision](const StoreAnswer& answer) {
             if (!*self)
                 return;
             if (answer.fate == StoreFate::Done)
                 return finish(call, { CallOutcome::Cancelled }, "stored");
             if (answer.fate == StoreFate::Refused)
                 return unavailable(call, "the store refuses writes");
-            call->outcomeUnknown = call->outcomeUnknown || answer.fate == StoreFate::Unknown;
+            if (answer.fate == StoreFate::Unknown)
+                call->wroteWithoutAnswer(expectedConfig);
             for (const auto& changed : answer.items) {
                 if (changed.key == m_hooks.layout.configKey)
                     configWritten(changed);
             }
-            if (!m_config->keys.contains(call->request.key) && answer.fate == StoreFate::Conflict)
-                return handle(std::move(call->request), std::exchange(call->done, nullptr));
+            if (!allowedRoute(call))
+                return;
             if (call->canRetry(now()))
                 return cancel(call);
             finish(call, { CallOutcome::Undecided }, "the store does not answer");
--- a/packages/entry/src/forward.cpp
+++ b/packages/entry/src/forward.cpp
@@ -55,8 +55,8 @@
             m_peers->recordFailure(address);
             const auto mayHaveRun
                 = result.sent && (!result.answer || result.answer->outcome == CallOutcome::Undecided);
-            call->outcomeUnknown
-                = call->outcomeUnknown || (mayHaveRun && call->request.kind != CallKind::Query);
+            if (mayHaveRun && call->request.kind != CallKind::Query)
+                call->wroteWithoutAnswer(OpenCall::anyRevision);
             tryPeers(call, addresses, next + 1, fallback);
         });
 }
--- a/packages/entry/src/host-impl.h
+++ b/packages/entry/src/host-impl.h
@@ -65,7 +65,8 @@
     void handle(CallerRequest request, CallerDone done);
     void dispatch(const std::shared_ptr<OpenCall>& call);
     void submit(const std::shared_ptr<OpenCall>& call);
-    void submitAnswered(const std::shared_ptr<OpenCall>& call, const StoreAnswer& answer);
+    void submitAnswered(
+        const std::shared_ptr<OpenCall>& call, Revision expectedConfig, const StoreAnswer& answer);
     void query(const std::shared_ptr<OpenCall>& call);
     JobState stateOf(const StoreItem& item) const; ///< Job state in a progress record.
     /// Answers when the job ends, or at `until` with its current state.
@@ -74,10 +75,17 @@
     void writeCancel(const std::shared_ptr<OpenCall>& call, const StoreItem& item);
     void count(const std::shared_ptr<OpenCall>& call);
     void countFromRecords(const std::shared_ptr<OpenCall>& call);
+    /// Answers the call. A refusal is answered only if no write of this call may take effect.
     void finish(const std::shared_ptr<OpenCall>& call, CallerAnswer answer, const char* why);
+    /// Reads the record to learn whether a write without an answer has taken effect, then answers.
+    void findOut(const std::shared_ptr<OpenCall>& call, CallerAnswer refusal, const char* why);
+    void outcomeRead(const std::shared_ptr<OpenCall>& call, const StoreAnswer& record, bool mayTakeEffect,
+        CallerAnswer refusal, const char* why);
+    void answerCall(const std::shared_ptr<OpenCall>& call, CallerAnswer answer, const char* why);
     void unavailable(const std::shared_ptr<OpenCall>& call, const char* why);
-    /// Answers with `outcome`, or with `Undecided` if a write of this call may still take effect.
     void refuse(const std::shared_ptr<OpenCall>& call, CallOutcome outcome, const char* why);
+    /// The call's route, if the configuration in force still allows the call; otherwise finishes it.
+    const fleet::Route* allowedRoute(const std::shared_ptr<OpenCall>& call);
 
     // forward.cpp
     /// Forwards the call to other hosts; runs `fallback` if none of them decides it.
--- a/packages/entry/src/open-call.h
+++ b/packages/entry/src/open-call.h
@@ -4,12 +4,16 @@
 #include "jujubereach/entry/entry-host.h"
 
 #include <algorithm>
+#include <limits>
+#include <optional>
 
 namespace jujubereach::entry {
 
 struct OpenCall {
     static constexpr Duration answerReserve { 150 }; ///< Part of the deadline left for returning the answer.
     static constexpr int maxAttempts = 4;
+    /// Expected by a write of another host, whose configuration is not known here.
+    static constexpr Revision anyRevision { std::numeric_limits<std::uint64_t>::max() };
 
     CallerRequest request;
     CallerDone done;
@@ -19,8 +23,17 @@
     WorkspaceId workspace;
     JobId id;
     int attempts = 0;
-    bool outcomeUnknown
-        = false; ///< An unanswered write, by this host or one it forwarded to, may take effect.
+    /// Set once a write without an answer, by this host or one it forwarded to, may take effect: the latest
+    /// revision of the configuration that such a write expects. It has no effect under a later one.
+    std::optional<Revision> unansweredUnder;
+
+    bool outcomeUnknown() const { return unansweredUnder.has_value(); }
+
+    void wroteWithoutAnswer(Revision expectedConfig)
+    {
+        if (!unansweredUnder || unansweredUnder->value < expectedConfig.value)
+            unansweredUnder = expectedConfig;
+    }
 
     bool canRetry(TimePoint now) const { return attempts < maxAttempts && expiresAt - now > answerReserve; }
     Duration timeLeft(TimePoint now, Duration bound) const { return std::min(bound, expiresAt - now); }
--- a/packages/entry/test/fake-host.h
+++ b/packages/entry/test/fake-host.h
@@ -74,6 +74,7 @@
     }
 
     bool contains(const std::string& key) const { return m_items.contains(key); }
+    const std::string& value(const std::string& key) const { return m_items.at(key).value; }
 
     /// Earlier changes can no longer be watched.
     void dropHistory()
@@ -329,6 +330,10 @@
         request.forward = [this, copy = request](const std::string& address, std::uint64_t configVersion,
                               Duration timeout, const std::function<void(ForwardResult)>& done) {
             forwards.push_back(address);
+            if (forwardAnswers) {
+                const auto result = forwardAnswers();
+                return m_time.after(result.answer ? Duration(1) : timeout, [done, result] { done(result); });
+            }
             const auto peer = peers.find(address);
             if (peer != peers.end() && peer->second)
                 return peer->second->forwarded(copy, configVersion, done);
@@ -347,8 +352,12 @@
     std::unique_ptr<EntryHost> host;
     bool workersAnswer = false;
     bool storeUnreachable = false; ///< This host's calls do not reach the store.
+    bool readsUnreachable = false; ///< The same for reads of a key only.
+    bool writesUnanswered = false; ///< This host's writes get no answer.
+    std::optional<Duration> writeDelay { 0 }; ///< Of unanswered writes; empty if they are never carried out.
     bool watchesUnreachable = false; ///< The same for watches only.
     std::map<std::string, FakeHost*> peers; ///< By address; null for a peer that never answers.
+    std::function<ForwardResult()> forwardAnswers; ///< Of all peers; null to ask `peers`.
     std::vector<std::string> forwards; ///< Addresses that calls were forwarded to.
     TimePoint answeredAt; ///< Time of the last answer to `call`.
     std::vector<Duration> delays; ///< Delays of all timers set by the host.
@@ -368,7 +377,15 @@
                 m_time.after(std::get<size - 2>(all), [done = std::get<size - 1>(all)] { done({}); });
             };
         };
-        store.read = unless(storeUnreachable, store.read);
+        store.write = [this, write = store.write](StoreWrite entries, Duration timeout, StoreDone done) {
+            if (!writesUnanswered)
+                return write(std::move(entries), timeout, std::move(done));
+            if (writeDelay)
+                m_time.after(*writeDelay,
+                    [write, entries, timeout] { write(entries, timeout, [](const StoreAnswer&) {}); });
+            m_time.after(timeout, [done = std::move(done)] { done({}); });
+        };
+        store.read = unless(readsUnreachable, store.read);
         store.range = unless(storeUnreachable, store.range);
         store.watch = unless(watchesUnreachable, store.watch);
         store.write = unless(storeUnreachable, store.write);
