Refuse a cancel whose key is revoked while the job is read

Callers would see: a job cancelled with a key that is no longer valid. Cause: a cancel checks the key when it arrives, reads the job and writes under the configuration in force by then; a read without an answer is repeated for up to 3 s. A submission checks again before each write; a cancel did not. Ruled out: a later write under the older configuration (the store's condition refuses it). Change: a cancel, too, checks route and key before each write, with the same code. Before: entry-host-test refusesACancelWhoseKeyIsRevokedWhileTheJobIsRead failed, the job was cancelled. After: entry-host-test 19 of 19, forward-test 12 of 12.

--- a/packages/entry/src/calls.cpp
+++ b/packages/entry/src/calls.cpp
@@ -338,6 +338,8 @@
         return unavailable(call, "the record cannot be read");
     if (record->cancelled)
         return finish(call, { CallOutcome::Cancelled }, "cancelled before");
+    if (!allowedRoute(call)) // The configuration may have changed while the record was read.
+        return;
     record->cancelled = true;
     fleet::StoreWrite write;
     write.expected.push_back({ item.key, item.revision });
--- a/packages/entry/test/entry-host-test.cpp
+++ b/packages/entry/test/entry-host-test.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(acceptsStoredSubmissions);
     CPPUNIT_TEST(acceptsAfterAConfigurationRewrite);
     CPPUNIT_TEST(refusesARevokedKeyBeforeTheWatchReportsIt);
+    CPPUNIT_TEST(refusesACancelWhoseKeyIsRevokedWhileTheJobIsRead);
     CPPUNIT_TEST(reportsAnUnansweredWriteAsUndecided);
     CPPUNIT_TEST(logsTheJobIdWhenThereIsNoConfiguration);
     CPPUNIT_TEST(claimsAreSpreadOverTime);
@@ -67,6 +68,22 @@
         CPPUNIT_ASSERT(!m_store.contains(fleet::keys::job(JobId("a"))));
     }
 
+    void refusesACancelWhoseKeyIsRevokedWhileTheJobIsRead()
+    {
+        m_store.put(FakeHost::configKey, "1 key");
+        FakeHost host(m_time, m_store);
+        m_time.run(Duration(1000));
+        CPPUNIT_ASSERT(host.call(CallKind::Submit, "a", "key")->outcome == CallOutcome::Accepted);
+        host.readsUnreachable = true;
+        m_time.after(Duration(100), [&] {
+            m_store.put(FakeHost::configKey, "2 other");
+            host.readsUnreachable = false;
+        });
+        CPPUNIT_ASSERT(host.call(CallKind::Cancel, "a", "key")->outcome == CallOutcome::UnknownKey);
+        const auto& value = m_store.value(fleet::keys::job(JobId("a")));
+        CPPUNIT_ASSERT(!fleet::decodeJob(JobId("a"), value)->cancelled);
+    }
+
     void reportsAnUnansweredWriteAsUndecided()
     {
         m_store.put(FakeHost::configKey, "1 key");
