--- a/packages/daemon/src/domain-journal.cpp
+++ b/packages/daemon/src/domain-journal.cpp
@@ -45,15 +45,7 @@
 {
     record.term = m_term;
     record.at = m_ctx.wallClock();
-    m_backlog.push_back(journal::encodeRecord(id, record));
-    addBacklog();
-}
-
-// Records keep their order; what does not fit into the committer waits here.
-void Domain::addBacklog()
-{
-    while (!m_backlog.empty() && m_journal->add(m_backlog.front()))
-        m_backlog.pop_front();
+    m_backlog.add(journal::encodeRecord(id, record));
 }
 
 void Domain::carryOutEvents()
--- a/packages/daemon/src/domain-submit.cpp
+++ b/packages/daemon/src/domain-submit.cpp
@@ -16,6 +16,17 @@
 
 } // namespace
 
+ApiError refusedInOutage(journal::CommitStatus record)
+{
+    if (record != journal::CommitStatus::NotWritten)
+        return { 504, "outcome_unknown",
+            "the platform's service has not answered; the job may have been accepted: ask again with the "
+            "same key",
+            {}, Ran::Unknown, {}, outageRetryAfter };
+    return { 503, "outage_bound", "the platform's service is down and no more jobs fit into memory", {},
+        Ran::No, {}, outageRetryAfter };
+}
+
 void Domain::submit(const JobCall& call, Answer answer)
 {
     if (!isOwner())
@@ -104,11 +115,10 @@
     const auto accepting = std::move(it->second);
     m_acceptingKeys.erase(accepting.call.key);
     m_accepting.erase(it);
-    m_journal->withdraw("accept/" + job.str());
+    auto error = refusedInOutage(m_backlog.withdraw("accept/" + job.str()));
     const auto& spec = accepting.call.spec;
-    ApiError error { 503, "outage_bound", "the platform's service is down and no more jobs fit into memory",
-        {}, Ran::No, {}, outageRetryAfter };
-    error.reference = m_hooks.refuse({ spec.workspace, spec.caller, spec.workClass, error.error });
+    if (error.ran == Ran::No)
+        error.reference = m_hooks.refuse({ spec.workspace, spec.caller, spec.workClass, error.error });
     for (const auto& answer : accepting.answers)
         answer(errorAnswer(error));
 }
--- a/packages/daemon/src/domain.cpp
+++ b/packages/daemon/src/domain.cpp
@@ -36,12 +36,15 @@
     , m_accelerators(manifest::acceleratorsOf(domain))
     , m_manifest(manifest)
     , m_journalKey(journal::journalKey(ctx.settings.zone, domain.id))
-    , m_owner(configOf(ctx, domain), [this] {
-        scheduling::Policy policy;
-        policy.protectShapes = !m_ctx.testHooks.breaks("reclaim");
-        return jobs::hooksOf(
-            std::make_shared<scheduling::Scheduler>(m_manifest, m_ctx.settings.zone, m_id, policy));
-    })
+    , m_owner(configOf(ctx, domain),
+          [this] {
+              scheduling::Policy policy;
+              policy.protectShapes = !m_ctx.testHooks.breaks("reclaim");
+              return jobs::hooksOf(
+                  std::make_shared<scheduling::Scheduler>(m_manifest, m_ctx.settings.zone, m_id, policy));
+          })
+    , m_backlog({ [this](const journal::Record& record) { return m_journal->add(record); },
+          [this](const std::string& id) { return m_journal->withdraw(id); } })
 {
     for (std::uint32_t i = 0; i < manifest::workersOf(domain); ++i)
         m_workers.push_back(manifest::workerAt(domain, i));
@@ -112,7 +115,7 @@
     m_owner.tick(m_ctx.clock());
     startTerm();
     followJournal();
-    addBacklog();
+    m_backlog.pump();
     sendSyncs();
     carryOutEvents();
     for (const auto& line : m_owner.takeLog())
--- a/packages/daemon/src/domain.h
+++ b/packages/daemon/src/domain.h
@@ -7,11 +7,11 @@
 #include "context.h"
 #include "copies.h"
 #include "jujubereach/jobs/owner.h"
+#include "jujubereach/journal/backlog.h"
 #include "jujubereach/journal/job-journal.h"
 #include "jujubereach/manifest/manifest.h"
 #include "refusals.h"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -30,6 +30,9 @@
     std::string key; ///< "<workspace>/<idempotency key>".
 };
 
+/// The answer to a submission that does not fit into memory, by what became of its journal record.
+ApiError refusedInOutage(journal::CommitStatus record);
+
 /// The job of an entry that has not ended; none when it cannot be read.
 std::optional<scheduling::JobSpec> specOf(const journal::JournalEntry& entry);
 
@@ -92,7 +95,6 @@
     void refuseUnjournaled(const JobId& job);
     void learnJournal();
     void followJournal();
-    void addBacklog();
     const journal::JobJournal& journalView();
     std::optional<JobId> findKey(const std::string& key);
     void answerAccepted(const Answer& answer, const JobId& job, const std::string& durability, bool existing);
@@ -118,7 +120,7 @@
     std::map<JobId, jobs::JobEvent> m_ends; ///< Ends that the journal may not hold yet.
     journal::JobJournal m_view;
     std::string m_viewPayload; ///< What m_view was decoded from.
-    std::deque<journal::Record> m_backlog; ///< In order; for the journal's committer.
+    journal::Backlog m_backlog; ///< For the journal's committer.
     std::uint64_t m_learnedReads = 0; ///< Of the committer, as of the last learnJournal().
     TimePoint m_journalReadAt;
     std::uint64_t m_term = 0;
--- a/packages/journal/test/group-log-test.cpp
+++ b/packages/journal/test/group-log-test.cpp
@@ -2,6 +2,8 @@
 // agreement with the outcome that its writer was given.
 #include "fake-service.h"
 
+#include "jujubereach/journal/backlog.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <memory>
@@ -103,6 +105,7 @@
     CPPUNIT_TEST(recordsAreStoredOnceUnderFaults);
     CPPUNIT_TEST(recordsAreDuplicatedWithoutOperationIds);
     CPPUNIT_TEST(pendingIsBounded);
+    CPPUNIT_TEST(aWithdrawnRecordIsNotWrittenLater);
     CPPUNIT_TEST(largeValueIsSplitThenRefused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -134,6 +137,34 @@
         CPPUNIT_ASSERT(committer.add({ "3", {} }, TimePoint()));
     }
 
+    // The submission of a withdrawn record is answered as refused.
+    void aWithdrawnRecordIsNotWrittenLater()
+    {
+        FakeService service(1, {});
+        TimePoint now { Duration(1'000) };
+        CallBudget budget({}, 1, now);
+        CommitterConfig config { "log", "h#1" };
+        config.maxPending = 1;
+        GroupCommitter committer(config, append);
+        Backlog backlog({ [&](const Record& record) { return committer.add(record, now); },
+            [&](const std::string& id) { return committer.withdraw(id); } });
+        service.isDown = true;
+        const auto run = [&] {
+            for (int step = 0; step < 100; ++step, now += Duration(200)) {
+                backlog.pump();
+                if (auto call = committer.nextCall(now, budget))
+                    committer.onReply(service.call(*call, now), now);
+            }
+        };
+        for (const auto* id : { "1", "2", "3" })
+            backlog.add({ id, {} });
+        run();
+        CPPUNIT_ASSERT(backlog.withdraw("2") == CommitStatus::NotWritten);
+        service.isDown = false;
+        run();
+        CPPUNIT_ASSERT_EQUAL(std::string("1 3 "), payloadOf(service.values["log"].value));
+    }
+
     void largeValueIsSplitThenRefused()
     {
         FakeService service(1, {});
