Bound idle connections by the limit on open files

Cause: the client keeps four idle connections to each address without a bound on all of them. An owner of 1,464 workers on a machine with 4,100 descriptors ran out: each call that needed a new connection failed at once (0.4 ms), while polls on open ones went on. Ruled out: workers out of reach (they answer polls meanwhile), takeovers and crashes (none from 36 s on), the order of the queue. Change: all idle connections together take at most half of the files that the process may open, the oldest are closed first, and a call without a descriptor closes idle ones until it has one.

--- a/packages/net/include/jujubereach/net/http-client.h
+++ b/packages/net/include/jujubereach/net/http-client.h
@@ -13,6 +13,7 @@
 
 struct ClientLimits {
     std::size_t maxIdlePerEndpoint = 4;
+    std::size_t maxIdle = 0; ///< Over all endpoints; 0 for half of the files that the process may open.
     std::size_t maxResponseBytes = 64U << 20U; ///< Pages of the store are by far the largest responses.
 };
 
@@ -39,10 +40,14 @@
     using ConnectionPtr = std::shared_ptr<class ClientConnection>;
 
     void returnToPool(const ConnectionPtr& connection);
+    ConnectionPtr takeIdle(const std::string& endpoint);
+    bool closeOldestIdle();
 
     boost::asio::io_context& m_loop;
-    const ClientLimits m_limits;
+    ClientLimits m_limits;
     std::map<std::string, std::vector<ConnectionPtr>> m_idle;
+    std::map<std::uint64_t, ConnectionPtr> m_idleByAge; ///< The same connections, oldest first.
+    std::uint64_t m_returned = 0;
     std::uint64_t m_opened = 0;
     std::shared_ptr<bool> m_alive; ///< False after destruction; shared with the connections.
 };
--- a/packages/net/src/http-client.cpp
+++ b/packages/net/src/http-client.cpp
@@ -10,6 +10,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <array>
 
 namespace jujubereach::net {
@@ -20,6 +23,7 @@
 namespace {
 
     constexpr std::size_t readBytes = 16'384;
+    constexpr std::size_t defaultMaxIdle = 512; // If the limit on open files is not known.
     constexpr unsigned peerTimeoutMs = 4000; // Longer than the longest long poll and its response time.
 
 } // namespace
@@ -38,6 +42,14 @@
 
     const std::string& endpoint() const { return m_endpoint; }
 
+    /// Returns false if the process has no descriptor left.
+    bool open(const tcp::endpoint& peer)
+    {
+        boost::system::error_code failed;
+        m_socket.open(peer.protocol(), failed);
+        return failed != asio::error::no_descriptors;
+    }
+
     void connectAndCall(const tcp::endpoint& peer, std::string bytes, Duration timeout, CallDone done)
     {
         begin(std::move(bytes), timeout, std::move(done));
@@ -75,6 +87,8 @@
     }
 
     bool closedByPeer() const { return m_closedByPeer; }
+    std::uint64_t idleNumber() const { return m_idleNumber; }
+    void setIdleNumber(std::uint64_t number) { m_idleNumber = number; }
 
     void close()
     {
@@ -193,6 +207,7 @@
     bool m_sent = false; ///< Bytes of the request may have been sent.
     bool m_watchingIdle = false;
     bool m_closedByPeer = false;
+    std::uint64_t m_idleNumber = 0; ///< Key in the pool.
 };
 
 HttpClient::HttpClient(asio::io_context& loop, ClientLimits limits)
@@ -200,6 +215,11 @@
     , m_limits(limits)
     , m_alive(std::make_shared<bool>(true))
 {
+    if (m_limits.maxIdle > 0)
+        return;
+    rlimit files {};
+    m_limits.maxIdle = getrlimit(RLIMIT_NOFILE, &files) == 0 ? std::max<std::size_t>(1, files.rlim_cur / 2)
+                                                             : defaultMaxIdle;
 }
 
 HttpClient::~HttpClient()
@@ -220,30 +240,52 @@
         return;
     }
     auto bytes = detail::encode(request, endpoint);
-    auto& idle = m_idle[endpoint];
-    while (!idle.empty()) {
-        auto connection = std::move(idle.back());
-        idle.pop_back();
-        if (connection->closedByPeer())
-            continue;
-        connection->callOnIdle(std::move(bytes), timeout, std::move(done));
-        return;
-    }
+    if (const auto idle = takeIdle(endpoint))
+        return idle->callOnIdle(std::move(bytes), timeout, std::move(done));
     ++m_opened;
     auto connection = std::make_shared<ClientConnection>(*this, endpoint);
+    while (!connection->open(*peer) && closeOldestIdle()) { }
     connection->connectAndCall(*peer, std::move(bytes), timeout, std::move(done));
 }
 
+// Returns null if there is none.
+HttpClient::ConnectionPtr HttpClient::takeIdle(const std::string& endpoint)
+{
+    const auto found = m_idle.find(endpoint);
+    while (found != m_idle.end() && !found->second.empty()) {
+        auto connection = std::move(found->second.back());
+        found->second.pop_back();
+        m_idleByAge.erase(connection->idleNumber());
+        if (!connection->closedByPeer())
+            return connection;
+    }
+    return nullptr;
+}
+
 void HttpClient::closeIdle(const std::string& endpoint)
 {
     const auto found = m_idle.find(endpoint);
     if (found == m_idle.end())
         return;
-    for (auto& connection : found->second)
+    for (auto& connection : found->second) {
+        m_idleByAge.erase(connection->idleNumber());
         connection->close();
+    }
     m_idle.erase(found);
 }
 
+// Returns false if there is none.
+bool HttpClient::closeOldestIdle()
+{
+    if (m_idleByAge.empty())
+        return false;
+    const auto connection = m_idleByAge.begin()->second;
+    m_idleByAge.erase(m_idleByAge.begin());
+    std::erase(m_idle[connection->endpoint()], connection);
+    connection->close();
+    return true;
+}
+
 void HttpClient::returnToPool(const ConnectionPtr& connection)
 {
     auto& idle = m_idle[connection->endpoint()];
@@ -253,6 +295,10 @@
     }
     connection->watchIdle();
     idle.push_back(connection);
+    connection->setIdleNumber(++m_returned);
+    m_idleByAge.emplace(m_returned, connection);
+    while (m_idleByAge.size() > m_limits.maxIdle)
+        closeOldestIdle();
 }
 
 } // namespace jujubereach::net
--- a/packages/net/test/net-test.cpp
+++ b/packages/net/test/net-test.cpp
@@ -9,7 +9,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <atomic>
+#include <filesystem>
 #include <optional>
 #include <thread>
 
@@ -33,6 +37,8 @@
     CPPUNIT_TEST(exceptionFailsOnlyItsRequest);
     CPPUNIT_TEST(aLineBreakInAHeaderIsNotSent);
     CPPUNIT_TEST(aCallToAnUnusableAddressIsNotSent);
+    CPPUNIT_TEST(idleConnectionsLeaveDescriptorsForOthers);
+    CPPUNIT_TEST(aCallWithoutADescriptorClosesAnIdleConnection);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr auto address = "127.0.0.1:29317";
@@ -84,6 +90,71 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), loop.client.connectionsOpened());
     }
 
+    static std::string hostAddress(int host) { return "127.0.0." + std::to_string(host) + ":29317"; }
+
+    static int openDescriptors()
+    {
+        return static_cast<int>(std::distance(
+            std::filesystem::directory_iterator("/proc/self/fd"), std::filesystem::directory_iterator {}));
+    }
+
+    void idleConnectionsLeaveDescriptorsForOthers()
+    {
+        rlimit limit {};
+        CPPUNIT_ASSERT_EQUAL(0, getrlimit(RLIMIT_NOFILE, &limit));
+        auto low = limit;
+        low.rlim_cur = 40;
+        CPPUNIT_ASSERT_EQUAL(0, setrlimit(RLIMIT_NOFILE, &low));
+        asio::io_context loop { 1 };
+        HttpClient client(loop);
+        CPPUNIT_ASSERT_EQUAL(0, setrlimit(RLIMIT_NOFILE, &limit));
+        HttpServer server(loop, echo());
+        CPPUNIT_ASSERT(server.listen("0.0.0.0:29317"));
+        const auto before = openDescriptors();
+        for (int host = 1; host <= 60; ++host) {
+            auto done = false;
+            client.call(hostAddress(host), { "POST", "/x", {}, {} }, Duration(1000), [&](CallResult result) {
+                CPPUNIT_ASSERT(result.delivery == DeliveryStatus::Answered);
+                done = true;
+            });
+            while (!done)
+                loop.run_one();
+        }
+        loop.run_for(std::chrono::milliseconds(50)); // The server closes its ends too.
+        CPPUNIT_ASSERT(openDescriptors() - before <= 2 * 20 + 1);
+    }
+
+    void aCallWithoutADescriptorClosesAnIdleConnection()
+    {
+        asio::io_context serverLoop { 1 };
+        HttpServer server(serverLoop, echo());
+        CPPUNIT_ASSERT(server.listen("0.0.0.0:29317"));
+        std::thread serving([&] { serverLoop.run_for(std::chrono::seconds(5)); });
+        Loop loop;
+        loop.callTo(hostAddress(1), { "POST", "/x", {}, {} });
+        rlimit limit {};
+        CPPUNIT_ASSERT_EQUAL(0, getrlimit(RLIMIT_NOFILE, &limit));
+        auto low = limit;
+        low.rlim_cur = 64;
+        CPPUNIT_ASSERT_EQUAL(0, setrlimit(RLIMIT_NOFILE, &low));
+        std::vector<int> filler;
+        for (auto next = dup(0); next >= 0; next = dup(0))
+            filler.push_back(next);
+        std::optional<DeliveryStatus> fate;
+        loop.client.call(hostAddress(2), { "POST", "/x", {}, {} }, Duration(1000),
+            [&](const CallResult& result) { fate = result.delivery; });
+        for (const auto descriptor : filler)
+            close(descriptor);
+        CPPUNIT_ASSERT_EQUAL(0, setrlimit(RLIMIT_NOFILE, &limit));
+        while (!fate) {
+            loop.context.restart();
+            loop.context.run_one_for(std::chrono::milliseconds(50));
+        }
+        serverLoop.stop();
+        serving.join();
+        CPPUNIT_ASSERT(fate == DeliveryStatus::Answered);
+    }
+
     void failedConnectIsNotSent()
     {
         Loop loop;
