--- a/packages/net/test/net-test.cpp
+++ b/packages/net/test/net-test.cpp
@@ -113,10 +113,11 @@
         const auto before = openDescriptors();
         for (int host = 1; host <= 60; ++host) {
             auto done = false;
-            client.call(hostAddress(host), { "POST", "/x", {}, {} }, Duration(1000), [&](CallResult result) {
-                CPPUNIT_ASSERT(result.delivery == DeliveryStatus::Answered);
-                done = true;
-            });
+            client.call(
+                hostAddress(host), { "POST", "/x", {}, {} }, Duration(1000), [&](const CallResult& result) {
+                    CPPUNIT_ASSERT(result.delivery == DeliveryStatus::Answered);
+                    done = true;
+                });
             while (!done)
                 loop.run_one();
         }
