--- a/cmake/jujubereach-package.cmake
+++ b/cmake/jujubereach-package.cmake
@@ -55,6 +55,12 @@
     jujubereach_target(${name})
     add_test(NAME ${name} COMMAND ${name})
     set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+    # A line "test NAME: ..." passes over a test as long as it fails.
+    set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt)
+    file(STRINGS ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt knownRed REGEX "^test ${name}:")
+    if(knownRed)
+        set_tests_properties(${name} PROPERTIES WILL_FAIL TRUE)
+    endif()
 endfunction()
 
 # jujubereach_program(NAME SOURCES... LIBS library...)
--- /dev/null
+++ b/packages/fleet/test/takeover-soak.h
@@ -0,0 +1,168 @@
+// Random days in virtual time: restarts that no owner sees at once, cut-off workers and takeovers every few
+// seconds, with late orders or with tasks that crash their workers.
+#pragma once
+
+#include "jujubereach/base/random.h"
+
+#include "fake-fleet.h"
+
+namespace jujubereach::fleet {
+
+struct SoakFaults {
+    bool lateOrders = false;
+    bool deadlyTasks = false;
+};
+
+class TakeoverSoak {
+public:
+    TakeoverSoak(std::uint64_t seed, SoakFaults faults)
+        : m_faults(faults)
+        , m_random(seed)
+    {
+        for (int i = 0; i < workers; ++i)
+            m_fleet.addWorker("w" + std::to_string(i), "r" + std::to_string(i / 4));
+        m_fleet.restartTime = Duration(1000) + below(3000);
+        m_fleet.crashDelay = Duration(1) + below(2000);
+        m_fleet.workTime = [](const TaskId& task) {
+            return Duration(1500 + static_cast<std::int64_t>(stableHash(toString(task)) % 5000));
+        };
+        m_fleet.takeOver();
+        m_fleet.run(Duration(500));
+        m_nextTakeover = m_fleet.now() + Duration(2000) + below(4000);
+    }
+
+    /// Returns the first violated invariant, or a job that did not end as it should; empty if there is none.
+    std::string play()
+    {
+        constexpr Duration step { 100 };
+        const auto end = m_fleet.now() + Duration(45'000);
+        while (m_fleet.now() < end || !m_pending.empty()) {
+            const auto active = m_fleet.now() < end;
+            if (active && m_random.below(10) == 0)
+                submitJob();
+            const WorkerId id("w" + std::to_string(m_random.below(workers)));
+            if (active)
+                disturb(id);
+            m_fleet.storeDown = active && m_random.below(15) == 0;
+            if (active && m_fleet.now() >= m_nextTakeover) {
+                m_fleet.takeOver();
+                m_nextTakeover = m_fleet.now() + Duration(2000) + below(4000);
+            }
+            m_fleet.run(step);
+            makeDueChanges();
+        }
+        m_fleet.storeDown = false;
+        m_fleet.run(Duration(180'000));
+        return m_fleet.firstViolation().empty() ? firstWrongEnd() : m_fleet.firstViolation();
+    }
+
+    /// Plays all seeds and lists those that fail.
+    static std::string failingSeeds(SoakFaults faults)
+    {
+        constexpr std::uint64_t seeds = 100;
+        std::string out;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            const auto found = TakeoverSoak(seed, faults).play();
+            if (!found.empty())
+                out += "\nseed " + std::to_string(seed) + ": " + found;
+        }
+        return out;
+    }
+
+private:
+    static constexpr int workers = 10;
+    static constexpr std::uint64_t stepsBetweenRestarts = 240;
+
+    struct Change {
+        TimePoint at;
+        std::function<void()> make;
+    };
+
+    Duration below(std::uint64_t limit) { return Duration(static_cast<std::int64_t>(m_random.below(limit))); }
+
+    static TaskId taskOf(const JobId& job) { return { job, 0, 0, 0 }; }
+
+    void submitJob()
+    {
+        auto job = FakeFleet::job("j" + std::to_string(m_jobs++), 1 + static_cast<int>(m_random.below(4)),
+            { 4000, 8000, static_cast<std::int64_t>(1 + m_random.below(4)) },
+            static_cast<int>(m_random.below(3)));
+        job.spec.steps[0].gang = m_random.below(5) == 0;
+        job.spec.steps[0].checkpointing = m_random.below(2) == 0;
+        if (m_faults.deadlyTasks && m_random.below(8) == 0 && !job.spec.steps[0].gang)
+            m_fleet.deadlyTasks.insert(taskOf(job.id));
+        m_fleet.submit(std::move(job));
+    }
+
+    void disturb(const WorkerId& id)
+    {
+        auto& worker = m_fleet.workers.at(id);
+        if (m_faults.lateOrders && m_random.below(10) == 0) {
+            worker.callDelay = Duration(2000) + below(9500);
+            m_pending.push_back({ m_fleet.now() + Duration(300) + below(1500),
+                [this, id] { m_fleet.workers.at(id).callDelay = Duration(0); } });
+        }
+        if (worker.reachable && m_random.below(stepsBetweenRestarts) == 0)
+            restart(id);
+        if (worker.reachable && m_random.below(stepsBetweenRestarts + stepsBetweenRestarts / 3) == 0)
+            cutOff(id);
+    }
+
+    // The entry of the new incarnation follows later.
+    void restart(const WorkerId& id)
+    {
+        m_fleet.restartWorker(id.str());
+        const auto incarnation = m_fleet.workers.at(id).report.incarnation;
+        m_pending.push_back({ m_fleet.now() + Duration(200) + below(1200), [this, id, incarnation] {
+                                 const auto& back = m_fleet.workers.at(id);
+                                 if (back.report.incarnation == incarnation && back.reachable)
+                                     m_fleet.owner->workerReported(back.report);
+                             } });
+    }
+
+    void cutOff(const WorkerId& id)
+    {
+        if (m_random.below(2) == 0)
+            m_fleet.restartWorker(id.str());
+        m_fleet.workers.at(id).reachable = false;
+        m_pending.push_back({ m_fleet.now() + Duration(500) + below(14'000), [this, id] {
+                                 auto& back = m_fleet.workers.at(id);
+                                 back.reachable = true;
+                                 m_fleet.owner->workerReported(back.report);
+                             } });
+    }
+
+    void makeDueChanges()
+    {
+        for (std::size_t i = 0; i < m_pending.size();) {
+            if (m_pending[i].at > m_fleet.now()) {
+                ++i;
+                continue;
+            }
+            const auto make = std::move(m_pending[i].make);
+            m_pending.erase(m_pending.begin() + static_cast<std::ptrdiff_t>(i));
+            make();
+        }
+    }
+
+    // The crash of a cut-off worker has no effect, so a deadly task may complete there.
+    std::string firstWrongEnd() const
+    {
+        for (const auto& record : m_fleet.accepted) {
+            const auto deadly = m_fleet.deadlyTasks.contains(taskOf(record.id));
+            const auto state = m_fleet.savedState(record.id.str());
+            if (deadly ? !isFinal(state) : state != JobState::Completed)
+                return record.id.str() + " is " + nameOf(state);
+        }
+        return {};
+    }
+
+    const SoakFaults m_faults;
+    Random m_random;
+    FakeFleet m_fleet;
+    std::vector<Change> m_pending;
+    TimePoint m_nextTakeover;
+    int m_jobs = 0;
+};
+
+} // namespace jujubereach::fleet
