--- a/packages/fleet/test/successor-test.cpp
+++ b/packages/fleet/test/successor-test.cpp
@@ -80,10 +80,9 @@
     void startsATaskElsewhereWhileALateStartMayReachANewIncarnation() { assertWaitsForALateStart(false); }
     void startsATaskElsewhereWhileALateStartMayReachACutOffIncarnation() { assertWaitsForALateStart(true); }
 
-    // A run that the previous owner stopped is no start under way.
-    void delaysATaskWhoseRunHasEndedKnown()
+    // "urgent" stops the task of "victim" at the only worker.
+    static void preemptVictim(FakeFleet& fleet)
     {
-        FakeFleet fleet;
         fleet.addWorker("a");
         fleet.workTime = [](const TaskId&) { return Duration(5000); };
         fleet.takeOver();
@@ -92,6 +91,13 @@
         fleet.run(Duration(300));
         fleet.submit(FakeFleet::job("urgent", 1, { 64'000, 1000, 8 }, 0));
         fleet.run(Duration(1500));
+    }
+
+    // A run that the previous owner stopped is no start under way.
+    void delaysATaskWhoseRunHasEndedKnown()
+    {
+        FakeFleet fleet;
+        preemptVictim(fleet);
         CPPUNIT_ASSERT_EQUAL(1, fleet.observed.starts[taskOf("urgent")]);
         fleet.takeOver();
         fleet.run(Duration(6000));
@@ -103,14 +109,7 @@
     void countsARestartAfterTheEndOfARunAsACrash()
     {
         FakeFleet fleet;
-        fleet.addWorker("a");
-        fleet.workTime = [](const TaskId&) { return Duration(5000); };
-        fleet.takeOver();
-        fleet.run(Duration(500));
-        fleet.submit(FakeFleet::job("victim", 1, { 64'000, 1000, 8 }, 2));
-        fleet.run(Duration(300));
-        fleet.submit(FakeFleet::job("urgent", 1, { 64'000, 1000, 8 }, 0));
-        fleet.run(Duration(1500));
+        preemptVictim(fleet);
         fleet.restartWorker("a");
         fleet.takeOver();
         fleet.run(Duration(20'000));
