Adopt a revision only if an own write explains it

Cause: a conflict was always taken for a write of this owner whose answer was lost. The owner adopted the revision of progress that it had never read, and replaced it. Ruled out: a write of the previous owner (it expects that owner's key). Change: a job and the roster remember whether a write without an answer may have been carried out. Without one, a stored end stands and what runs of the job is stopped; any other record ends the ownership, and the next owner reads it.

--- a/packages/fleet/src/job.h
+++ b/packages/fleet/src/job.h
@@ -91,6 +91,7 @@
     std::uint64_t changes = 0; ///< Version of the progress, raised by each change.
     std::uint64_t saved = 0; ///< Version of the progress that is stored.
     bool saving = false; ///< A write of the progress is in flight.
+    bool writeUnanswered = false; ///< A write that expects `progressRevision` may have been carried out.
     bool inSaveQueue = false;
     bool begun = false; ///< A worker has begun one of its tasks, as far as this owner knows.
     bool startUnresolved = false; ///< Whether it holds for any task.
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -63,6 +63,10 @@
     void finishWrite(Job& job);
     void saveSucceeded(const SavedParts& parts, Revision revision);
     void saveFailed(const SavedParts& parts, const StoreAnswer& answer);
+    void resolveConflict(const SavedParts& parts, const StoreAnswer& answer);
+    void resolveConflict(Job& job, const std::vector<StoreItem>& items);
+    void adoptStoredEnd(Job& job, JobState state, Revision revision);
+    void giveUpOwnership(const char* why);
     void acknowledgeSavedEnds(Worker& worker);
     void saveSummary(StoreWrite& write);
     void saveRoster(StoreWrite& write, SavedParts& parts);
@@ -269,6 +273,8 @@
     int m_saveFailures = 0;
     TimePoint m_summaryAt;
     std::string m_summary; ///< Last value written.
+    /// A write that expects `m_rosterRevision` may have been carried out.
+    bool m_rosterWriteUnanswered = false;
 
     std::vector<Worker*> m_byRack; ///< All workers with an open row, by rack and id.
     bool m_byRackStale = true; ///< Set when a worker entry or the roster has changed.
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -375,3 +375,13 @@
 }
 
 } // namespace jujubereach::fleet
+// Ends the ownership, although no other owner is known. The next owner restores its state from the store.
+void Owner::Impl::giveUpOwnership(const char* why)
+{
+    if (m_superseded)
+        return;
+    m_superseded = true;
+    m_hooks.log("ownership-given-up", { { "fence", m_fence.value }, { "why", why } });
+    m_hooks.ownershipLost();
+}
+
--- a/packages/fleet/src/owner-save.cpp
+++ b/packages/fleet/src/owner-save.cpp
@@ -14,14 +14,17 @@
     constexpr int maxRetryDoublings = 3;
     constexpr Duration summaryInterval { 500 }; // A quarter of the maximum age promised to callers.
 
-    // Revision of a key among the items returned with a conflict; 0 if it does not exist.
-    Revision revisionOf(const std::vector<StoreItem>& items, const std::string& key)
+    // Null if the key is not among the items returned with a conflict, that is, if it does not exist.
+    const StoreItem* findItem(const std::vector<StoreItem>& items, const std::string& key)
     {
-        for (const auto& item : items) {
-            if (item.key == key)
-                return item.revision;
-        }
-        return {};
+        const auto found = std::find_if(
+            items.begin(), items.end(), [&](const StoreItem& item) { return item.key == key; });
+        return found == items.end() ? nullptr : &*found;
+    }
+
+    Revision revisionOf(const StoreItem* item)
+    {
+        return item ? item->revision : Revision {};
     }
 
 } // namespace
@@ -157,25 +160,73 @@
     m_saveFailures = std::min(m_saveFailures + 1, maxRetryDoublings);
     m_nextSave = now() + firstRetry * (1 << m_saveFailures);
     if (answer.fate == StoreFate::Conflict) {
-        if (revisionOf(answer.items, keys::owner) != m_ownerKey)
-            return markSuperseded("the store");
-        // An earlier unanswered write was executed: adopt its revisions.
-        for (const auto& [id, changes] : parts.jobs) {
-            if (auto* job = findJob(id))
-                job->progressRevision = revisionOf(answer.items, keys::progress(id));
-        }
-        if (parts.roster)
-            m_rosterRevision = revisionOf(answer.items, keys::roster);
+        resolveConflict(parts, answer);
+        if (m_superseded)
+            return;
         m_nextSave = now();
     }
+    const auto unanswered = answer.fate == StoreFate::Unknown;
+    m_rosterWriteUnanswered = m_rosterWriteUnanswered || (parts.roster && unanswered);
     for (const auto& [id, changes] : parts.jobs) {
-        if (auto* job = findJob(id))
-            finishWrite(*job);
+        auto* job = findJob(id);
+        if (!job)
+            continue;
+        job->writeUnanswered = job->writeUnanswered || unanswered;
+        finishWrite(*job);
     }
     m_hooks.log("save-failed",
         { { "fate", nameOf(answer.fate) }, { "jobs", m_saveQueue.size() }, { "inFlight", m_savesInFlight } });
 }
 
+// Only this owner writes while it holds the key. A revision that it does not know belongs to one of its
+// writes without an answer, or to a record that it has never read and must not replace.
+void Owner::Impl::resolveConflict(const SavedParts& parts, const StoreAnswer& answer)
+{
+    if (revisionOf(findItem(answer.items, keys::owner)) != m_ownerKey)
+        return markSuperseded("the store");
+    for (const auto& [id, changes] : parts.jobs) {
+        if (auto* job = findJob(id))
+            resolveConflict(*job, answer.items);
+    }
+    const auto roster = revisionOf(findItem(answer.items, keys::roster));
+    if (!parts.roster || roster == m_rosterRevision)
+        return;
+    if (!std::exchange(m_rosterWriteUnanswered, false))
+        return giveUpOwnership("the stored roster is unknown");
+    m_rosterRevision = roster;
+}
+
+void Owner::Impl::resolveConflict(Job& job, const std::vector<StoreItem>& items)
+{
+    const auto* stored = findItem(items, keys::progress(job.id()));
+    const auto revision = revisionOf(stored);
+    if (revision == job.progressRevision)
+        return;
+    if (std::exchange(job.writeUnanswered, false)) {
+        job.progressRevision = revision;
+        return;
+    }
+    const auto progress = stored ? decodeProgress(stored->value) : std::nullopt;
+    m_hooks.log("progress-unknown",
+        { { "id", job.id().str() }, { "expected", job.progressRevision.value },
+            { "revision", revision.value }, { "state", progress ? nameOf(progress->state) : "unreadable" } });
+    if (!progress || !isFinal(progress->state))
+        return giveUpOwnership("stored progress is unknown"); // The next owner reads all progress.
+    adoptStoredEnd(job, progress->state, revision);
+}
+
+void Owner::Impl::adoptStoredEnd(Job& job, JobState state, Revision revision)
+{
+    stopTasks(job, "its stored progress is final");
+    dropPlans(job);
+    job.state = state;
+    job.ended = now();
+    job.occurrences.clear();
+    job.progressRevision = revision;
+    job.saved = job.changes;
+    m_open.erase(job.id());
+}
+
 void Owner::Impl::saveSucceeded(const SavedParts& parts, Revision revision)
 {
     m_saveFailures = 0;
@@ -184,6 +235,7 @@
         if (!job)
             continue;
         job->progressRevision = revision;
+        job->writeUnanswered = false; // Its condition no longer holds.
         job->saved = changes;
         finishWrite(*job);
         if (job->saved == job->changes && std::exchange(job->awaitsCrashSave, false))
@@ -193,6 +245,7 @@
         m_roster = *parts.roster;
         m_byRackStale = true;
         m_rosterRevision = revision;
+        m_rosterWriteUnanswered = false;
         m_rosterDue = rosterDiffers();
         schedulePass();
     }
