Answer all calls before a drained host ends

Cause: a drain ended the event loop at GraceS - 0.8 s whatever was in progress, and no call knew of that time: queries were held for up to 250 ms, and submissions, cancels and forwarded calls waited for the store as long as their own deadlines allowed. Ruled out: answering queries at once during a drain (other calls would still be cut); a larger margin (whatever is read last is cut all the same). The deadlines of calls are cut to 0.8 s before the kill; what is open then is answered with what is known (504 only if a write may take effect), later calls are refused with Retry-After. A call that has been answered writes nothing any more.

--- a/packages/entry/include/jujubereach/entry/entry-host.h
+++ b/packages/entry/include/jujubereach/entry/entry-host.h
@@ -114,8 +114,11 @@
     void applySettings(const HostSettings& settings);
     /// Whether new callers should be routed to this host.
     bool isReady() const;
-    /// Releases ownership and does not claim it again; requests are still answered.
-    void drain();
+    /// Releases ownership and does not claim it again. Requests are decided until `answersBy`, and refused at
+    /// once from then on.
+    void drain(TimePoint answersBy = TimePoint::max());
+    /// Answers all calls that are still being decided, as far as their outcome is known.
+    void answerOpenCalls();
     /// Releases ownership if this host has it; any host, including this one, may claim it afterwards.
     void resign(const char* why);
 
--- a/packages/entry/src/calls.cpp
+++ b/packages/entry/src/calls.cpp
@@ -94,6 +94,8 @@
 
 void EntryHost::Impl::answerCall(const std::shared_ptr<OpenCall>& call, CallerAnswer answer, const char* why)
 {
+    if (call->isAnswered())
+        return;
     if (m_hooks.meter.add)
         m_hooks.meter.add("jujubereach_requests_total",
             { { "workspace", call->workspace.str() }, { "route", call->route.str() },
@@ -107,9 +109,21 @@
                 { "workspace", call->workspace.str() }, { "configVersion", m_config ? m_config->version : 0 },
                 { "newsAgeMs", (now() - m_configConfirmedAt).count() }, { "attempts", call->attempts },
                 { "tookMs", (now() - call->arrivedAt).count() } });
-    auto done = std::exchange(call->done, nullptr);
-    if (done)
-        done(answer);
+    m_openCalls.erase(call);
+    std::exchange(call->done, nullptr)(answer);
+}
+
+void EntryHost::Impl::answerOpenCalls()
+{
+    const auto open = m_openCalls;
+    for (const auto& call : open) {
+        CallerAnswer answer { CallOutcome::Unavailable, {}, 0, outageRetryAfter };
+        if (call->writing || call->outcomeUnknown())
+            answer.outcome = CallOutcome::Undecided;
+        else if (call->state)
+            answer = { CallOutcome::State, *call->state };
+        answerCall(call, answer, "this host stops");
+    }
 }
 
 void EntryHost::Impl::unavailable(const std::shared_ptr<OpenCall>& call, const char* why)
@@ -128,10 +142,14 @@
     call->request = std::move(request);
     call->done = std::move(done);
     call->arrivedAt = now();
+    m_openCalls.insert(call);
     const auto deadline = call->request.deadline.count() > 0 ? call->request.deadline : defaultDeadline;
-    call->expiresAt = call->arrivedAt + std::max(OpenCall::answerReserve, deadline - OpenCall::answerReserve);
+    call->expiresAt = std::min(
+        m_answersBy, call->arrivedAt + std::max(OpenCall::answerReserve, deadline - OpenCall::answerReserve));
     // Refusals are logged by id too; routing checks later whether it is a valid job id.
     call->id = JobId(call->request.path.substr(call->request.path.rfind('/') + 1, maxIdBytes));
+    if (call->arrivedAt >= m_answersBy)
+        return unavailable(call, "this host stops");
     if (configIsFresh())
         return dispatch(call);
     confirmConfig([this, call] {
@@ -143,6 +161,8 @@
 
 void EntryHost::Impl::dispatch(const std::shared_ptr<OpenCall>& call)
 {
+    if (call->isAnswered())
+        return;
     if (m_config->version < call->request.minConfigVersion)
         return unavailable(call, "the forwarding host knows a newer configuration");
     const auto* route = m_config->findRoute(call->request.hostName, call->request.path);
@@ -174,6 +194,8 @@
 
 const fleet::Route* EntryHost::Impl::allowedRoute(const std::shared_ptr<OpenCall>& call)
 {
+    if (call->isAnswered())
+        return nullptr;
     const auto route = m_config->routes.find(call->route);
     if (route == m_config->routes.end()) {
         finish(call, { CallOutcome::NoSuchRoute }, "no route");
@@ -205,8 +227,10 @@
     write.expected.push_back({ m_hooks.layout.configKey, m_configRevision });
     write.puts.push_back({ keys::job(call->id), encode(record), {} });
     ++call->attempts;
+    call->writing = true;
     m_hooks.store.write(std::move(write), call->timeLeft(now(), writeTimeout),
         [this, self = m_self, call, expectedConfig = m_configRevision](const StoreAnswer& answer) {
+            call->writing = false;
             if (*self)
                 submitAnswered(call, expectedConfig, answer);
         });
@@ -293,6 +317,7 @@
 void EntryHost::Impl::awaitEnd(
     const std::shared_ptr<OpenCall>& call, JobState state, Revision seenAt, TimePoint until)
 {
+    call->state = state;
     const auto wait = std::min(until, call->expiresAt - completionWaitSlack) - now();
     if (wait <= Duration(0))
         return finish(call, { CallOutcome::State, state }, "in the store");
@@ -345,8 +370,10 @@
     write.expected.push_back({ item.key, item.revision });
     write.expected.push_back({ m_hooks.layout.configKey, m_configRevision });
     write.puts.push_back({ item.key, encode(*record), {} });
+    call->writing = true;
     m_hooks.store.write(std::move(write), call->timeLeft(now(), writeTimeout),
         [this, self = m_self, call, expectedConfig = m_configRevision](const StoreAnswer& answer) {
+            call->writing = false;
             if (!*self)
                 return;
             if (answer.fate == StoreFate::Done)
--- a/packages/entry/src/entry-host.cpp
+++ b/packages/entry/src/entry-host.cpp
@@ -1,5 +1,6 @@
 #include "host-impl.h"
 
+#include "open-call.h"
 #include "peers.h"
 
 #include <boost/json.hpp>
@@ -187,13 +188,21 @@
     return !m_impl->m_draining && m_impl->configIsFresh();
 }
 
-void EntryHost::drain()
+void EntryHost::drain(TimePoint answersBy)
 {
     if (std::exchange(m_impl->m_draining, true))
         return;
+    m_impl->m_answersBy = answersBy;
+    for (const auto& call : m_impl->m_openCalls)
+        call->expiresAt = std::min(call->expiresAt, answersBy);
     resign("planned stop");
 }
 
+void EntryHost::answerOpenCalls()
+{
+    m_impl->answerOpenCalls();
+}
+
 void EntryHost::resign(const char* why)
 {
     const auto lease = m_impl->m_lease;
--- a/packages/entry/src/forward.cpp
+++ b/packages/entry/src/forward.cpp
@@ -29,6 +29,8 @@
 
 void EntryHost::Impl::forward(const std::shared_ptr<OpenCall>& call, std::function<void()> fallback)
 {
+    if (call->isAnswered())
+        return;
     if (!call->request.forward || !m_peers || now() < m_nextForwardAt)
         return fallback();
     tryPeers(call, m_peers->candidates(maxForwards), 0, std::move(fallback));
@@ -37,15 +39,19 @@
 void EntryHost::Impl::tryPeers(const std::shared_ptr<OpenCall>& call, std::vector<std::string> addresses,
     std::size_t next, std::function<void()> fallback)
 {
+    if (call->isAnswered())
+        return;
     const auto left = call->expiresAt - now();
     if (next >= addresses.size() || left < minTimeLeft) {
         m_nextForwardAt = now() + forwardBackoff;
         return fallback();
     }
     const auto address = addresses[next];
+    call->writing = call->request.kind != CallKind::Query;
     call->request.forward(address, m_config ? m_config->version : 0, std::min(forwardTimeout, left),
         [this, self = m_self, call, addresses = std::move(addresses), next, address,
             fallback = std::move(fallback)](const ForwardResult& result) {
+            call->writing = false;
             if (!*self)
                 return;
             if (result.answer && isDecided(*result.answer)) {
--- a/packages/entry/src/host-impl.h
+++ b/packages/entry/src/host-impl.h
@@ -84,6 +84,7 @@
     void outcomeRead(const std::shared_ptr<OpenCall>& call, const StoreAnswer& record, bool mayTakeEffect,
         CallerAnswer refusal, const char* why);
     void answerCall(const std::shared_ptr<OpenCall>& call, CallerAnswer answer, const char* why);
+    void answerOpenCalls();
     void unavailable(const std::shared_ptr<OpenCall>& call, const char* why);
     void refuse(const std::shared_ptr<OpenCall>& call, CallOutcome outcome, const char* why);
     /// The call's route, if the configuration in force still allows the call; otherwise finishes it.
@@ -137,6 +138,8 @@
     std::shared_ptr<Peers> m_peers; ///< Null if other hosts cannot reach this one.
     TimePoint m_nextForwardAt; ///< Calls are not forwarded before this time.
     bool m_draining = false;
+    TimePoint m_answersBy = TimePoint::max(); ///< Calls that come later are refused at once.
+    std::set<std::shared_ptr<OpenCall>> m_openCalls; ///< All that are not answered yet.
 
     const std::string m_ownerPrefix; ///< Start of `m_ownerValue`; the same for all incarnations.
     const std::string m_ownerValue; ///< Owner key's value written by this incarnation.
--- a/packages/entry/src/open-call.h
+++ b/packages/entry/src/open-call.h
@@ -23,10 +23,13 @@
     WorkspaceId workspace;
     JobId id;
     int attempts = 0;
+    bool writing = false; ///< A write, or a call that was forwarded and may write, is not answered yet.
+    std::optional<fleet::JobState> state; ///< Of a query that waits for the end of its job.
     /// Set once a write without an answer, by this host or one it forwarded to, may take effect: the latest
     /// revision of the configuration that such a write expects. It has no effect under a later one.
     std::optional<Revision> unansweredUnder;
 
+    bool isAnswered() const { return !done; }
     bool outcomeUnknown() const { return unansweredUnder.has_value(); }
 
     void wroteWithoutAnswer(Revision expectedConfig)
--- a/packages/net/include/jujubereach/net/http-server.h
+++ b/packages/net/include/jujubereach/net/http-server.h
@@ -39,6 +39,9 @@
     /// From now on closes each connection after its next response, which carries "Connection: close".
     void drain();
 
+    /// Accepts no further connections; requests on open ones are still handled.
+    void stopAccepting();
+
     /// Number of requests that were received, completely or in part, and not yet answered.
     std::size_t inProgress() const;
 
--- a/packages/net/src/http-server.cpp
+++ b/packages/net/src/http-server.cpp
@@ -40,7 +40,7 @@
     RequestHandler handler;
     ServerLimits limits;
     bool draining = false;
-    bool stopped = false;
+    bool accepting = true;
     std::size_t inProgress = 0;
     std::set<std::shared_ptr<ServerConnection>> connections;
 };
@@ -218,10 +218,7 @@
 
 HttpServer::~HttpServer()
 {
-    m_shared->stopped = true;
-    boost::system::error_code ignored;
-    m_shared->acceptor.close(ignored);
-    m_shared->acceptTimer.cancel();
+    stopAccepting();
     const auto connections = m_shared->connections;
     for (const auto& connection : connections)
         connection->close();
@@ -257,6 +254,14 @@
     m_shared->draining = true;
 }
 
+void HttpServer::stopAccepting()
+{
+    m_shared->accepting = false;
+    boost::system::error_code ignored;
+    m_shared->acceptor.close(ignored);
+    m_shared->acceptTimer.cancel();
+}
+
 std::size_t HttpServer::inProgress() const
 {
     return m_shared->inProgress;
@@ -266,7 +271,7 @@
 {
     m_shared->acceptor.async_accept(
         [this, shared = m_shared](const boost::system::error_code& failed, tcp::socket socket) {
-            if (shared->stopped)
+            if (!shared->accepting)
                 return;
             if (!failed) {
                 auto connection = std::make_shared<ServerConnection>(shared, std::move(socket));
@@ -276,7 +281,7 @@
             }
             shared->acceptTimer.expires_after(acceptPause);
             shared->acceptTimer.async_wait([this, shared](const boost::system::error_code& cancelled) {
-                if (!cancelled && !shared->stopped)
+                if (!cancelled && shared->accepting)
                     accept();
             });
         });
--- a/packages/net/test/net-test.cpp
+++ b/packages/net/test/net-test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(decodesChunkedBodies);
     CPPUNIT_TEST(rejectsOversizedOrMalformedRequests);
     CPPUNIT_TEST(drainAnswersOpenRequests);
+    CPPUNIT_TEST(aServerThatStopsAcceptingServesItsConnections);
     CPPUNIT_TEST(expiredTimerDoesNotFailLaterCall);
     CPPUNIT_TEST(nothingIsSentAfterTheDeadline);
     CPPUNIT_TEST(exceptionFailsOnlyItsRequest);
@@ -289,6 +290,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.inProgress());
     }
 
+    void aServerThatStopsAcceptingServesItsConnections()
+    {
+        Loop loop;
+        HttpServer server(loop.context, echo());
+        CPPUNIT_ASSERT(server.listen(address));
+        CPPUNIT_ASSERT_EQUAL(200, loop.call("first").response.status);
+        server.stopAccepting();
+        CPPUNIT_ASSERT_EQUAL(200, loop.call("second").response.status);
+        Loop other;
+        CPPUNIT_ASSERT(other.call("third").delivery == DeliveryStatus::NotSent);
+    }
+
     // Guards against an expired timer that fails the wrong call: after a delay of the loop, the answer and
     // the expired timer of one call are handled in the same iteration, and the next call has already started.
     void expiredTimerDoesNotFailLaterCall()
