Use a worker only as its current incarnation describes itself

Cause: the answer to a poll shows the new incarnation before the store's entry tells its kind. The worker was usable with that answer, by the entry of the incarnation that had ended. Ruled out: orders under way before the crash (they follow the poll); a late entry (the stand-in writes it at the start); a fixed wait after a restart (an entry may lag longer). Change: only a worker whose entry is of the incarnation that answers, or of a later one that must answer first, accepts tasks. Starts are repeated after a restart only if the new entry allows it, plans that name the worker are dropped, and the answer of another worker at its address tells nothing about it. The fake fleet checks label and service of each start in all tests.

--- a/packages/fleet/src/owner-displace.cpp
+++ b/packages/fleet/src/owner-displace.cpp
@@ -154,6 +154,16 @@
     std::erase_if(m_plans, [&](const auto& plan) { return plan.first.job == job.id(); });
 }
 
+// They were made for the incarnation that has ended.
+void Owner::Impl::dropPlans(const Worker& worker)
+{
+    std::erase_if(m_plans, [&](const auto& plan) {
+        const auto& tasks = plan.second.tasks;
+        return std::any_of(
+            tasks.begin(), tasks.end(), [&](const auto& task) { return task.second == worker.id(); });
+    });
+}
+
 void Owner::Impl::dropExpiredPlans()
 {
     std::erase_if(m_plans, [this](const auto& plan) { return now() >= plan.second.expires; });
--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -79,7 +79,7 @@
     task->worker = worker.id();
     task->startUnresolved = false;
     const auto answered = task->start && task->start->worker == worker.id() && task->start->answered;
-    const TaskStart start { worker.id(), worker.report.draining ? 0 : worker.incarnation, answered, true };
+    const TaskStart start { worker.id(), worker.isDraining() ? 0 : worker.incarnation, answered, true };
     auto& lastRun = step->shared(running.task.index).lastRun;
     if (task->start != start || lastRun != running.run)
         markChanged(*job); // A start that the previous owner has not stored.
@@ -294,6 +294,7 @@
 // not restarted until a stop is confirmed or `maxOrderDelay` has passed.
 void Owner::Impl::loseRuns(Worker& worker, const char* why, bool mayReturn)
 {
+    dropPlans(worker);
     const auto trackStarts = mayReturn && m_settings.switches.trackUnansweredStarts;
     if (trackStarts)
         restoreUnansweredStarts(worker);
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -168,6 +168,9 @@
     /// Whether new tasks may start there now; a plan made before a quarantine is still executed.
     bool acceptsTasks(const Worker& worker) const;
     bool isUsable(const Worker& worker) const; ///< The same, unless it is quarantined.
+    /// Whether the worker, by its entry, could run a task of the step if it were empty.
+    bool couldRunOn(const Worker& worker, const Job& job, const StepSpec& step) const;
+    static WorkerView viewOf(const Worker& worker); ///< Without its runs.
     void sortByRack();
     void refreshFleet();
     void placeInOrder(const std::vector<ReadyStep>& waiting, Pass& pass);
@@ -204,6 +207,7 @@
     void stopWhole(const TaskId& task, const char* why);
     bool executePlan(Job& job, int occurrence, int stepIndex);
     void dropPlans(const Job& job);
+    void dropPlans(const Worker& worker);
     void dropExpiredPlans();
     std::map<WorkerId, Resources> reservedByPlans() const;
 
@@ -240,19 +244,19 @@
     bool m_recovered = false;
     std::shared_ptr<Impl*> m_self; ///< Null after destruction, so that late answers are ignored.
 
+    /// All jobs of the store that are not in a final state, and those that reached one recently.
     std::map<JobId, Job> m_jobs;
     std::set<JobId> m_open; ///< Jobs not in a final state.
+    /// All records created up to this revision have been in `m_jobs`, unless they cannot be read.
+    Revision m_jobsReported;
     std::map<WorkerId, Worker> m_workers;
     std::map<WorkerId, Renewals> m_renewals; ///< Outlive the entry of a worker that leaves and returns.
     /// By step (with task index 0). What plans reserve is derived from here alone: a worker may leave,
     /// restart or return while a plan waits for it.
     std::map<TaskId, PreemptionPlan> m_plans;
     std::map<RouteId, QueueHistory> m_history;
-    /// All jobs of the store that are not in a final state, and those that reached one recently.
     std::map<ServiceId, UrgentReserve> m_reserves;
 
-    /// All records created up to this revision have been in `m_jobs`, unless they cannot be read.
-    Revision m_jobsReported;
     /// Until the recovery grace period is over. No other roster is stored before, for a successor.
     bool m_rosterUnreadable = false;
     std::set<WorkerId> m_unresolved; ///< Workers of the roster at takeover whose runs are not known yet.
@@ -269,12 +273,12 @@
     std::deque<JobId> m_saveQueue; ///< Changed jobs that no write in flight includes, oldest first.
     int m_savesInFlight = 0; ///< Writes in flight never share a job.
     bool m_savingRoster = false;
+    /// A write that expects `m_rosterRevision` may have been carried out.
+    bool m_rosterWriteUnanswered = false;
     TimePoint m_nextSave;
     int m_saveFailures = 0;
     TimePoint m_summaryAt;
     std::string m_summary; ///< Last value written.
-    /// A write that expects `m_rosterRevision` may have been carried out.
-    bool m_rosterWriteUnanswered = false;
 
     std::vector<Worker*> m_byRack; ///< All workers with an open row, by rack and id.
     bool m_byRackStale = true; ///< Set when a worker entry or the roster has changed.
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -16,6 +16,7 @@
     constexpr Duration sameIncarnationWindow { 1200 };
     constexpr Duration orderTimeout { 800 }; // About twenty round trips between regions.
     constexpr Duration stopRetryDelay { 200 };
+    constexpr Duration entryDelay { 100 }; // Between checks whether the entry of a new incarnation is there.
     // All attempts fit into the time that gang members wait for each other.
     constexpr int maxStartAttempts = 3;
     constexpr std::size_t maxListedEnds = 500; // Longer lists are returned in parts.
@@ -94,8 +95,9 @@
         loseRuns(worker, "another incarnation answers at its address", false);
         worker.fenced = false;
         markResolved(worker.id());
-    } else if (answer.incarnation != 0 && worker.incarnation != 0
-        && answer.incarnation > worker.incarnation) {
+        return true; // Its incarnation and clock are those of another worker.
+    }
+    if (answer.incarnation != 0 && worker.incarnation != 0 && answer.incarnation > worker.incarnation) {
         recordCrash(worker, answer.incarnation);
         loseRuns(worker, "its worker has restarted");
         worker.fenced = false;
@@ -103,7 +105,7 @@
     }
     if (answer.incarnation > worker.incarnation)
         worker.incarnation = answer.incarnation;
-    if (answer.clock.value > 0 && sentAt >= worker.clockAt) {
+    if (answer.clock.value > 0 && answer.incarnation >= worker.incarnation && sentAt >= worker.clockAt) {
         worker.clock = answer.clock;
         worker.clockAt = now();
     }
@@ -123,7 +125,8 @@
 // Returns false if it is still not known what the worker runs.
 bool Owner::Impl::markFenced(Worker& worker, const OrderAnswer& answer)
 {
-    if (!answer.listsComplete && m_unresolved.contains(worker.id())) {
+    const auto hasEnded = answer.incarnation != 0 && answer.incarnation < worker.report.incarnation;
+    if (hasEnded || (!answer.listsComplete && m_unresolved.contains(worker.id()))) {
         worker.nextPoll = now() + silentPollInterval;
         return false;
     }
@@ -197,6 +200,15 @@
         return;
     if (isInClosedZone(worker)) // Closed since the first attempt, or since the decision to start.
         return stop(worker, run.task, "its zone is closed");
+    if (run.startAttempts > 0 && !worker.isReportCurrent()) {
+        if (!worker.listed)
+            return stopWhole(run.task, "its worker has left");
+        run.nextCall = now() + entryDelay;
+        return;
+    }
+    const auto* step = job->specOf(run.task);
+    if (run.startAttempts > 0 && step && !couldRunOn(worker, *job, *step))
+        return stopWhole(run.task, "its worker is of another kind");
     if (run.startAttempts > 0 && !worker.report.capacity.canFit(worker.used))
         return stopWhole(run.task, "its worker has shrunk"); // An earlier attempt may not have arrived.
     StartOrder order;
@@ -374,7 +386,6 @@
     m_hooks.ownershipLost();
 }
 
-} // namespace jujubereach::fleet
 // Ends the ownership, although no other owner is known. The next owner restores its state from the store.
 void Owner::Impl::giveUpOwnership(const char* why)
 {
@@ -385,3 +396,4 @@
     m_hooks.ownershipLost();
 }
 
+} // namespace jujubereach::fleet
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -148,8 +148,27 @@
 
 bool Owner::Impl::acceptsTasks(const Worker& worker) const
 {
-    return worker.listed && worker.fenced && !worker.report.draining && worker.missedPolls == 0
-        && !isInClosedZone(worker);
+    return worker.listed && worker.fenced && worker.isReportCurrent() && !worker.report.draining
+        && worker.missedPolls == 0 && !isInClosedZone(worker);
+}
+
+bool Owner::Impl::couldRunOn(const Worker& worker, const Job& job, const StepSpec& step) const
+{
+    PlaceRequest request;
+    request.spec = &step;
+    request.service = termsOf(job).service;
+    return couldRun(request, viewOf(worker));
+}
+
+WorkerView Owner::Impl::viewOf(const Worker& worker)
+{
+    WorkerView view;
+    view.id = worker.report.id;
+    view.service = worker.report.service;
+    view.rack = worker.report.rack;
+    view.labels = &worker.report.labels;
+    view.capacity = worker.report.capacity;
+    return view;
 }
 
 bool Owner::Impl::isUsable(const Worker& worker) const
@@ -181,18 +200,13 @@
         [this](const Worker* worker) { return isUsable(*worker); });
     if (stale || usable != m_usable) {
         m_usable = std::move(usable);
-        m_fleet.assign(m_usable.size(), {});
+        m_fleet.clear();
         std::size_t racks = 0;
-        for (std::size_t i = 0; i < m_usable.size(); ++i) {
-            const auto& report = m_usable[i]->report;
-            auto& view = m_fleet[i];
-            view.id = report.id;
-            view.service = report.service;
-            view.rack = report.rack;
-            view.labels = &report.labels;
-            view.capacity = report.capacity;
-            racks += i > 0 && report.rack != m_usable[i - 1]->report.rack;
+        for (const auto* worker : m_usable) {
+            auto view = viewOf(*worker);
+            racks += !m_fleet.empty() && view.rack != m_fleet.back().rack;
             view.rackOrder = static_cast<double>(racks);
+            m_fleet.push_back(std::move(view));
         }
         for (auto& view : m_fleet)
             view.rackOrder /= static_cast<double>(racks + 1);
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -155,9 +155,14 @@
     m_byRackStale = m_byRackStale || known.id.empty() || known.rack != report.rack
         || known.service != report.service || known.labels != report.labels
         || known.capacity != report.capacity;
-    const auto wasDraining = worker.report.draining;
+    const auto wasDraining = worker.report.draining && known.incarnation == report.incarnation;
     worker.report = report;
     worker.listed = true;
+    if (restarted) {
+        loseRuns(worker, "its worker has restarted");
+        worker.incarnation = report.incarnation;
+        worker.fenced = false;
+    }
     if (report.draining && (report.leavesIn.count() > 0 || !wasDraining))
         worker.leavesAt = now() + (report.leavesIn.count() > 0 ? report.leavesIn : m_settings.drainBound);
     if (report.draining && !wasDraining) {
@@ -166,11 +171,6 @@
                 { "leavesInMs", (worker.leavesAt - now()).count() } });
         markLeaving(worker);
     }
-    if (restarted) {
-        loseRuns(worker, "its worker has restarted");
-        worker.incarnation = report.incarnation;
-        worker.fenced = false;
-    }
     if (moved || !worker.fenced)
         worker.nextPoll = now();
     m_rosterDue = m_rosterDue || rosterDiffers(worker);
@@ -245,7 +245,7 @@
         worker.lapsed = true;
     }
     expireUnansweredStarts(worker);
-    if (worker.report.draining)
+    if (worker.isDraining())
         stopDoomedRuns(worker);
     sendDueCalls(worker);
 }
@@ -392,8 +392,8 @@
     figures.guaranteeShortfall = guaranteeShortfall();
     for (const auto& [id, worker] : m_workers) {
         figures.activeTasks += worker.runs.size();
-        figures.usableWorkers
-            += worker.listed && worker.fenced && !worker.report.draining && !isInClosedZone(worker);
+        figures.usableWorkers += worker.listed && worker.fenced && worker.isReportCurrent()
+            && !worker.report.draining && !isInClosedZone(worker);
     }
     for (const auto& id : m_open) {
         for (const auto& [number, occurrence] : m_jobs.at(id).occurrences) {
--- a/packages/fleet/src/worker.h
+++ b/packages/fleet/src/worker.h
@@ -116,6 +116,9 @@
     TimePoint lapsedAt; ///< When they expired.
 
     const WorkerId& id() const { return report.id; }
+    /// Whether `report` describes the incarnation that answers, not one that has ended.
+    bool isReportCurrent() const { return report.incarnation >= incarnation; }
+    bool isDraining() const { return report.draining && isReportCurrent(); }
     WorkerTime clockNow(TimePoint now) const;
     void recordMissedPoll(TimePoint now);
     bool isIsolated(TimePoint now) const; ///< Whether a run on probation must not share the worker.
--- a/packages/fleet/test/fake-fleet.h
+++ b/packages/fleet/test/fake-fleet.h
@@ -27,7 +27,8 @@
     double clockRate = 1;
     bool reachable = true; ///< Calls get through.
     bool refusesConnections = false; ///< Calls fail before anything is sent.
-    bool replaced = false; ///< Another incarnation answers at its address.
+    bool replaced = false; ///< Another worker or incarnation answers at its address.
+    std::int64_t replacedBy = 0; ///< Its incarnation; 0 if it does not report one.
     int calls = 0;
     bool answersLost = false; ///< Calls take effect, but are not answered.
     bool listsUnreadable = false; ///< No row of its lists can be decoded.
@@ -220,15 +221,15 @@
                 ? owner->restoreJob(record, std::nullopt, {})
                 : owner->restoreJob(record, decodeProgress(progress->second.first), progress->second.second);
         }
-        owner->recovered();
         owner->jobsReported(storeRevision);
+        owner->recovered();
     }
 
     void submit(JobRecord record)
     {
         record.terms = config->routes.at(record.route);
-        m_accepted[record.id] = accepted.size();
         record.created = { ++storeRevision.value };
+        m_accepted[record.id] = accepted.size();
         accepted.push_back(record);
         if (!owner)
             return;
@@ -349,8 +350,8 @@
     }; ///< Writes take effect after this delay, if their conditions hold then, and are not answered.
     bool confirmsOwnership = true;
     bool confirmsClosedZones = true;
-    std::map<ZoneId, TimePoint> closedZones; ///< With the time of closing.
     bool reportsJobs = true; ///< The owner learns up to which revision it knows all jobs.
+    std::map<ZoneId, TimePoint> closedZones; ///< With the time of closing.
     bool ownershipLost = false;
     std::int64_t wallClockJump = 0;
     Duration entryDelay { 0 }; ///< From a change of a worker's capacity until the owner is told.
@@ -487,6 +488,7 @@
                 ++worker.calls;
                 OrderAnswer result;
                 result.fate = OrderFate::OtherLife;
+                result.incarnation = worker.replacedBy;
                 if (!worker.replaced)
                     result = carryOut(worker);
                 if (!unanswered)
@@ -613,6 +615,7 @@
             used += live.resources;
         if (!fits(worker, used, sentAt))
             observed.violations.push_back("no capacity for " + name);
+        checkKind(worker, order.task);
         const auto closed = closedZones.find(worker.report.zone);
         if (closed != closedZones.end() && sentAt > closed->second)
             observed.violations.push_back("a start of " + name + " in a closed zone");
@@ -621,6 +624,19 @@
             observed.violations.push_back("a start of " + name + " after its job was cancelled");
     }
 
+    void checkKind(const FakeWorker& worker, const TaskId& task)
+    {
+        const auto* spec = specOf(task);
+        if (!spec)
+            return;
+        const auto& labels = worker.report.labels;
+        if (!spec->label.empty() && std::find(labels.begin(), labels.end(), spec->label) == labels.end())
+            observed.violations.push_back("no label for " + toString(task));
+        const auto& route = config->routes.at(accepted[m_accepted.at(task.job)].route);
+        if (worker.report.service != route.service)
+            observed.violations.push_back("another service for " + toString(task));
+    }
+
     // A capacity that has shrunk does not count for starts sent before the owner was told.
     static bool fits(const FakeWorker& worker, const Resources& used, TimePoint sentAt)
     {
