--- a/packages/fleet/include/jujubereach/fleet/records.h
+++ b/packages/fleet/include/jujubereach/fleet/records.h
@@ -45,9 +45,6 @@
     std::int64_t incarnation = 0; ///< Of the worker; 0 if its restart is no crash under the run.
     bool answered = false; ///< No order of this start can be executed later.
     bool reported = false; ///< The worker has confirmed or listed the run.
-    /// No order of this start is sent later, by the clock of the owner that wrote the record; unset if
-    /// unknown.
-    std::optional<TimePoint> allSentBy {};
 
     friend bool operator==(const TaskStart&, const TaskStart&) = default;
 };
@@ -70,8 +67,6 @@
     JobState state = JobState::Queued;
     int occurrencesDone = 0; ///< All occurrences below this number are done and have no rows.
     std::vector<TaskProgress> tasks; ///< Only tasks with progress; empty in a final state.
-    Fence writer {}; ///< The owner that wrote the record; 0 if it was written by an earlier build.
-    TimePoint writtenAt {}; ///< By the clock of that owner.
 };
 
 /// Published by the owner to all hosts: the number of jobs of each queue that have not started.
--- a/packages/fleet/src/job.h
+++ b/packages/fleet/src/job.h
@@ -96,8 +96,6 @@
     bool begun = false; ///< A worker has begun one of its tasks, as far as this owner knows.
     bool startUnresolved = false; ///< Whether it holds for any task.
     bool awaitsCrashSave = false; ///< A task may start once the count of its crashes is stored.
-    bool awaitsStartSave = false; ///< A start is sent once it is stored.
-    Fence restoredFrom; ///< The owner that wrote the progress found at the takeover; 0 if unknown.
 
     const JobId& id() const { return record.id; }
     const JobSpec& spec() const { return record.spec; }
--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -79,9 +79,7 @@
     task->worker = worker.id();
     task->startUnresolved = false;
     const auto answered = task->start && task->start->worker == worker.id() && task->start->answered;
-    const auto sameWorker = task->start && task->start->worker == worker.id();
-    const TaskStart start { worker.id(), worker.isDraining() ? 0 : worker.incarnation, answered, true,
-        sameWorker ? task->start->allSentBy : lastEarlierOrder() };
+    const TaskStart start { worker.id(), worker.isDraining() ? 0 : worker.incarnation, answered, true };
     auto& lastRun = step->shared(running.task.index).lastRun;
     if (task->start != start || lastRun != running.run)
         markChanged(*job); // A start that the previous owner has not stored.
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -143,9 +143,6 @@
     bool resolveStart(Job& job, const TaskId& id, Task& task);
     bool awaitLateStart(const TaskId& id, const WorkerId& worker, TimePoint expires);
     bool isOver(const LateStart& late);
-    void convertRestoredStarts();
-    /// Time after which no order of a restored start is sent; `allSentBy` is by the clock of its writer.
-    TimePoint earlierOrdersEnd(Fence writer, std::optional<TimePoint> allSentBy) const;
     TimePoint lastEarlierOrder() const; ///< The previous owner issues no orders later.
     void expireLateStarts();
     bool awaitsLateStart(const Worker& worker) const;
@@ -267,8 +264,6 @@
     std::map<WorkerId, std::vector<TaskId>> m_closed;
     /// Workers of the roster that had been replaced at their address when this owner reached it.
     std::set<WorkerId> m_replaced;
-    std::map<Fence, TimePoint> m_lastWrites; ///< Last progress found of each earlier owner, by its own clock.
-    bool m_hasUnknownWriter = false; ///< An earlier build has written progress of an open job.
     std::map<TaskId, LateStart> m_lateStarts;
     std::set<WorkerId> m_lateStartWorkers; ///< Workers of `m_lateStarts`.
     std::map<WorkerId, bool> m_roster; ///< Stored rows; only workers with an open row receive starts.
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -198,14 +198,6 @@
     auto* job = findJob(run.task.job);
     if (!job || !mayStart())
         return;
-    auto* task = run.orphaned ? nullptr : findTask(run.task);
-    auto* start = task && task->start ? &*task->start : nullptr;
-    if (start && start->allSentBy && now() > *start->allSentBy)
-        return stopWhole(run.task, "its start is too late");
-    if (job->saved < run.sentAfter) {
-        job->awaitsStartSave = true;
-        return;
-    }
     if (isInClosedZone(worker)) // Closed since the first attempt, or since the decision to start.
         return stop(worker, run.task, "its zone is closed");
     if (run.startAttempts > 0 && !worker.isReportCurrent()) {
@@ -232,10 +224,7 @@
     m_renewals[worker.id()].add(worker.incarnation, now());
     run.callInFlight = true;
     run.startSentAt = now();
-    if (++run.startAttempts == maxStartAttempts && start) {
-        start->allSentBy = now();
-        markChanged(*job);
-    }
+    ++run.startAttempts;
     m_hooks.workers.start(worker.report, std::move(order), orderTimeout,
         [this, self = m_self, id = worker.id(), task = run.task, number = run.run, sentAt = now()](
             const OrderAnswer& answer) {
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -507,7 +507,6 @@
     // chooses again.
     if (worker.runs.contains(id) || !task.isWaiting() || m_lateStarts.contains(id))
         return;
-    const auto startedBefore = task.lastRun.value > 0;
     task.worker = worker.id();
     task.lastRun = number;
     step.shared(id.index).lastRun = number;
@@ -526,7 +525,7 @@
     run.checkpoint = step.shared(id.index).checkpoint;
     if (task.crashes.crashes > 0)
         beginProbation(task, run, isolated);
-    task.start = { worker.id(), worker.incarnation, false, false, now() + startWindow };
+    task.start = { worker.id(), worker.incarnation, false, false };
     if (const auto ticket = step.advice.tickets.find(worker.id()); ticket != step.advice.tickets.end())
         run.ticket = ticket->second;
     addRun(worker, run);
@@ -538,15 +537,10 @@
     if (job.starts++ == 0)
         job.firstStart = job.lastStart;
     countStart(job);
+    startCall(worker, worker.runs.at(id));
     if (job.state == JobState::Queued)
         job.state = JobState::Running;
-    markChanged(job);
-    // A successor learns of the start. Only a repeated one waits for the store: a successor takes the start
-    // that it finds for the last one.
-    auto& added = worker.runs.at(id);
-    if (startedBefore)
-        added.sentAfter = job.changes;
-    startCall(worker, added);
+    markChanged(job); // A successor learns of the start. The start does not wait for the store.
 }
 
 } // namespace jujubereach::fleet
--- a/packages/fleet/src/owner-save.cpp
+++ b/packages/fleet/src/owner-save.cpp
@@ -65,10 +65,7 @@
         job->inSaveQueue = false;
         job->saving = true;
         write.expected.push_back({ keys::progress(id), job->progressRevision });
-        auto progress = job->progress();
-        progress.writer = m_fence;
-        progress.writtenAt = now();
-        write.puts.push_back({ keys::progress(id), encode(progress), {} });
+        write.puts.push_back({ keys::progress(id), encode(job->progress()), {} });
         parts.jobs.emplace_back(id, job->changes);
     }
     if (m_rosterDue && !m_savingRoster && !m_rosterUnreadable && parts.jobs.size() < jobsPerWrite)
@@ -233,7 +230,6 @@
 void Owner::Impl::saveSucceeded(const SavedParts& parts, Revision revision)
 {
     m_saveFailures = 0;
-    auto startsDue = false;
     for (const auto& [id, changes] : parts.jobs) {
         auto* job = findJob(id);
         if (!job)
@@ -241,7 +237,6 @@
         job->progressRevision = revision;
         job->writeUnanswered = false; // Its condition no longer holds.
         job->saved = changes;
-        startsDue = std::exchange(job->awaitsStartSave, false) || startsDue;
         finishWrite(*job);
         if (job->saved == job->changes && std::exchange(job->awaitsCrashSave, false))
             schedulePass();
@@ -254,11 +249,8 @@
         m_rosterDue = rosterDiffers();
         schedulePass();
     }
-    for (auto& [id, worker] : m_workers) {
+    for (auto& [id, worker] : m_workers)
         acknowledgeSavedEnds(worker);
-        if (startsDue)
-            sendDueCalls(worker);
-    }
     if (!m_saveQueue.empty())
         m_hooks.wakeIn(saveBatchDelay);
 }
--- a/packages/fleet/src/owner-starts.cpp
+++ b/packages/fleet/src/owner-starts.cpp
@@ -31,10 +31,7 @@
         return;
     task->start->answered = run.startAttempts == 1;
     task->start->reported = true;
-    auto& job = *findJob(run.task.job);
-    if (run.sentAfter > 0 && task->crashes.crashes > 0)
-        markChanged(job); // It was stored before it was sent; the crash of a suspect may follow at once.
-    run.answerUnsaved = !job.inSaveQueue;
+    run.answerUnsaved = !findJob(run.task.job)->inSaveQueue;
 }
 
 // The worker lists the run again.
@@ -76,7 +73,7 @@
     if (!task->start)
         return;
     if (worker.unansweredStarts.contains(id))
-        task->start = { worker.id(), 0, false, false, worker.unansweredStarts.at(id).sentAt };
+        task->start = { worker.id(), 0, false, false };
     else
         task->start.reset();
     markChanged(*findJob(id.job));
@@ -147,40 +144,12 @@
                 { "confirmed", history.confirmed }, { "alone", history.alone } });
     }
     if (start && !replaced && (sameIncarnation || !start->answered)
-        && awaitLateStart(id, start->worker, start->allSentBy.value_or(lastEarlierOrder()) + maxOrderDelay))
-        task.start = { start->worker, mayHaveCrashed ? 0 : start->incarnation, start->answered,
-            start->reported, start->allSentBy };
+        && awaitLateStart(id, start->worker, lastEarlierOrder() + maxOrderDelay))
+        task.start
+            = { start->worker, mayHaveCrashed ? 0 : start->incarnation, start->answered, start->reported };
     return restarted && shouldGiveUp(history);
 }
 
-// The owners' clocks have different origins. What has passed between a start and the last write of its owner
-// had passed at the takeover.
-void Owner::Impl::convertRestoredStarts()
-{
-    for (const auto& id : m_open) {
-        auto& job = m_jobs.at(id);
-        for (auto& [number, occurrence] : job.occurrences) {
-            for (auto& step : occurrence.steps) {
-                for (auto& task : step.tasks) {
-                    if (task.start)
-                        task.start->allSentBy = earlierOrdersEnd(job.restoredFrom, task.start->allSentBy);
-                }
-            }
-        }
-    }
-}
-
-TimePoint Owner::Impl::earlierOrdersEnd(Fence writer, std::optional<TimePoint> allSentBy) const
-{
-    const auto last = m_lastWrites.empty() ? m_lastWrites.end() : std::prev(m_lastWrites.end());
-    // A later owner may have started the task again if it did not store starts first, as earlier builds.
-    if (!allSentBy || m_hasUnknownWriter || last == m_lastWrites.end() || last->first != writer)
-        return lastEarlierOrder();
-    const auto passed = static_cast<double>((last->second - *allSentBy).count());
-    const auto certain = passed * (passed > 0 ? 1 - clockDrift : 1 + clockDrift);
-    return std::min(lastEarlierOrder(), m_tookOverAt - Duration(static_cast<std::int64_t>(certain)));
-}
-
 TimePoint Owner::Impl::lastEarlierOrder() const
 {
     return m_tookOverAt + m_settings.ownershipTimeout - m_settings.ownerLease;
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -42,13 +42,8 @@
     job.ended = now();
     job.recovered = true;
     job.progressRevision = revision;
-    if (progress) {
+    if (progress)
         job.restore(*progress);
-        job.restoredFrom = progress->writer;
-        auto& lastWrite = m_lastWrites[progress->writer];
-        lastWrite = std::max(lastWrite, progress->writtenAt);
-        m_hasUnknownWriter = m_hasUnknownWriter || (progress->writer.value == 0 && !isFinal(progress->state));
-    }
     if (isFinal(job.state))
         return;
     if (job.spec().repeatCount == 0 && job.nextOccurrence == 0)
@@ -91,7 +86,6 @@
             { "workers", m_workers.size() }, { "roster", m_roster.size() }, { "closed", m_closed.size() } });
     if (!m_closedZones.zones().empty())
         logClosedZones();
-    convertRestoredStarts();
     const auto open = m_open;
     for (const auto& id : open) {
         auto& job = m_jobs.at(id);
--- a/packages/fleet/src/records.cpp
+++ b/packages/fleet/src/records.cpp
@@ -166,21 +166,10 @@
             task.start = { WorkerId(std::string(start.at(0).as_string())),
                 start.at(1).to_number<std::int64_t>(), start.at(2).to_number<int>() != 0,
                 start.size() > 3 && start.at(3).to_number<int>() != 0 };
-            if (start.size() > 4)
-                task.start->allSentBy = TimePoint(Duration(start.at(4).to_number<std::int64_t>()));
         }
         return task;
     }
 
-    json::array encodeStart(const TaskStart& start)
-    {
-        json::array out { start.worker.str(), start.incarnation, start.answered ? 1 : 0,
-            start.reported ? 1 : 0 };
-        if (start.allSentBy)
-            out.push_back(start.allSentBy->time_since_epoch().count());
-        return out;
-    }
-
     template <typename T, typename F> std::optional<T> decodeWith(const std::string& value, F&& read)
     {
         try {
@@ -230,8 +219,6 @@
 std::string encode(const ProgressRecord& record)
 {
     json::object out { { "state", nameOf(record.state) } };
-    if (record.writer.value > 0) // Earlier builds ignore it.
-        out["written"] = json::array { record.writer.value, record.writtenAt.time_since_epoch().count() };
     put(out, "occurrences", record.occurrencesDone);
     json::array tasks;
     for (const auto& task : record.tasks) {
@@ -247,7 +234,8 @@
             row.push_back(json::array { task.crashes.crashes, task.crashes.confirmed, task.crashes.alone,
                 task.crashes.longestRun.count(), task.crashes.lastRun.value });
         if (task.start)
-            row.push_back(encodeStart(*task.start));
+            row.push_back(json::array { task.start->worker.str(), task.start->incarnation,
+                task.start->answered ? 1 : 0, task.start->reported ? 1 : 0 });
         tasks.push_back(std::move(row));
     }
     if (!tasks.empty())
@@ -276,10 +264,6 @@
         if (!state)
             throw std::invalid_argument("state");
         record.state = *state;
-        if (const auto* written = in.if_contains("written")) {
-            record.writer = { written->as_array().at(0).to_number<std::uint64_t>() };
-            record.writtenAt = TimePoint(Duration(written->as_array().at(1).to_number<std::int64_t>()));
-        }
         record.occurrencesDone = static_cast<int>(number(in, "occurrences"));
         if (const auto* tasks = in.if_contains("tasks")) {
             for (const auto& row : tasks->as_array())
--- a/packages/fleet/src/worker.h
+++ b/packages/fleet/src/worker.h
@@ -33,7 +33,6 @@
     /// A start got no answer: it may be executed later, by a later incarnation too.
     bool startUnanswered = false;
     bool answerUnsaved = false; ///< The start was stored before it was answered.
-    std::uint64_t sentAfter = 0; ///< Version of the job's progress that is stored before the start is sent.
     TimePoint orderedAt;
     TimePoint startSentAt; ///< When the last attempt was sent.
     TimePoint runningSince;
@@ -135,8 +134,6 @@
 constexpr double clockDrift = 0.021;
 /// The platform executes an unanswered order at most this late.
 constexpr Duration maxOrderDelay { 12'000 };
-/// All orders of one start are sent within this time: three attempts.
-constexpr Duration startWindow { 2400 };
 /// A run that may crash its worker has the worker for itself no longer than this.
 constexpr Duration maxIsolation { 30'000 };
 constexpr Duration lapseMargin { 150 }; ///< Allows for a worker timer that fires late.
