Review case 10: an urgent task that serves never starts beside work that fills

A job of priority 0 with a tail target is accepted and never started while a best-effort task of priority 2 runs on each worker, with seven eighths of the processors free. Cause: such a task is never placed beside a best-effort one, and nothing makes the best-effort one give way.

--- a/review/stage/stage.cc
+++ b/review/stage/stage.cc
@@ -388,7 +388,9 @@
             percent = 100;
         else if (live.workSince > 0)
             percent = std::min(99L, 100 * (m_stage.now() - live.workSince) / std::max(1, live.plan.workMs));
-        running.push_back({ json::string(task), live.run, "", percent, job->cpu });
+        // The tail of a serving task is well below its target.
+        const auto figure = job->targetMs > 0 ? job->targetMs / 2 : job->cpu;
+        running.push_back({ json::string(task), live.run, "", percent, figure });
     }
     json::array ended;
     for (const auto& end : m_ended) {
@@ -780,6 +782,10 @@
         step["AntiAffinity"] = job.antiAffinity;
     if (job.missAllowed > 0)
         step["MissAllowed"] = job.missAllowed;
+    if (job.fills)
+        step["Fills"] = true;
+    if (job.targetMs > 0)
+        step["TargetMs"] = job.targetMs;
     m_jobs[job.id] = &job;
     const auto body = json::serialize(json::object { { "Spec", "work" }, { "Steps", { step } } });
     note("job " + job.id + ": " + body);
--- a/review/stage/stage.h
+++ b/review/stage/stage.h
@@ -52,6 +52,8 @@
     bool lasting = false;
     int antiAffinity = 0;
     int missAllowed = 0;
+    bool fills = false;
+    int targetMs = 0;
     /// Called at each start with the index of the task and the number of its earlier starts.
     std::function<RunPlan(int index, int earlierStarts)> plan;
 
