Log the age of the lease's confirmation with each job

Cause: not told apart by the log. A successor that takes a new job for unknown to its predecessor and a predecessor that uses updates from the store after its lease may have ended look the same. Ruled out: a job that the successor read at its takeover (it is not restored: openJobs 0 in its takeover line, then the job line). Change: confirmedMsAgo in the job line.

--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -135,7 +135,8 @@
     m_hooks.log("job",
         { { "id", id.str() }, { "route", job.record.route.str() }, { "steps", job.spec().steps.size() },
             { "tasks", job.spec().steps.empty() ? 0 : job.spec().steps[0].count }, { "work", work },
-            { "acceptedAt", job.record.acceptedAt.milliseconds }, { "repeat", job.spec().repeatCount } });
+            { "acceptedAt", job.record.acceptedAt.milliseconds }, { "repeat", job.spec().repeatCount },
+            { "confirmedMsAgo", (now() - m_confirmedAt).count() } });
     if (job.record.cancelled)
         return finish(job, JobState::Cancelled, "cancelled by its caller");
     if (job.spec().repeatCount == 0)
