Hold updates that an owner receives after its lease

Cause: a successor starts what the store has accepted since its takeover without waiting for silent workers, since no former owner can know it. A former owner that is cut off may order for 4.5 s without a confirmation of its lease of 1 s, and a watch that it had sent before still told it such a job. Ruled out: a job restored at the takeover (no open job in its line); a late order (the start follows the job line by 1 ms); letting the successor wait with each new job for up to 13.9 s; resigning when the lease is unconfirmed. Change: the owner applies jobs, worker entries, listings and the end of its recovery only if they were received while its lease certainly lasted, counted from the sending of an answered renewal, less the drift of the clocks. Others are held in order until a later renewal covers them.

--- a/packages/entry/test/fake-host.h
+++ b/packages/entry/test/fake-host.h
@@ -358,6 +358,7 @@
     bool writesUnanswered = false; ///< This host's writes get no answer.
     std::optional<Duration> writeDelay { 0 }; ///< Of unanswered writes; empty if they are never carried out.
     bool watchesUnreachable = false; ///< The same for watches only.
+    bool renewalsUnreachable = false; ///< The same for renewals of the owner's lease only.
     std::string unreadablePrefix; ///< Lists below this prefix are not answered; empty for none.
     std::map<std::string, FakeHost*> peers; ///< By address; null for a peer that never answers.
     std::function<ForwardResult()> forwardAnswers; ///< Of all peers; null to ask `peers`.
@@ -400,7 +401,7 @@
         store.watch = unless(watchesUnreachable, store.watch);
         store.write = unless(storeUnreachable, store.write);
         store.grantLease = unless(storeUnreachable, store.grantLease);
-        store.renewLease = unless(storeUnreachable, store.renewLease);
+        store.renewLease = unless(renewalsUnreachable, store.renewLease);
         return store;
     }
 
--- a/packages/fleet/include/jujubereach/fleet/owner.h
+++ b/packages/fleet/include/jujubereach/fleet/owner.h
@@ -64,6 +64,10 @@
 /// `ownerLease` after that renewal, and runs ordered last end within `maxHold`.
 Duration recoveryGracePeriod(const OwnerSettings& settings);
 
+/// Time after an answered renewal was sent in which no successor can exist: the lease, less the drift of the
+/// clocks.
+Duration exclusivityPeriod(const OwnerSettings& settings);
+
 struct Ticket {
     WorkerId worker;
     std::string ticket;
@@ -139,6 +143,9 @@
 
     /// Changes in the store: a job was accepted or cancelled, a worker entry was written or removed. A record
     /// may be reported more than once, also after its job has ended.
+    ///
+    /// Like the end of recovery, they take effect only once a confirmation covers the time of the call: a
+    /// successor that existed then relies on this owner not to know them.
     void jobWritten(JobRecord record);
     /// All records of jobs that the store created up to this revision have been reported or restored.
     void jobsReported(Revision upTo);
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -34,6 +34,12 @@
     TimePoint expires; ///< After this no order of the start is executed.
 };
 
+/// An update from the store that is not applied yet.
+struct HeldUpdate {
+    TimePoint receivedAt;
+    std::function<void()> apply;
+};
+
 class Owner::Impl {
 public:
     struct ReadyStep;
@@ -56,6 +62,13 @@
     void endRecoveryGracePeriod();
     OwnerFigures figures() const;
 
+    // owner-updates.cpp: updates from the store.
+    /// Applies the update, now or once a renewal shows that no successor existed when it was received.
+    void receiveUpdate(std::function<void()> apply);
+    void confirmOwnership(TimePoint sentAt);
+    /// Whether no successor can have existed at `time`.
+    bool isExclusive(TimePoint time) const { return time - m_confirmedAt < exclusivityPeriod(m_settings); }
+
     // owner-save.cpp: writes to the store.
     void markChanged(Job& job);
     void saveIfDue();
@@ -238,7 +251,9 @@
     const Revision m_ownerKey;
     std::shared_ptr<const FleetConfig> m_config;
     ClosedZones m_closedZones;
-    TimePoint m_confirmedAt;
+    TimePoint m_confirmedAt; ///< When the last answered renewal was sent.
+    std::deque<HeldUpdate>
+        m_heldUpdates; ///< Oldest first; updates are applied in the order of their arrival.
     TimePoint m_tookOverAt;
     bool m_superseded = false;
     bool m_recovered = false;
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -438,7 +438,7 @@
 
 void Owner::confirmOwnership(TimePoint sentAt)
 {
-    m_impl->m_confirmedAt = std::max(m_impl->m_confirmedAt, sentAt);
+    m_impl->confirmOwnership(sentAt);
 }
 
 void Owner::restoreJob(JobRecord record, std::optional<ProgressRecord> progress, Revision progressRevision)
@@ -453,27 +453,28 @@
 
 void Owner::recovered()
 {
-    m_impl->recovered();
+    m_impl->receiveUpdate([impl = m_impl.get()] { impl->recovered(); });
 }
 
 void Owner::jobWritten(JobRecord record)
 {
-    m_impl->jobWritten(std::move(record));
+    m_impl->receiveUpdate([impl = m_impl.get(), record = std::move(record)] { impl->jobWritten(record); });
 }
 
 void Owner::jobsReported(Revision upTo)
 {
-    m_impl->m_jobsReported = std::max(m_impl->m_jobsReported, upTo);
+    m_impl->receiveUpdate(
+        [impl = m_impl.get(), upTo] { impl->m_jobsReported = std::max(impl->m_jobsReported, upTo); });
 }
 
 void Owner::workerReported(const WorkerReport& report)
 {
-    m_impl->workerReported(report);
+    m_impl->receiveUpdate([impl = m_impl.get(), report] { impl->workerReported(report); });
 }
 
 void Owner::workerUnlisted(const WorkerId& id)
 {
-    m_impl->workerUnlisted(id);
+    m_impl->receiveUpdate([impl = m_impl.get(), id] { impl->workerUnlisted(id); });
 }
 
 void Owner::tick()
--- a/packages/fleet/test/fake-fleet.h
+++ b/packages/fleet/test/fake-fleet.h
@@ -207,6 +207,7 @@
                                  OrderDone done) { holdCall(term, to.id, timeout, std::move(done), order); };
         owner = std::make_unique<Owner>(settings, std::move(hooks), fence, ownerRevision);
         owner->setConfig(config);
+        owner->confirmOwnership(m_now);
         reportClosedZones();
         const auto roster = store.find(keys::roster);
         if (roster != store.end())
@@ -222,7 +223,12 @@
                 : owner->restoreJob(record, decodeProgress(progress->second.first), progress->second.second);
         }
         owner->jobsReported(storeRevision);
-        owner->recovered();
+        if (recoveryDelay.count() == 0)
+            return owner->recovered();
+        after(recoveryDelay, [this, term = m_term] {
+            if (term == m_term)
+                owner->recovered();
+        });
     }
 
     void submit(JobRecord record)
@@ -349,6 +355,7 @@
         0
     }; ///< Writes take effect after this delay, if their conditions hold then, and are not answered.
     bool confirmsOwnership = true;
+    Duration recoveryDelay { 0 }; ///< From the claim until a new owner has read the store.
     bool confirmsClosedZones = true;
     bool reportsJobs = true; ///< The owner learns up to which revision it knows all jobs.
     std::map<ZoneId, TimePoint> closedZones; ///< With the time of closing.
