Wait for workers of a former owner that holds no updates

Cause: a successor cannot tell whether its predecessor holds updates. Evidence: aJobAcceptedAfterATakeoverFromAnEarlierBuildStartsAtOnce and aSuccessorTrustsAnEarlierBuild fail with the new condition set to false. Ruled out: waiting after each takeover: a silent worker would delay new jobs for up to 13.9 s. Change: the value of the owner's key says that its writer holds updates. After one that does not say so, or that was not seen, jobs accepted while the former owner may still order wait like restored ones. Earlier builds read only the start of the value.

--- a/packages/entry/src/entry-host.cpp
+++ b/packages/entry/src/entry-host.cpp
@@ -42,7 +42,7 @@
     , m_self(std::make_shared<Impl*>(this))
     , m_random(seededRandom(m_settings.name))
     , m_ownerPrefix(m_settings.name + ' ' + m_settings.forwardAddress + ' ')
-    , m_ownerValue(m_ownerPrefix + std::to_string(m_hooks.wall().milliseconds))
+    , m_ownerValue(m_ownerPrefix + std::to_string(m_hooks.wall().milliseconds) + holdsUpdatesMark)
 {
 }
 
--- a/packages/entry/src/host-impl.h
+++ b/packages/entry/src/host-impl.h
@@ -12,6 +12,9 @@
 using fleet::StoreItem;
 using fleet::StoreLease;
 
+/// Ends the owner key's value of builds whose owners hold updates received after their lease.
+constexpr const char* holdsUpdatesMark = " holds-updates";
+
 /// Reads all items below a prefix of the store, then watches it. Reads all again if the store has dropped the
 /// history that a watch needs.
 class PrefixWatcher : public std::enable_shared_from_this<PrefixWatcher> {
@@ -144,6 +147,7 @@
     const std::string m_ownerPrefix; ///< Start of `m_ownerValue`; the same for all incarnations.
     const std::string m_ownerValue; ///< Owner key's value written by this incarnation.
     Fence m_knownOwner; ///< Fence of the current owner; 0 for none.
+    bool m_lastOwnerHoldsUpdates = false; ///< Of the last owner that was reported; false if none was.
     bool m_claiming = false;
     StoreLease m_lease;
     std::uint64_t m_term = 0; ///< Counts claims and step-downs; callbacks of earlier terms are ignored.
--- a/packages/entry/src/ownership.cpp
+++ b/packages/entry/src/ownership.cpp
@@ -31,6 +31,7 @@
     if (fence != m_knownOwner)
         m_hooks.log("owner", { { "fence", fence.value }, { "name", item.value } });
     m_knownOwner = fence;
+    m_lastOwnerHoldsUpdates = item.value.ends_with(holdsUpdatesMark);
     if (m_owner && fence.value > m_fence.value)
         stepDown("another host owns the fleet");
     else if (!m_settings.forwardAddress.empty() && item.value != m_ownerValue
@@ -136,6 +137,8 @@
     m_owner->setClosedZones(m_closedZones);
     m_owner->confirmClosedZones(m_watchConfirmedAt);
     m_owner->confirmOwnership(sentAt);
+    if (!m_lastOwnerHoldsUpdates)
+        m_owner->expectUnheldUpdates();
     m_jobsRead = m_workersRead = m_restored = false;
     m_progress.clear();
     m_listedWorkers.clear();
--- a/packages/entry/test/fake-host.h
+++ b/packages/entry/test/fake-host.h
@@ -238,14 +238,14 @@
             started.push_back(order.task.job.str());
         };
         hooks.workers.stop = [](const auto&, const auto&, Duration, const auto&) {};
-        hooks.workers.hold
-            = [this](const fleet::WorkerReport&, const fleet::HoldOrder&, Duration, fleet::OrderDone done) {
-                  fleet::OrderAnswer answer;
-                  answer.fate = fleet::OrderFate::Done;
-                  answer.listsComplete = true;
-                  if (workersAnswer)
-                      m_time.after(FakeStore::latency, [done = std::move(done), answer] { done(answer); });
-              };
+        hooks.workers.hold = [this](const fleet::WorkerReport& to, const fleet::HoldOrder&, Duration,
+                                 fleet::OrderDone done) {
+            fleet::OrderAnswer answer;
+            answer.fate = fleet::OrderFate::Done;
+            answer.listsComplete = true;
+            if (workersAnswer && to.id.str() != silentWorker)
+                m_time.after(FakeStore::latency, [done = std::move(done), answer] { done(answer); });
+        };
         hooks.layout = { "", configKey, "workers/" }; // The watch covers all keys, including the owner's.
         hooks.decodeConfig = decodeConfig;
         hooks.decodeWorker = [](const std::string& key, const std::string& value) {
@@ -353,6 +353,7 @@
 
     std::unique_ptr<EntryHost> host;
     bool workersAnswer = false;
+    std::string silentWorker; ///< Does not answer; empty for none.
     bool storeUnreachable = false; ///< This host's calls do not reach the store.
     bool readsUnreachable = false; ///< The same for reads of a key only.
     bool writesUnanswered = false; ///< This host's writes get no answer.
--- a/packages/entry/test/takeover-updates-test.cpp
+++ b/packages/entry/test/takeover-updates-test.cpp
@@ -10,12 +10,13 @@
     CPPUNIT_TEST(aJobAcceptedAfterATakeoverRunsTwice);
     CPPUNIT_TEST(aWatchReportsJobsOfAnUnconfirmedOwner);
     CPPUNIT_TEST(aListingReportsJobsOfAnUnconfirmedOwner);
+    CPPUNIT_TEST(aSuccessorTrustsAnEarlierBuild);
     CPPUNIT_TEST_SUITE_END();
 
     FakeTime m_time;
     FakeStore m_store { m_time };
 
-    void addJob(const std::string& id)
+    static std::string jobValue(const std::string& id)
     {
         fleet::JobRecord record;
         record.id = JobId(id);
@@ -23,9 +24,11 @@
         record.workspace = WorkspaceId("w");
         record.spec.steps.emplace_back();
         record.spec.steps[0].count = 1;
-        m_store.put(fleet::keys::job(record.id), fleet::encode(record));
+        return fleet::encode(record);
     }
 
+    void addJob(const std::string& id) { m_store.put(fleet::keys::job(JobId(id)), jobValue(id)); }
+
     std::unique_ptr<FakeHost> startOwner()
     {
         m_store.put(FakeHost::configKey, "1 key");
@@ -86,6 +89,29 @@
         m_time.run(Duration(1000));
         CPPUNIT_ASSERT(host->started == std::vector<std::string> { "j" });
     }
+
+    // The owner's key of an earlier build ends with a time. One of its workers does not answer.
+    void aSuccessorTrustsAnEarlierBuild()
+    {
+        for (const auto earlierBuild : { true, false }) {
+            FakeTime time;
+            FakeStore store(time);
+            store.put(FakeHost::configKey, "1 key");
+            store.put("workers/a", "ready");
+            store.put(fleet::keys::roster, R"([["a","10.0.0.1:1"],["silent","10.0.0.2:1"]])");
+            store.put(fleet::keys::owner, earlierBuild ? "h0 h0:1 17" : "h0 h0:1 17 holds-updates");
+            FakeHost host(time, store);
+            host.workersAnswer = true;
+            host.silentWorker = "silent";
+            time.run(Duration(1000));
+            store.remove(fleet::keys::owner);
+            time.run(Duration(500));
+            CPPUNIT_ASSERT(host.host->ownsFleet());
+            store.put(fleet::keys::job(JobId("j")), jobValue("j"));
+            time.run(Duration(1000));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(earlierBuild ? 0 : 1), host.started.size());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TakeoverUpdatesTest);
--- a/packages/fleet/include/jujubereach/fleet/owner.h
+++ b/packages/fleet/include/jujubereach/fleet/owner.h
@@ -135,6 +135,10 @@
     /// are issued before the first confirmation.
     void confirmOwnership(TimePoint sentAt);
 
+    /// The previous owner is of a build that uses updates received after its lease: it may also start jobs
+    /// that were accepted after the takeover. Called before any job is reported.
+    void expectUnheldUpdates();
+
     /// Recovery: restores the stored state. `recovered` follows once, before any other notification.
     void restoreJob(JobRecord record, std::optional<ProgressRecord> progress, Revision progressRevision);
     /// Without a roster, the stored one cannot be read: any worker may run anything.
--- a/packages/fleet/src/job.h
+++ b/packages/fleet/src/job.h
@@ -86,7 +86,7 @@
     TimePoint firstStart; ///< First start of a task by this owner; unset before.
     TimePoint lastStart; ///< Last start of a task by this owner; unset before.
     int starts = 0; ///< Number of task starts by this owner.
-    bool recovered = false; ///< Restored at takeover: a previous owner may have started its tasks.
+    bool recovered = false; ///< A previous owner may have started its tasks.
     Revision progressRevision; ///< Revision of its progress record; 0 for none.
     std::uint64_t changes = 0; ///< Version of the progress, raised by each change.
     std::uint64_t saved = 0; ///< Version of the progress that is stored.
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -256,6 +256,7 @@
         m_heldUpdates; ///< Oldest first; updates are applied in the order of their arrival.
     TimePoint m_tookOverAt;
     bool m_superseded = false;
+    bool m_expectsUnheldUpdates = false; ///< The previous owner may start jobs accepted after the takeover.
     bool m_recovered = false;
     std::shared_ptr<Impl*> m_self; ///< Null after destruction, so that late answers are ignored.
 
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -126,6 +126,7 @@
     auto& job = m_jobs[id];
     job.record = std::move(record);
     job.arrived = now();
+    job.recovered = m_expectsUnheldUpdates && now() < lastEarlierOrder();
     m_open.insert(id);
     double work = 0;
     for (const auto& step : job.spec().steps)
@@ -441,6 +442,11 @@
     m_impl->confirmOwnership(sentAt);
 }
 
+void Owner::expectUnheldUpdates()
+{
+    m_impl->m_expectsUnheldUpdates = true;
+}
+
 void Owner::restoreJob(JobRecord record, std::optional<ProgressRecord> progress, Revision progressRevision)
 {
     m_impl->restoreJob(std::move(record), std::move(progress), progressRevision);
--- a/packages/fleet/test/held-updates-test.cpp
+++ b/packages/fleet/test/held-updates-test.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(aSupersededOwnerAppliesHeldUpdates);
     CPPUNIT_TEST(unconfirmedUpdatesFillTheMemory);
     CPPUNIT_TEST(anOwnerStopsWorkingOnKnownJobs);
+    CPPUNIT_TEST(aJobAcceptedAfterATakeoverFromAnEarlierBuildStartsAtOnce);
+    CPPUNIT_TEST(aJobAcceptedAfterATakeoverWaitsForASilentWorker);
     CPPUNIT_TEST_SUITE_END();
 
     FakeFleet m_fleet;
@@ -163,6 +165,35 @@
         CPPUNIT_ASSERT(hasLogged("ownership-given-up"));
     }
 
+    // "a" does not answer the successor. Returns the starts of a job that is accepted after the takeover.
+    int startsBesideASilentWorker(bool earlierBuild)
+    {
+        auto& silent = m_fleet.addWorker("a");
+        m_fleet.addWorker("b");
+        startOwner();
+        silent.reachable = false;
+        m_fleet.takeOver();
+        if (earlierBuild)
+            m_fleet.owner->expectUnheldUpdates();
+        m_fleet.submit(FakeFleet::job("j", 1));
+        m_fleet.run(Duration(1000));
+        const auto starts = m_fleet.observed.startCalls;
+        m_fleet.run(Duration(20'000));
+        CPPUNIT_ASSERT(m_fleet.savedState("j") == JobState::Completed);
+        return starts;
+    }
+
+    void aJobAcceptedAfterATakeoverFromAnEarlierBuildStartsAtOnce()
+    {
+        CPPUNIT_ASSERT_EQUAL(0, startsBesideASilentWorker(true));
+    }
+
+    // Guards the fix: with a former owner of this build there is no reason to wait.
+    void aJobAcceptedAfterATakeoverWaitsForASilentWorker()
+    {
+        CPPUNIT_ASSERT_EQUAL(1, startsBesideASilentWorker(false));
+    }
+
     // Guards the fix: an outage of the store stops neither the start of known tasks nor their leases.
     void anOwnerStopsWorkingOnKnownJobs()
     {
