Ask for advice about as many workers as a step needs

Cause: once the advisory service had approved a worker, the owner asked about approved workers only, however many the step needs; an answer replaced all earlier tickets, and a valid one kept the next question back. Ruled out: the service (it approves each worker at once); the placement (without the busy moment the gang starts). Change: answers are kept by worker and incarnation, each ticket with its expiry. Denied workers count neither for racks nor for reservations. Urgent steps preempt where they have tickets. A refused ticket drops itself alone. Starts in the fake fleet need a valid ticket.

--- a/packages/fleet/src/job.h
+++ b/packages/fleet/src/job.h
@@ -40,16 +40,29 @@
     Resources capacity; ///< Of all `workers`, when they were reserved.
 };
 
+/// What the advisory service has answered about a worker for a step; holds for one incarnation.
+struct WorkerAdvice {
+    std::int64_t incarnation = 0;
+    bool approved = false;
+    std::string ticket;
+    TimePoint expires; ///< Of the ticket, less the time that a start takes to arrive.
+};
+
 /// Answers of the advisory service for a step.
 struct StepAdvice {
-    std::map<WorkerId, std::string> tickets;
-    std::set<WorkerId> approved; ///< Approval outlasts the tickets.
-    std::set<WorkerId> named; ///< Workers that the service has been asked about.
-    TimePoint expires;
-    TimePoint retryAt;
+    std::map<WorkerId, WorkerAdvice> workers; ///< All that the service has been asked about.
+    TimePoint retryAt; ///< The service is not asked before.
+    std::size_t loggedWorkers = 0; ///< Size of `workers` when a lack of approved workers was last logged.
     bool asking = false;
 };
 
+/// Workers with a current answer of the advisory service.
+struct AdvisedWorkers {
+    std::set<WorkerId> ticketed; ///< Approved, with a valid ticket.
+    std::set<WorkerId> approved;
+    std::set<WorkerId> denied;
+};
+
 struct Step {
     const StepSpec* spec = nullptr;
     std::vector<Task> tasks;
--- a/packages/fleet/src/owner-displace.cpp
+++ b/packages/fleet/src/owner-displace.cpp
@@ -70,6 +70,11 @@
     request.count = static_cast<int>(waiting.size());
     if (waiting.empty())
         return true;
+    AdvisedWorkers advised;
+    if (termsOf(*ready.job).advice) {
+        advised = advisedWorkers(step);
+        request.allowed = &advised.ticketed;
+    }
     const auto found = placeByPreemption(request, fleet);
     if (found.placement.empty())
         return false;
@@ -129,6 +134,15 @@
     std::map<WorkerId, Resources> need;
     for (const auto& [index, id] : found->second.tasks)
         need[id] += found->second.perTask;
+    if (termsOf(job).advice) {
+        const auto ticketed = advisedWorkers(step).ticketed;
+        const auto valid = std::all_of(
+            need.begin(), need.end(), [&](const auto& row) { return ticketed.contains(row.first); });
+        if (!valid) {
+            m_plans.erase(found);
+            return false;
+        }
+    }
     for (const auto& [id, resources] : need) {
         auto* worker = findWorker(id);
         if (!worker || !acceptsTasks(*worker) || !isOpenInRoster(id)
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -209,10 +209,22 @@
     void logClosedZones() const;
 
     // owner-advice.cpp: calls to the advisory service of a queue.
-    bool ensureAdvice(
+    enum class AskAbout {
+        Free, ///< Workers where tasks fit now.
+        Preemptible, ///< All where tasks could fit: a preemption needs tickets.
+        Reservable, ///< The same, unless enough are approved: a reservation needs no tickets.
+    };
+    bool isCurrent(const WorkerId& id, const WorkerAdvice& advice) const;
+    AdvisedWorkers advisedWorkers(const Step& step) const;
+    void askForAdvice(
         const ReadyStep& ready, const PlaceRequest& request, const std::vector<WorkerView>& fleet);
-    void recordAdvice(
-        const TaskId& id, Step& step, const std::vector<WorkerId>& asked, const AdviceAnswer& answer);
+    /// Workers about which to ask in one call; none if answers would not help to place the request.
+    std::vector<WorkerId> workersToAsk(const Step& step, const PlaceRequest& request,
+        const std::vector<WorkerView>& fleet, AskAbout which) const;
+    void recordAdvice(const TaskId& id, Step& step, const std::map<WorkerId, std::int64_t>& asked, int needed,
+        const AdviceAnswer& answer);
+    void dropTicket(const TaskId& task, const WorkerId& worker);
+    void logMissingWorkers(const ReadyStep& ready, const PlaceRequest& request);
 
     // owner-displace.cpp: preemption for urgent steps.
     void addPreemptionCandidates(std::vector<WorkerView>& fleet);
@@ -303,6 +315,7 @@
     std::map<std::string, TimePoint> m_crashSites; ///< Last crash by address of the worker.
     std::unordered_map<JobId, int> m_runsOf; ///< Number of runs on all workers by job; entries are positive.
 
+    std::multiset<TimePoint> m_adviceCalls; ///< When the calls without an answer were sent.
     TimePoint m_nextSweep; ///< Next periodic check of all workers and jobs.
     TimePoint m_nextPreemption; ///< Rate limit: a search visits all runs of the fleet.
     TimePoint m_nextReservation; ///< Rate limit: a choice visits all runs of the fleet.
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -278,10 +278,7 @@
         worker->health.taskFailed(now());
         break;
     case OrderFate::NoTicket:
-        if (auto* job = findJob(task.job)) {
-            if (auto* step = job->findStep(task))
-                step->advice.tickets.clear();
-        }
+        dropTicket(task, id);
         break;
     case OrderFate::NotSent:
         worker->recordMissedPoll(now());
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -283,7 +283,7 @@
 {
     const auto& terms = termsOf(*ready.job);
     return (!ready.isolated || ready.mayShare) && terms.priority <= urgentPriority
-        && (ready.guaranteed || m_settings.order == QueueOrder::ByUtility) && !terms.advice
+        && (ready.guaranteed || m_settings.order == QueueOrder::ByUtility)
         && now() >= ready.step().nextPreemption;
 }
 
@@ -426,21 +426,21 @@
     if (request.count == 0)
         return 0;
     // A worker may still have an earlier run of the task that must be stopped first.
-    const auto occupied = workersWithEarlierRuns(ready, pass.fleet);
+    auto excluded = workersWithEarlierRuns(ready, pass.fleet);
+    AdvisedWorkers advised;
+    if (termsOf(*ready.job).advice) {
+        advised = advisedWorkers(step);
+        excluded.insert(advised.denied.begin(), advised.denied.end());
+    }
     auto avoid = workersToAvoid(ready, pass);
-    avoid.insert(occupied.begin(), occupied.end());
-    const auto elsewhere = avoid.size() > occupied.size()
+    avoid.insert(excluded.begin(), excluded.end());
+    const auto elsewhere = avoid.size() > excluded.size()
         && std::any_of(pass.fleet.begin(), pass.fleet.end(),
             [&](const WorkerView& view) { return couldRun(request, view) && !avoid.contains(view.id); });
-    request.avoid = elsewhere ? &avoid : &occupied;
-    std::set<WorkerId> advised;
-    if (termsOf(*ready.job).advice) {
-        if (!ensureAdvice(ready, request, pass.fleet))
-            return 0;
-        for (const auto& [id, ticket] : step.advice.tickets)
-            advised.insert(id);
-        request.allowed = &advised;
-    }
+    request.avoid = elsewhere ? &avoid : &excluded;
+    auto unadvised = request; // May use any worker that is not denied.
+    if (termsOf(*ready.job).advice)
+        request.allowed = &advised.ticketed;
     const auto& spec = *step.spec;
     const auto search = [&] {
         if (!step.reservation && pass.unplaced.covers(request))
@@ -451,8 +451,8 @@
         return found;
     };
     auto placement = search();
-    if (placement.empty() && mayRelaxRack(ready, request, pass)) {
-        request.anyRack = true;
+    if (placement.empty() && mayRelaxRack(ready, unadvised, pass)) {
+        request.anyRack = unadvised.anyRack = true;
         placement = search();
         if (!placement.empty())
             m_hooks.log("rack-given-up",
@@ -460,6 +460,8 @@
                     { "waitedMs", (now() - step.waitingSince).count() } });
     }
     if (placement.empty()) {
+        if (request.allowed)
+            request.allowed = &advised.approved;
         if (!ready.mayShare)
             reserveFor(ready, request, pass);
     } else if (step.reservation && step.reservation->isolated == ready.isolated)
@@ -467,6 +469,9 @@
     if (ready.isolated)
         pass.isolatedViews += placement.size();
     startPlaced(ready, placement, pass.fleet);
+    unadvised.count -= static_cast<int>(placement.size());
+    if (termsOf(*ready.job).advice && unadvised.count > 0)
+        askForAdvice(ready, unadvised, pass.fleet);
     return placement.size();
 }
 
@@ -526,8 +531,8 @@
     if (task.crashes.crashes > 0)
         beginProbation(task, run, isolated);
     task.start = { worker.id(), worker.incarnation, false, false };
-    if (const auto ticket = step.advice.tickets.find(worker.id()); ticket != step.advice.tickets.end())
-        run.ticket = ticket->second;
+    if (const auto advice = step.advice.workers.find(worker.id()); advice != step.advice.workers.end())
+        run.ticket = advice->second.ticket;
     addRun(worker, run);
     m_hooks.log("start",
         { { "task", toString(id) }, { "run", number.value }, { "worker", worker.id().str() },
--- a/packages/fleet/test/fake-fleet.h
+++ b/packages/fleet/test/fake-fleet.h
@@ -67,6 +67,7 @@
 class FakeFleet {
 public:
     static constexpr Duration latency { 5 };
+    static constexpr Duration ticketValidity { 3000 };
 
     FakeFleet()
         : m_now(Duration(1'000'000))
@@ -176,20 +177,18 @@
         hooks.meter.observe = [this](const char* name, const metrics::Labels& labels, Duration time) {
             durations[seriesOf(name, labels)].push_back(time);
         };
-        hooks.advise = [this, term = m_term](const TaskId&, const std::vector<WorkerId>& asked,
-                           std::function<void(AdviceAnswer)> done) {
+        hooks.advise = [this, term = m_term](const TaskId& step, const std::vector<WorkerId>& asked,
+                           const std::function<void(AdviceAnswer)>& done) {
             ++adviceCalls;
-            AdviceAnswer answer;
-            answer.answered = true;
-            answer.validity = Duration(3000);
-            for (const auto& id : asked) {
-                if (approvedWorkers.contains(id))
-                    answer.approved.push_back({ id, "ticket-" + id.str() });
-            }
-            after(Duration(50), [this, term, done, answer] {
-                if (term == m_term)
-                    done(answer);
-            });
+            mostAsked = std::max(mostAsked, asked.size());
+            mostAdviceInFlight = std::max(mostAdviceInFlight, ++m_adviceInFlight);
+            constexpr Duration timeout { 8000 };
+            after(
+                adviserSilent ? timeout : adviceDelay, [this, term, step, asked, done, lost = adviserSilent] {
+                    --m_adviceInFlight;
+                    if (term == m_term)
+                        done(lost ? AdviceAnswer {} : advise(step, asked));
+                });
         };
         hooks.workers.start = [this, term = m_term](const WorkerReport& to, StartOrder order,
                                   Duration timeout, OrderDone done) {
@@ -371,7 +370,13 @@
     Duration restartTime { 3000 };
     bool restartsUnderNewId = false;
     std::set<WorkerId> approvedWorkers;
+    Duration adviceDelay { 50 };
+    bool adviserRefuses = false; ///< Calls for advice are refused.
+    bool adviserSilent = false; ///< Calls for advice get no answer.
     int adviceCalls = 0;
+    int mostAdviceInFlight = 0;
+    std::size_t mostAsked = 0; ///< Workers in one call.
+    int ticketRefusals = 0; ///< Starts without a valid ticket.
     std::string lastTicket;
     double ownerSeconds = 0; ///< CPU seconds of the owner alone.
     Observed observed;
@@ -559,6 +564,33 @@
         return result;
     }
 
+    AdviceAnswer advise(const TaskId& step, const std::vector<WorkerId>& asked)
+    {
+        AdviceAnswer answer;
+        if (adviserRefuses)
+            return answer;
+        answer.answered = true;
+        answer.validity = ticketValidity;
+        for (const auto& id : asked) {
+            if (!approvedWorkers.contains(id))
+                continue;
+            answer.approved.push_back({ id, "ticket-" + id.str() });
+            m_tickets[{ step.job, step.step, id }]
+                = { workers.at(id).report.incarnation, m_now + ticketValidity };
+        }
+        return answer;
+    }
+
+    bool hasTicket(const FakeWorker& worker, const StartOrder& order) const
+    {
+        const auto job = m_accepted.find(order.task.job);
+        if (job == m_accepted.end() || !config->routes.at(accepted[job->second].route).advice)
+            return true;
+        const auto ticket = m_tickets.find({ order.task.job, order.task.step, worker.id() });
+        return ticket != m_tickets.end() && order.ticket == "ticket-" + worker.id().str()
+            && ticket->second.first == worker.report.incarnation && m_now < ticket->second.second;
+    }
+
     bool isFenced(FakeWorker& worker, Fence order) const
     {
         if (order < worker.fence)
@@ -587,6 +619,10 @@
             return base(worker, OrderFate::Done);
         if (worker.highestEnded[order.task] >= order.run || found != worker.live.end())
             return base(worker, OrderFate::Old);
+        if (!hasTicket(worker, order)) {
+            ++ticketRefusals;
+            return base(worker, OrderFate::NoTicket);
+        }
         checkStart(worker, order, sentAt);
         // A checkpoint holds the remaining work in milliseconds.
         const auto work
@@ -797,6 +833,9 @@
     TimePoint m_now;
     TimePoint m_wakeAt = TimePoint::max();
     int m_term = 0;
+    int m_adviceInFlight = 0;
+    /// Incarnation and expiry by job, step and worker.
+    std::map<std::tuple<JobId, int, WorkerId>, std::pair<std::int64_t, TimePoint>> m_tickets;
     std::multimap<TimePoint, std::function<void()>> m_queue;
     std::map<JobId, std::size_t> m_accepted; ///< Index of a job in `accepted`.
 };
