Search for workers to ask about apart for isolated tasks

Cause: the tasks of a step that must be isolated and its others are placed one after the other with one state of advice. A search of the first that found nobody to ask about put off the search of the others, each time.

--- a/packages/fleet/src/job.h
+++ b/packages/fleet/src/job.h
@@ -3,6 +3,7 @@
 
 #include "jujubereach/fleet/records.h"
 
+#include <array>
 #include <map>
 #include <set>
 
@@ -52,6 +53,9 @@
 struct StepAdvice {
     std::map<WorkerId, WorkerAdvice> workers; ///< All that the service has been asked about.
     TimePoint retryAt; ///< The service is not asked before.
+    /// Earliest next search for workers to ask about, for tasks that may share a worker and for isolated
+    /// ones.
+    std::array<TimePoint, 2> nextSearch;
     std::size_t loggedWorkers = 0; ///< Size of `workers` when a lack of approved workers was last logged.
     bool asking = false;
 };
--- a/packages/fleet/src/owner-advice.cpp
+++ b/packages/fleet/src/owner-advice.cpp
@@ -17,7 +17,7 @@
     // A call that takes longer no longer counts as in flight: the service or the connection may be silent.
     constexpr Duration usualCallTime { 1000 };
     constexpr Duration retryDelay { 300 }; // After a call without an answer or a refused ticket.
-    constexpr Duration searchInterval { 100 }; // Per step, if there was no worker to ask about.
+    constexpr Duration searchInterval { 100 }; // Per step, after a search without a worker to ask about.
     constexpr Duration ticketMargin { 300 }; // Remaining validity needed for a start call to arrive.
     constexpr Duration minWaitForBusy { 1000 }; // Before a step asks about workers that are not free.
 
@@ -72,9 +72,11 @@
     const ReadyStep& ready, const PlaceRequest& request, const std::vector<WorkerView>& fleet)
 {
     auto& advice = ready.step().advice;
+    auto& nextSearch = advice.nextSearch[ready.isolated ? 1 : 0];
     const auto inFlight = std::count_if(m_adviceCalls.begin(), m_adviceCalls.end(),
         [this](TimePoint sentAt) { return now() - sentAt < usualCallTime; });
-    if (advice.asking || now() < advice.retryAt || inFlight >= maxCallsInFlight || !m_hooks.advise)
+    if (advice.asking || now() < std::max(advice.retryAt, nextSearch) || inFlight >= maxCallsInFlight
+        || !m_hooks.advise)
         return;
     auto asked = workersToAsk(ready.step(), request, fleet, AskAbout::Free);
     if (asked.empty() && request.priority <= urgentPriority)
@@ -83,7 +85,7 @@
         && needsReservation(request, fleet))
         asked = workersToAsk(ready.step(), request, fleet, AskAbout::Reservable);
     if (asked.empty()) {
-        advice.retryAt = now() + searchInterval;
+        nextSearch = now() + searchInterval;
         return logMissingWorkers(ready, request);
     }
     std::map<WorkerId, std::int64_t> incarnations;
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -176,6 +176,7 @@
     bool mayRelaxRack(const ReadyStep& ready, const PlaceRequest& request, Pass& pass) const;
     std::size_t placeReady(const ReadyStep& ready, Pass& pass);
     std::size_t placeTasks(const ReadyStep& ready, Pass& pass);
+    Placement findPlacement(const ReadyStep& ready, PlaceRequest& request, Pass& pass);
     void startPlaced(
         const ReadyStep& ready, const Placement& placement, const std::vector<WorkerView>& fleet);
     /// Whether new tasks may start there now; a plan made before a quarantine is still executed.
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -417,6 +417,31 @@
     return avoid;
 }
 
+// Sets `anyRack` of the request if the step may leave its rack.
+Placement Owner::Impl::findPlacement(const ReadyStep& ready, PlaceRequest& request, Pass& pass)
+{
+    const auto search = [&] {
+        if (!ready.step().reservation && pass.unplaced.covers(request))
+            return Placement {};
+        auto found = place(request, pass.fleet);
+        if (found.empty())
+            pass.unplaced.add(request);
+        return found;
+    };
+    auto placement = search();
+    auto unadvised = request; // Workers without advice count as well.
+    unadvised.allowed = nullptr;
+    if (!placement.empty() || !mayRelaxRack(ready, unadvised, pass))
+        return placement;
+    request.anyRack = true;
+    placement = search();
+    if (!placement.empty())
+        m_hooks.log("rack-given-up",
+            { { "id", ready.job->id().str() }, { "step", ready.index }, { "rack", ready.step().spec->rack },
+                { "waitedMs", (now() - ready.step().waitingSince).count() } });
+    return placement;
+}
+
 std::size_t Owner::Impl::placeTasks(const ReadyStep& ready, Pass& pass)
 {
     auto& step = ready.step();
@@ -438,27 +463,9 @@
         && std::any_of(pass.fleet.begin(), pass.fleet.end(),
             [&](const WorkerView& view) { return couldRun(request, view) && !avoid.contains(view.id); });
     request.avoid = elsewhere ? &avoid : &excluded;
-    auto unadvised = request; // May use any worker that is not denied.
     if (termsOf(*ready.job).advice)
         request.allowed = &advised.ticketed;
-    const auto& spec = *step.spec;
-    const auto search = [&] {
-        if (!step.reservation && pass.unplaced.covers(request))
-            return Placement {};
-        auto found = place(request, pass.fleet);
-        if (found.empty())
-            pass.unplaced.add(request);
-        return found;
-    };
-    auto placement = search();
-    if (placement.empty() && mayRelaxRack(ready, unadvised, pass)) {
-        request.anyRack = unadvised.anyRack = true;
-        placement = search();
-        if (!placement.empty())
-            m_hooks.log("rack-given-up",
-                { { "id", ready.job->id().str() }, { "step", ready.index }, { "rack", spec.rack },
-                    { "waitedMs", (now() - step.waitingSince).count() } });
-    }
+    const auto placement = findPlacement(ready, request, pass);
     if (placement.empty()) {
         if (request.allowed)
             request.allowed = &advised.approved;
@@ -469,9 +476,11 @@
     if (ready.isolated)
         pass.isolatedViews += placement.size();
     startPlaced(ready, placement, pass.fleet);
-    unadvised.count -= static_cast<int>(placement.size());
-    if (termsOf(*ready.job).advice && unadvised.count > 0)
-        askForAdvice(ready, unadvised, pass.fleet);
+    request.count -= static_cast<int>(placement.size());
+    if (request.allowed && request.count > 0) {
+        request.allowed = nullptr;
+        askForAdvice(ready, request, pass.fleet);
+    }
     return placement.size();
 }
 
--- a/packages/fleet/test/advice-test.cpp
+++ b/packages/fleet/test/advice-test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(aForbiddenWorkerIsReserved);
     CPPUNIT_TEST(anUrgentJobNeverPreempts);
     CPPUNIT_TEST(anIsolatedTaskNeverStarts);
+    CPPUNIT_TEST(aSuspectTaskNeverStartsBesideOthers);
     CPPUNIT_TEST(eachPassAsksAboutDeniedWorkers);
     CPPUNIT_TEST(waitingStepsOverloadTheService);
     CPPUNIT_TEST(aRefusingServiceIsCalledWithoutPause);
@@ -197,6 +198,26 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), m_fleet.firstViolation());
     }
 
+    // After its first crash the task starts alone if it can, and no worker is idle.
+    void aSuspectTaskNeverStartsBesideOthers()
+    {
+        startOwner(3);
+        m_fleet.workTime
+            = [](const TaskId& task) { return Duration(task.job.str() == "busy" ? 60'000 : 2000); };
+        auto busy = FakeFleet::job("busy", 3, { 1000, 1000, 1 }, 2);
+        busy.spec.steps[0].maxPerWorker = 1;
+        m_fleet.submit(busy);
+        m_fleet.run(Duration(300));
+        m_fleet.restartTime = Duration(100'000);
+        m_fleet.deadlyTasks.insert({ JobId("j"), 0, 0, 0 });
+        m_fleet.submit(FakeFleet::job("j", 1));
+        m_fleet.run(Duration(300));
+        m_fleet.deadlyTasks.clear();
+        m_fleet.run(Duration(25'000));
+        CPPUNIT_ASSERT_EQUAL(2, startsOf("j"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), m_fleet.firstViolation());
+    }
+
     void eachPassAsksAboutDeniedWorkers()
     {
         startOwner(12);
