Play takeovers from owners that run on without the store

Change: the fake fleet can keep a former owner that reaches workers and receives updates, but not the store, for as long as it may order. Some workers execute the first order of its successor late; jobs come and occurrences fall due meanwhile.

--- a/packages/fleet/test/fake-fleet.h
+++ b/packages/fleet/test/fake-fleet.h
@@ -146,9 +146,12 @@
         return record;
     }
 
-    /// Replaces the owner by a new one that recovers from the store.
-    void takeOver()
+    /// Replaces the owner by a new one that recovers from the store. The former one is gone, or has lost the
+    /// store: it still reaches workers and receives updates, as by watches that it had sent before.
+    void takeOver(bool keepFormer = false)
     {
+        const auto ordersEnd = m_now + settings.ownershipTimeout - settings.ownerLease;
+        m_former = { keepFormer ? std::move(owner) : nullptr, m_term, TimePoint::min(), ordersEnd, false };
         owner.reset();
         ++m_term;
         m_wakeAt = TimePoint::max();
@@ -162,8 +165,12 @@
         hooks.write = [this, term = m_term](StoreWrite write, StoreDone done) {
             writeCall(term, std::move(write), std::move(done));
         };
-        hooks.ownershipLost = [this] { ownershipLost = true; };
-        hooks.wakeIn = [this](Duration delay) { m_wakeAt = std::min(m_wakeAt, m_now + delay); };
+        hooks.ownershipLost
+            = [this, term = m_term] { (term == m_term ? ownershipLost : m_former.lost) = true; };
+        hooks.wakeIn = [this, term = m_term](Duration delay) {
+            auto& wakeAt = term == m_term ? m_wakeAt : m_former.wakeAt;
+            wakeAt = std::min(wakeAt, m_now + delay);
+        };
         hooks.log = [this](const char* event, boost::json::object fields) {
             if (logHook)
                 return logHook(event, fields);
@@ -241,6 +248,17 @@
         owner->jobWritten(record);
         if (reportsJobs)
             owner->jobsReported(record.created);
+        if (m_former.owner)
+            m_former.owner->jobWritten(record);
+    }
+
+    /// Reports the entry of the worker to the owner, and to a former one.
+    void report(const WorkerId& id)
+    {
+        const auto entry = workers.at(id).report;
+        owner->workerReported(entry);
+        if (m_former.owner)
+            m_former.owner->workerReported(entry);
     }
 
     void cancel(const std::string& id)
@@ -294,6 +312,8 @@
                 next = std::min(next, m_queue.begin()->first);
             if (owner)
                 next = std::min(next, m_wakeAt);
+            if (m_former.owner)
+                next = std::min(next, m_former.wakeAt);
             next = std::min(next, nextEnd());
             m_now = std::max(m_now, next);
             if (confirmsOwnership && owner)
@@ -305,6 +325,12 @@
                 m_wakeAt = TimePoint::max();
                 callOwner([this] { owner->tick(); });
             }
+            if (m_former.lost || m_now >= m_former.ordersEnd)
+                m_former.owner.reset();
+            if (m_former.owner && m_former.wakeAt <= m_now) {
+                m_former.wakeAt = TimePoint::max();
+                m_former.owner->tick();
+            }
             while (!m_queue.empty() && m_queue.begin()->first <= m_now) {
                 const auto call = std::move(m_queue.begin()->second);
                 m_queue.erase(m_queue.begin());
@@ -421,8 +447,21 @@
         m_queue.emplace(m_now + delay, std::move(call));
     }
 
+    struct FormerOwner {
+        std::unique_ptr<Owner> owner;
+        int term = 0;
+        TimePoint wakeAt;
+        TimePoint ordersEnd; ///< From then on it orders nothing.
+        bool lost = false; ///< A worker has refused its fence.
+    };
+
+    bool isAlive(int term) const { return term == m_term || (m_former.owner && term == m_former.term); }
+
     void writeCall(int term, StoreWrite write, StoreDone done)
     {
+        if (term != m_term)
+            return after(
+                Duration(1500), [this, term, done] { answer(term, done, withFate(StoreFate::Unknown)); });
         if (storeDown)
             return after(
                 storeLatency, [this, term, done] { answer(term, done, withFate(StoreFate::Refused)); });
@@ -446,7 +485,7 @@
 
     void answer(int term, const StoreDone& done, const StoreAnswer& result)
     {
-        if (term == m_term)
+        if (isAlive(term))
             callOwner([&] { done(result); });
     }
 
@@ -480,7 +519,7 @@
         const auto found = workers.find(id);
         const auto answered = std::make_shared<bool>(false);
         const auto finish = [this, term, done, answered](const OrderAnswer& result) {
-            if (!std::exchange(*answered, true) && term == m_term)
+            if (!std::exchange(*answered, true) && isAlive(term))
                 callOwner([&] { done(result); });
         };
         if (found != workers.end() && found->second.refusesConnections) {
@@ -537,13 +576,13 @@
         auto result = hold(sent->second, order);
         if (!result.ended.empty() || result.fate != OrderFate::Done || answerWithin <= check)
             return after(latency, [this, term, done, result] {
-                if (term == m_term)
+                if (isAlive(term))
                     callOwner([&] { done(result); });
             });
         order.wait = answerWithin - check;
         order.acknowledged = 0; // Already applied on arrival.
         after(check, [this, term, id, timeout, done, order, check] {
-            if (term == m_term)
+            if (isAlive(term))
                 holdCall(term, id, timeout - check, done, order);
         });
     }
@@ -833,6 +872,7 @@
     TimePoint m_now;
     TimePoint m_wakeAt = TimePoint::max();
     int m_term = 0;
+    FormerOwner m_former;
     int m_adviceInFlight = 0;
     /// Incarnation and expiry by job, step and worker.
     std::map<std::tuple<JobId, int, WorkerId>, std::pair<std::int64_t, TimePoint>> m_tickets;
--- a/packages/fleet/test/takeover-soak.h
+++ b/packages/fleet/test/takeover-soak.h
@@ -11,6 +11,7 @@
 struct SoakFaults {
     bool lateOrders = false;
     bool deadlyTasks = false;
+    bool cutOwners = false; ///< A former owner runs on without the store.
 };
 
 class TakeoverSoak {
@@ -45,7 +46,7 @@
                 disturb(id);
             m_fleet.storeDown = active && m_random.below(15) == 0;
             if (active && m_fleet.now() >= m_nextTakeover) {
-                m_fleet.takeOver();
+                m_faults.cutOwners ? cutOwner() : m_fleet.takeOver();
                 m_nextTakeover = m_fleet.now() + Duration(2000) + below(4000);
             }
             m_fleet.run(step);
@@ -94,6 +95,36 @@
         m_fleet.submit(std::move(job));
     }
 
+    // The lease ends. Some workers execute the first order of the new owner seconds later.
+    void cutOwner()
+    {
+        m_fleet.confirmsOwnership = false;
+        m_fleet.run(m_fleet.settings.ownerLease + below(300));
+        m_fleet.confirmsOwnership = true;
+        std::vector<FakeWorker*> late;
+        for (auto& [id, worker] : m_fleet.workers) {
+            if (m_random.below(4) == 0 && worker.callDelay.count() == 0)
+                late.push_back(&worker);
+        }
+        for (auto* worker : late)
+            worker->callDelay = Duration(4000);
+        m_fleet.takeOver(true);
+        for (auto* worker : late)
+            worker->callDelay = Duration(0);
+        m_fleet.run(below(400));
+        submitJob();
+        submitOccurrences();
+    }
+
+    void submitOccurrences()
+    {
+        auto job = FakeFleet::job("o" + std::to_string(m_jobs++), 1, { 4000, 8000, 2 });
+        job.spec.repeatCount = 6;
+        job.spec.firstRun = { (m_fleet.now() + below(1000)).time_since_epoch().count() };
+        job.spec.interval = Duration(500) + below(1500);
+        m_fleet.submit(std::move(job));
+    }
+
     void disturb(const WorkerId& id)
     {
         auto& worker = m_fleet.workers.at(id);
@@ -116,7 +147,7 @@
         m_pending.push_back({ m_fleet.now() + Duration(200) + below(1200), [this, id, incarnation] {
                                  const auto& back = m_fleet.workers.at(id);
                                  if (back.report.incarnation == incarnation && back.reachable)
-                                     m_fleet.owner->workerReported(back.report);
+                                     m_fleet.report(id);
                              } });
     }
 
@@ -128,7 +159,7 @@
         m_pending.push_back({ m_fleet.now() + Duration(500) + below(14'000), [this, id] {
                                  auto& back = m_fleet.workers.at(id);
                                  back.reachable = true;
-                                 m_fleet.owner->workerReported(back.report);
+                                 m_fleet.report(id);
                              } });
     }
 
