--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -59,6 +59,7 @@
     void tick();
     void sweep();
     void sweepWorker(Worker& worker);
+    void logLapse(const Worker& worker) const;
     void endRecoveryGracePeriod();
     OwnerFigures figures() const;
 
@@ -102,6 +103,7 @@
     void loseAbsentRuns(Worker& worker, TimePoint sentAt, const OrderAnswer& answer);
     bool markFenced(Worker& worker, const OrderAnswer& answer);
     bool processAnswer(Worker& worker, TimePoint sentAt, const OrderAnswer& answer);
+    void logRestart(const Worker& worker, std::int64_t newIncarnation, const char* shownBy) const;
     void stop(Worker& worker, const TaskId& task, const char* why);
     void stopDoomedRuns(Worker& worker);
     TimePoint expectedEnd(const Job& job, const StepSpec& step, const ActiveRun& run) const;
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -98,6 +98,7 @@
         return true; // Its incarnation and clock are those of another worker.
     }
     if (answer.incarnation != 0 && worker.incarnation != 0 && answer.incarnation > worker.incarnation) {
+        logRestart(worker, answer.incarnation, "answer");
         recordCrash(worker, answer.incarnation);
         loseRuns(worker, "its worker has restarted");
         worker.fenced = false;
@@ -112,6 +113,17 @@
     return true;
 }
 
+void Owner::Impl::logRestart(const Worker& worker, std::int64_t newIncarnation, const char* shownBy) const
+{
+    const auto renewals = m_renewals.find(worker.id());
+    m_hooks.log("worker-restarted",
+        { { "worker", worker.id().str() }, { "incarnation", worker.incarnation },
+            { "newIncarnation", newIncarnation }, { "shownBy", shownBy },
+            { "answeredMsAgo", (now() - worker.answeredAt).count() },
+            { "renewedMsAgo", renewals == m_renewals.end() ? -1 : (now() - renewals->second.sentAt).count() },
+            { "acknowledged", worker.acknowledged }, { "runs", worker.runs.size() } });
+}
+
 void Owner::Impl::pollFailed(Worker& worker, bool extended, OrderFate fate)
 {
     worker.recordMissedPoll(now());
@@ -133,6 +145,12 @@
     worker.fenced = true;
     if (worker.firstIncarnation == 0)
         worker.firstIncarnation = worker.incarnation;
+    else
+        m_hooks.log("worker-fenced",
+            { { "worker", worker.id().str() }, { "incarnation", worker.incarnation },
+                { "clock", answer.clock.value }, { "running", answer.running.size() },
+                { "ended", answer.ended.size() },
+                { "firstEnd", answer.ended.empty() ? 0 : answer.ended.front().number } });
     worker.acknowledged = 0;
     worker.ends.clear();
     markResolved(worker.id());
@@ -255,6 +273,11 @@
     run.callInFlight = false;
     if (run.phase == RunPhase::Running)
         return; // A poll has already reported the run.
+    if (answer.fate == OrderFate::Done && answer.clock < worker->clock)
+        m_hooks.log("start-answered-after-restart",
+            { { "task", toString(task) }, { "run", number.value }, { "worker", id.str() },
+                { "incarnation", worker->incarnation }, { "clock", answer.clock.value },
+                { "knownClock", worker->clock.value }, { "knownMsAgo", (now() - worker->clockAt).count() } });
     if (answer.fate != OrderFate::Done)
         m_hooks.log("start-refused",
             { { "task", toString(task) }, { "run", number.value }, { "worker", id.str() },
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -149,9 +149,11 @@
 {
     auto& worker = m_workers[report.id];
     const auto restarted = worker.incarnation != 0 && report.incarnation > worker.incarnation;
-    if (restarted)
+    if (restarted) {
+        logRestart(worker, report.incarnation, "entry");
         recordCrash(
             worker, report.incarnation); // By what the earlier incarnation reported: it may have drained.
+    }
     const auto moved = worker.report.address != report.address;
     const auto& known = worker.report;
     m_byRackStale = m_byRackStale || known.id.empty() || known.rack != report.rack
@@ -243,6 +245,7 @@
                 worker.expiredRuns.push_back(run);
         }
         worker.lapsedAt = now();
+        logLapse(worker);
         loseRuns(worker, "its lease has expired");
         worker.lapsed = true;
     }
@@ -252,6 +255,17 @@
     sendDueCalls(worker);
 }
 
+void Owner::Impl::logLapse(const Worker& worker) const
+{
+    const auto found = m_renewals.find(worker.id());
+    const auto renewals = found == m_renewals.end() ? Renewals {} : found->second;
+    m_hooks.log("lease-expired",
+        { { "worker", worker.id().str() }, { "runs", worker.runs.size() },
+            { "incarnation", worker.incarnation }, { "renewedIncarnation", renewals.incarnation },
+            { "renewedMsAgo", (now() - renewals.sentAt).count() },
+            { "silentMs", (now() - worker.silentSince).count() } });
+}
+
 // All runs that the previous owner started on silent workers have ended by now.
 void Owner::Impl::endRecoveryGracePeriod()
 {
