Tests that fail: orders carried out by a later incarnation of their worker

FakeFleet and the stand-in worker named the incarnation in every answer, and FakeFleet kept acknowledgements from later incarnations. The platform names it in entries and lists alone, and a restarted worker takes all calls meant for its former incarnation. Both now say no more than that; a long poll is no longer answered across a restart.

--- /dev/null
+++ b/packages/fleet/test/acknowledgement-test.cpp
@@ -0,0 +1,32 @@
+// Acknowledgements that reach a later incarnation of their worker.
+#include "fake-fleet.h"
+
+using namespace jujubereach;
+using namespace jujubereach::fleet;
+
+class AcknowledgementTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(AcknowledgementTest);
+    CPPUNIT_TEST(dropsAnEndOfANewIncarnationThatNoListHasShown);
+    CPPUNIT_TEST_SUITE_END();
+
+    // The former incarnation's end 1 is acknowledged to the new one, whose end 1 is another task's.
+    void dropsAnEndOfANewIncarnationThatNoListHasShown()
+    {
+        for (std::int64_t pause = 0; pause < 60; ++pause) {
+            FakeFleet fleet;
+            fleet.addWorker("a");
+            fleet.workTime
+                = [](const TaskId& task) { return Duration(task.job == JobId("first") ? 1000 : 1); };
+            fleet.takeOver();
+            fleet.run(Duration(20'000));
+            fleet.submit(FakeFleet::job("first", 1));
+            fleet.run(Duration(1020) + Duration(pause));
+            fleet.restartWorker("a");
+            fleet.submit(FakeFleet::job("j", 1));
+            fleet.run(Duration(10'000));
+            CPPUNIT_ASSERT_EQUAL(std::string(), fleet.firstViolation());
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AcknowledgementTest);
--- a/packages/fleet/test/fake-fleet.h
+++ b/packages/fleet/test/fake-fleet.h
@@ -547,32 +547,20 @@
             });
     }
 
-    // An acknowledgement is assumed not to take effect in a later incarnation (see docs/questions.md).
-    std::function<OrderAnswer(FakeWorker&)> holdOf(const WorkerId& id, const HoldOrder& order)
-    {
-        const auto found = workers.find(id);
-        const auto incarnation = found == workers.end() ? 0 : found->second.report.incarnation;
-        return [this, order, incarnation](FakeWorker& worker) {
-            auto effective = order;
-            if (worker.report.incarnation != incarnation)
-                effective.acknowledged = 0;
-            return hold(worker, effective);
-        };
-    }
-
-    // A hold call with a wait is answered at the first end.
+    // A hold call with a wait is answered at the first end, and not at all if the worker restarts before.
     void holdCall(int term, const WorkerId& id, Duration timeout, OrderDone done, HoldOrder order)
     {
+        const auto holdOf = [this, order](FakeWorker& worker) { return hold(worker, order); };
         const auto answerWithin = order.wait;
         order.wait = Duration(0);
         if (answerWithin.count() == 0)
-            return workerCall(term, id, timeout, std::move(done), holdOf(id, order));
+            return workerCall(term, id, timeout, std::move(done), holdOf);
         constexpr Duration check { 20 };
         const auto sent = workers.find(id);
         const auto unanswered = sent == workers.end() || !sent->second.reachable || sent->second.answersLost
             || sent->second.refusesConnections || sent->second.callDelay.count() > 0;
         if (unanswered)
-            return workerCall(term, id, timeout, std::move(done), holdOf(id, order));
+            return workerCall(term, id, timeout, std::move(done), holdOf);
         auto result = hold(sent->second, order);
         if (!result.ended.empty() || result.fate != OrderFate::Done || answerWithin <= check)
             return after(latency, [this, term, done, result] {
@@ -581,9 +569,15 @@
             });
         order.wait = answerWithin - check;
         order.acknowledged = 0; // Already applied on arrival.
-        after(check, [this, term, id, timeout, done, order, check] {
-            if (isAlive(term))
-                holdCall(term, id, timeout - check, done, order);
+        after(check, [this, term, id, timeout, done, order, check, incarnation = result.incarnation] {
+            if (!isAlive(term))
+                return;
+            if (workers.at(id).report.incarnation == incarnation)
+                return holdCall(term, id, timeout - check, done, order);
+            after(timeout - check, [this, term, done] {
+                if (isAlive(term))
+                    callOwner([&] { done(OrderAnswer {}); });
+            });
         });
     }
 
@@ -599,7 +593,6 @@
         OrderAnswer result;
         result.fate = fate;
         result.clock = clockOf(worker);
-        result.incarnation = worker.report.incarnation;
         return result;
     }
 
@@ -779,6 +772,7 @@
         std::erase_if(worker.ended,
             [&](const FakeWorker::End& ended) { return ended.entry.number <= order.acknowledged; });
         auto result = base(worker, OrderFate::Done);
+        result.incarnation = worker.report.incarnation; // Only lists name it.
         for (const auto& ended : worker.ended)
             result.ended.push_back(ended.entry);
         for (const auto& [task, live] : worker.live)
--- a/packages/fleet/test/takeover-soak.h
+++ b/packages/fleet/test/takeover-soak.h
@@ -1,5 +1,5 @@
 // Random days in virtual time: restarts that no owner sees at once, cut-off workers and takeovers every few
-// seconds, with late orders or with tasks that crash their workers.
+// seconds, with late orders, with tasks that crash their workers or with racks that restart and are cut off.
 #pragma once
 
 #include "jujubereach/base/random.h"
@@ -12,6 +12,7 @@
     bool lateOrders = false;
     bool deadlyTasks = false;
     bool cutOwners = false; ///< A former owner runs on without the store.
+    bool rackRestarts = false; ///< Racks restart within seconds and are cut off soon after.
 };
 
 class TakeoverSoak {
@@ -39,7 +40,7 @@
         const auto end = m_fleet.now() + Duration(45'000);
         while (m_fleet.now() < end || !m_pending.empty()) {
             const auto active = m_fleet.now() < end;
-            if (active && m_random.below(10) == 0)
+            if (active && m_random.below(m_faults.rackRestarts ? 3 : 10) == 0)
                 submitJob();
             const WorkerId id("w" + std::to_string(m_random.below(workers)));
             if (active)
@@ -133,12 +134,39 @@
             m_pending.push_back({ m_fleet.now() + Duration(300) + below(1500),
                 [this, id] { m_fleet.workers.at(id).callDelay = Duration(0); } });
         }
+        if (m_faults.rackRestarts && m_random.below(stepsBetweenRestarts / 6) == 0)
+            restartRack(m_random.below(workers / 4 + 1));
         if (worker.reachable && m_random.below(stepsBetweenRestarts) == 0)
             restart(id);
         if (worker.reachable && m_random.below(stepsBetweenRestarts + stepsBetweenRestarts / 3) == 0)
             cutOff(id);
     }
 
+    // The workers of a rack are down for less time than the owner takes to notice, and are cut off later.
+    void restartRack(std::uint64_t rack)
+    {
+        const auto upAt = m_fleet.now() + Duration(300) + below(900);
+        const auto cutAt = upAt + Duration(200) + below(3800);
+        const auto backAt = cutAt + Duration(1000) + below(9000);
+        for (std::uint64_t i = 4 * rack; i < std::min<std::uint64_t>(4 * rack + 4, workers); ++i) {
+            const WorkerId id("w" + std::to_string(i));
+            auto& worker = m_fleet.workers.at(id);
+            if (!worker.reachable)
+                continue;
+            for (const auto& [task, run] : worker.live)
+                m_crashedUnder.insert(task.job);
+            worker.live.clear();
+            worker.reachable = false;
+            m_pending.push_back({ upAt, [this, id] { m_fleet.restartWorker(id.str()); } });
+            m_pending.push_back({ upAt + Duration(100) + below(1500), [this, id] { m_fleet.report(id); } });
+            m_pending.push_back({ cutAt, [this, id] { m_fleet.workers.at(id).reachable = false; } });
+            m_pending.push_back({ backAt, [this, id] {
+                                     m_fleet.workers.at(id).reachable = true;
+                                     m_fleet.report(id);
+                                 } });
+        }
+    }
+
     // The entry of the new incarnation follows later.
     void restart(const WorkerId& id)
     {
@@ -176,13 +204,15 @@
         }
     }
 
-    // The crash of a cut-off worker has no effect, so a deadly task may complete there.
+    // The crash of a cut-off worker has no effect, so a deadly task may complete there. A job under whose
+    // runs racks have crashed may be given up.
     std::string firstWrongEnd() const
     {
         for (const auto& record : m_fleet.accepted) {
             const auto deadly = m_fleet.deadlyTasks.contains(taskOf(record.id));
             const auto state = m_fleet.savedState(record.id.str());
-            if (deadly ? !isFinal(state) : state != JobState::Completed)
+            const auto mayFail = deadly || m_crashedUnder.contains(record.id);
+            if (mayFail ? !isFinal(state) : state != JobState::Completed)
                 return record.id.str() + " is " + nameOf(state);
         }
         return {};
@@ -193,6 +223,7 @@
     FakeFleet m_fleet;
     std::vector<Change> m_pending;
     TimePoint m_nextTakeover;
+    std::set<JobId> m_crashedUnder; ///< Jobs with a run on a rack that has restarted.
     int m_jobs = 0;
 };
 
--- a/standins/users/users-worker.cpp
+++ b/standins/users/users-worker.cpp
@@ -212,8 +212,7 @@
 
 net::HttpResponse UsersWorker::refuse(const char* reason)
 {
-    return { 409, {},
-        json::serialize(json::object { { "ClockMs", clock() }, { "Reason", reason }, { "born", m_born } }) };
+    return { 409, {}, json::serialize(json::object { { "ClockMs", clock() }, { "Reason", reason } }) };
 }
 
 void UsersWorker::extend(const json::object& order)
@@ -279,7 +278,7 @@
             });
         m_live[task] = std::move(live);
     }
-    return { 200, {}, json::serialize(json::object { { "ClockMs", clock() }, { "born", m_born } }) };
+    return { 200, {}, json::serialize(json::object { { "ClockMs", clock() } }) };
 }
 
 net::HttpResponse UsersWorker::stop(const json::object& order)
@@ -292,7 +291,7 @@
     const auto found = m_live.find(task);
     if (found != m_live.end() && found->second.run <= run)
         end(task, "stopped");
-    return { 200, {}, json::serialize(json::object { { "ClockMs", clock() }, { "born", m_born } }) };
+    return { 200, {}, json::serialize(json::object { { "ClockMs", clock() } }) };
 }
 
 void UsersWorker::end(const std::string& task, const std::string& how)
