Leave runs undecided whose start a later incarnation may have executed

Callers saw one task run twice at the same time, and sound jobs given up for crashes.

Cause: an answer to a start does not name the incarnation that executed it, and a restarted worker takes calls meant for its former incarnation. The owner took an answered start for one of the incarnation that it knew. When the restart showed, the run was written off, its task started elsewhere and a crash counted, while the new incarnation executed it. Class of fault: an answer was attributed to the addressee that the caller had in mind.

Change: a run belongs to an incarnation once a list has shown it, or once the clock in the answer of its start is later than that of any incarnation begun since the last list can be. Until then it is undecided. After a restart undecided runs stay where they are; the first list of the new incarnation that was requested after the answer shows them, or it does not, and only then they are lost and count as a crash. An undecided run is polled for at once. A stop that may have reached an earlier incarnation than its start is repeated. Leases: renewals sent to any other incarnation than the known one bound the lease, also before the first one is sent to it; undecided runs of a silent worker are given up only when a late renewal could no longer extend them.

--- a/packages/fleet/src/owner-crashes.cpp
+++ b/packages/fleet/src/owner-crashes.cpp
@@ -55,16 +55,49 @@
         if (!run.carriedOver)
             suspects.push_back(run);
     }
+    for (auto& run : std::exchange(worker.restart.undecided, {})) {
+        if (newIncarnation == 0 || worker.isUndecided(run))
+            suspects.push_back(std::move(run));
+    }
     const auto present = suspects.size();
     const auto sameGang = isOneGang(suspects);
     // A start that was refused, or has no answer yet, was sent to a worker that had ended already.
     std::erase_if(suspects, [](const ActiveRun& run) { return !run.reported && !run.startUnanswered; });
-    if (worker.report.draining || suspects.empty())
-        return;
     const auto crashedAt = worker.missedPolls > 0 ? worker.silentSince : now();
+    if (worker.report.draining)
+        return;
+    if (newIncarnation != 0) {
+        const auto undecided = std::partition(
+            suspects.begin(), suspects.end(), [&](const ActiveRun& run) { return !worker.isUndecided(run); });
+        worker.restart.undecided.assign(undecided, suspects.end());
+        suspects.erase(undecided, suspects.end());
+        worker.restart.crashedAt = crashedAt;
+        worker.restart.othersEnded = !suspects.empty();
+    }
+    if (!suspects.empty())
+        countCrash(worker, suspects, crashedAt, present == 1 || sameGang);
+}
+
+// The new incarnation does not execute these runs, so that the restart has ended them.
+void Owner::Impl::recordCrashUnderAbsentRuns(Worker& worker, const std::vector<TaskId>& absent)
+{
+    auto& undecided = worker.restart.undecided;
+    std::erase_if(undecided, [&](const ActiveRun& run) { return !worker.isUndecided(run); });
+    const auto ended = std::partition(undecided.begin(), undecided.end(), [&](const ActiveRun& run) {
+        return std::find(absent.begin(), absent.end(), run.task) == absent.end();
+    });
+    const std::vector<ActiveRun> suspects(ended, undecided.end());
+    undecided.erase(ended, undecided.end());
+    const auto alone = !worker.restart.othersEnded && (suspects.size() == 1 || isOneGang(suspects));
+    if (!suspects.empty())
+        countCrash(worker, suspects, worker.restart.crashedAt, alone);
+}
+
+void Owner::Impl::countCrash(
+    Worker& worker, const std::vector<ActiveRun>& suspects, TimePoint crashedAt, bool alone)
+{
     std::erase_if(m_crashSites, [this](const auto& site) { return now() - site.second > crashSiteMemory; });
     m_crashSites[worker.report.address] = now();
-    const auto alone = present == 1 || sameGang;
     count("jujubereach_worker_crashes_total");
     m_hooks.log("worker-crashed",
         { { "worker", worker.id().str() }, { "address", worker.report.address }, { "runs", suspects.size() },
--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -51,6 +51,7 @@
     run.run = running.run;
     run.phase = RunPhase::Running;
     run.adopted = run.reported = true;
+    run.incarnation = worker.incarnation;
     run.confirmed = true;
     run.confirmedAt = sentAt;
     run.runningSince = now();
@@ -135,6 +136,7 @@
         run.callInFlight = false;
     }
     run.reported = true;
+    run.incarnation = worker.incarnation;
     run.carriedOver = false;
     if (step && !seen.checkpoint.empty())
         step->shared(seen.task.index).checkpoint = seen.checkpoint;
@@ -291,7 +293,8 @@
 }
 
 // If the worker may return, it or a later incarnation may still execute unanswered starts. Their tasks are
-// not restarted until a stop is confirmed or `maxOrderDelay` has passed.
+// not restarted until a stop is confirmed or `maxOrderDelay` has passed. Undecided runs go on: the next list
+// shows them, or it does not and they are lost.
 void Owner::Impl::loseRuns(Worker& worker, const char* why, bool mayReturn)
 {
     dropPlans(worker);
@@ -303,6 +306,10 @@
         const auto mayCome = run.startUnanswered || (run.phase == RunPhase::Ordered && run.callInFlight);
         run.carriedOver = true;
         run.reported = false;
+        if (trackStarts && run.isUndecided())
+            continue;
+        run.incarnation = 0;
+        run.startAnsweredAt = {};
         if (!trackStarts || !mayCome)
             gone.push_back(task);
         else if (run.startUnanswered) {
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -97,7 +97,9 @@
     void stopCall(Worker& worker, ActiveRun& run);
     void startAnswered(
         const WorkerId& id, const TaskId& task, Run run, TimePoint sentAt, const OrderAnswer& answer);
-    void stopAnswered(const WorkerId& id, const TaskId& task, Run run, const OrderAnswer& answer);
+    void stopAnswered(
+        const WorkerId& id, const TaskId& task, Run run, TimePoint sentAt, const OrderAnswer& answer);
+    bool isFromKnownIncarnation(const Worker& worker, TimePoint sentAt, const OrderAnswer& answer) const;
     void pollFailed(Worker& worker, bool extended, OrderFate fate);
     void pollAnswered(const WorkerId& id, TimePoint sentAt, bool extended, const OrderAnswer& answer);
     void loseAbsentRuns(Worker& worker, TimePoint sentAt, const OrderAnswer& answer);
@@ -132,6 +134,8 @@
 
     // owner-crashes.cpp: tasks that may crash the workers on which they run.
     void recordCrash(Worker& worker, std::int64_t newIncarnation);
+    void recordCrashUnderAbsentRuns(Worker& worker, const std::vector<TaskId>& absent);
+    void countCrash(Worker& worker, const std::vector<ActiveRun>& suspects, TimePoint crashedAt, bool alone);
     bool isOneGang(const std::vector<ActiveRun>& runs);
     void countCrash(Job& job, Task& task);
     static bool shouldGiveUp(const CrashHistory& history);
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -14,6 +14,7 @@
     constexpr Duration maxAcknowledgeDelay { 1000 };
     // Exceeds `maxAcknowledgeDelay`; too short for a restart followed by the end of a task.
     constexpr Duration sameIncarnationWindow { 1200 };
+    constexpr Duration maxFirstClock { 2000 }; // No incarnation's clock begins above.
     constexpr Duration orderTimeout { 800 }; // About twenty round trips between regions.
     constexpr Duration stopRetryDelay { 200 };
     constexpr Duration entryDelay { 100 }; // Between checks whether the entry of a new incarnation is there.
@@ -69,12 +70,13 @@
         worker.lastDeadline = std::max(worker.lastDeadline, *order.deadline);
         m_renewals[worker.id()].add(worker.incarnation, now());
     }
-    if (worker.fenced && worker.missedPolls == 0 && !worker.runs.empty())
+    const auto undecided = std::any_of(
+        worker.runs.begin(), worker.runs.end(), [](const auto& entry) { return entry.second.isUndecided(); });
+    if (worker.fenced && worker.missedPolls == 0 && !worker.runs.empty() && !undecided)
         order.wait = pollWait;
     worker.pollInFlight = true;
-    const auto sentAt = now();
     m_hooks.workers.hold(worker.report, order, order.wait + pollSlack,
-        [this, self = m_self, id = worker.id(), count = ++worker.pollCount, sentAt, extend](
+        [this, self = m_self, id = worker.id(), count = ++worker.pollCount, sentAt = now(), extend](
             const OrderAnswer& answer) {
             const auto* asked = *self ? findWorker(id) : nullptr;
             if (asked && asked->pollCount == count)
@@ -82,6 +84,17 @@
         });
 }
 
+// Answers of starts do not name the incarnation. Clocks begin anew with each incarnation, so one that has
+// begun since the last list was requested cannot show a later time than this.
+bool Owner::Impl::isFromKnownIncarnation(
+    const Worker& worker, TimePoint sentAt, const OrderAnswer& answer) const
+{
+    if (worker.clock.value == 0 || sentAt < worker.incarnationKnownAt)
+        return false;
+    const auto age = static_cast<double>((now() - worker.clockSentAt).count()) * (1 + clockDrift);
+    return static_cast<double>(answer.clock.value) > age + static_cast<double>(maxFirstClock.count());
+}
+
 bool Owner::Impl::processAnswer(Worker& worker, TimePoint sentAt, const OrderAnswer& answer)
 {
     if (answer.fate == OrderFate::Fenced) {
@@ -104,10 +117,13 @@
         worker.fenced = false;
         worker.nextPoll = now();
     }
-    if (answer.incarnation > worker.incarnation)
+    if (answer.incarnation > worker.incarnation) {
         worker.incarnation = answer.incarnation;
+        worker.incarnationKnownAt = now();
+    }
     if (answer.clock.value > 0 && answer.incarnation >= worker.incarnation && sentAt >= worker.clockAt) {
         worker.clock = answer.clock;
+        worker.clockSentAt = sentAt;
         worker.clockAt = now();
     }
     return true;
@@ -205,6 +221,7 @@
         if (run.confirmed && run.confirmedAt < sentAt && !seen.contains(task))
             absent.push_back(task);
     }
+    recordCrashUnderAbsentRuns(worker, absent);
     for (const auto& task : absent) {
         forgetStart(task, worker);
         loseRun(worker, task, "its worker does not list it");
@@ -263,11 +280,20 @@
     if (found == worker->runs.end() || found->second.run != number)
         return;
     auto& run = found->second;
+    if (answer.fate == OrderFate::Done || answer.fate == OrderFate::Old) {
+        run.startAnsweredAt = now();
+        if (run.incarnation == 0 && isFromKnownIncarnation(*worker, sentAt, answer))
+            run.incarnation = worker->incarnation;
+    }
     if (run.phase == RunPhase::Stopping) {
         if (answer.fate != OrderFate::Unknown && run.startAttempts == 1) {
             run.startUnanswered = false; // Set by `stop` while the start was in flight.
             worker->unansweredStarts.erase(task);
         }
+        if (run.isUndecided()) { // The stop may have reached an earlier incarnation than the start.
+            run.confirmed = false;
+            run.nextCall = now();
+        }
         return;
     }
     run.callInFlight = false;
@@ -286,7 +312,7 @@
     case OrderFate::Done:
     case OrderFate::Old: // Already ended or stopped: the next poll shows which.
         markStarted(run);
-        if (!worker->pollInFlight)
+        if (!worker->pollInFlight || run.isUndecided())
             poll(*worker);
         return;
     case OrderFate::Unknown:
@@ -367,14 +393,15 @@
 {
     run.callInFlight = true;
     m_hooks.workers.stop(worker.report, { run.task, run.run, m_fence }, orderTimeout,
-        [this, self = m_self, id = worker.id(), task = run.task, number = run.run](
+        [this, self = m_self, id = worker.id(), task = run.task, number = run.run, sentAt = now()](
             const OrderAnswer& answer) {
             if (*self)
-                stopAnswered(id, task, number, answer);
+                stopAnswered(id, task, number, sentAt, answer);
         });
 }
 
-void Owner::Impl::stopAnswered(const WorkerId& id, const TaskId& task, Run number, const OrderAnswer& answer)
+void Owner::Impl::stopAnswered(
+    const WorkerId& id, const TaskId& task, Run number, TimePoint sentAt, const OrderAnswer& answer)
 {
     auto* worker = findWorker(id);
     if (!worker || m_superseded || !processAnswer(*worker, now(), answer))
@@ -384,6 +411,8 @@
         return;
     auto& run = found->second;
     run.callInFlight = false;
+    if (answer.fate == OrderFate::Done && sentAt < run.startAnsweredAt && run.isUndecided())
+        return; // Its start may have reached a later incarnation; the stop is repeated.
     if (answer.fate == OrderFate::Done) {
         run.confirmed = true;
         run.confirmedAt = now() + m_settings.stopTimeout + m_settings.stopTimeout / 4;
--- a/packages/fleet/src/owner-starts.cpp
+++ b/packages/fleet/src/owner-starts.cpp
@@ -84,9 +84,13 @@
 {
     if (newIncarnation == 0)
         worker.unansweredStarts.clear(); // The worker that answers at its address refuses them.
-    for (const auto& run : worker.expiredRuns)
-        forgetStart(run.task, worker);
+    for (const auto& run : worker.expiredRuns) {
+        if (newIncarnation == 0 || !worker.isUndecided(run))
+            forgetStart(run.task, worker);
+    }
     for (const auto& [id, run] : worker.runs) {
+        if (newIncarnation != 0 && run.isUndecided())
+            continue;
         const auto mayCome = run.startUnanswered || (run.phase == RunPhase::Ordered && run.callInFlight);
         auto* task = findTask(id);
         if (!mayCome || newIncarnation == 0)
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -165,6 +165,7 @@
     if (restarted) {
         loseRuns(worker, "its worker has restarted");
         worker.incarnation = report.incarnation;
+        worker.incarnationKnownAt = now();
         worker.fenced = false;
     }
     if (report.draining && (report.leavesIn.count() > 0 || !wasDraining))
@@ -298,7 +299,7 @@
         return;
     std::vector<TaskId> expired;
     for (const auto& [task, run] : worker.runs) {
-        if (run.startUnanswered)
+        if (run.startUnanswered || run.isUndecided())
             expired.push_back(task);
     }
     for (const auto& task : expired) {
@@ -319,9 +320,11 @@
 {
     const auto own = worker.lapseTime();
     const auto found = m_renewals.find(worker.id());
-    if (found == m_renewals.end() || found->second.earlierSentAt == TimePoint {})
+    const auto earlier
+        = found == m_renewals.end() ? TimePoint {} : found->second.lastToOthers(worker.incarnation);
+    if (earlier == TimePoint {})
         return own;
-    return std::max(own, found->second.earlierSentAt + maxOrderDelay + longestHold() + lapseMargin);
+    return std::max(own, earlier + maxOrderDelay + longestHold() + lapseMargin);
 }
 
 void Owner::Impl::addDueOccurrences()
--- a/packages/fleet/src/worker.cpp
+++ b/packages/fleet/src/worker.cpp
@@ -50,6 +50,12 @@
         silentSince = now;
 }
 
+bool Worker::isUndecided(const ActiveRun& run) const
+{
+    const auto found = runs.find(run.task);
+    return found != runs.end() && found->second.run == run.run && found->second.isUndecided();
+}
+
 bool Worker::isIsolated(TimePoint now) const
 {
     return isolatedRuns > 0 && std::any_of(runs.begin(), runs.end(), [now](const auto& entry) {
--- a/packages/fleet/src/worker.h
+++ b/packages/fleet/src/worker.h
@@ -25,6 +25,8 @@
     bool orphaned = false; ///< Not the current run of any task; only to be stopped.
     bool adopted = false; ///< Found on the worker: its start time is not known.
     bool reported = false; ///< This incarnation has confirmed its start or listed it.
+    /// Known to execute it, from a list or from the clock in the answer of the start; 0 if none is.
+    std::int64_t incarnation = 0;
     bool carriedOver = false; ///< Ordered from an earlier incarnation; not reported by this one.
     bool isolated = false; ///< Nothing else starts on the worker before `probationEnds`.
     TimePoint probationEnds; ///< A run that lasts longer clears its task of crashes; unset if there are none.
@@ -35,6 +37,7 @@
     bool answerUnsaved = false; ///< The start was stored before it was answered.
     TimePoint orderedAt;
     TimePoint startSentAt; ///< When the last attempt was sent.
+    TimePoint startAnsweredAt; ///< When an attempt was answered with success; unset before.
     TimePoint runningSince;
     TimePoint confirmedAt; ///< If a poll sent after this time does not list the run, it has ended.
     bool confirmed = false;
@@ -45,6 +48,16 @@
     TimePoint progressAt; ///< When `percent` last changed.
     int basePercent = -1; ///< Progress at `baseAt`, from which its speed is measured; negative if unknown.
     TimePoint baseAt;
+
+    /// Whether it is executed by the known incarnation of the worker or by a later one.
+    bool isUndecided() const { return startAnsweredAt != TimePoint {} && incarnation == 0; }
+};
+
+/// A restart, of which the first list of the new incarnation tells which runs it has ended.
+struct RestartInDoubt {
+    TimePoint crashedAt;
+    bool othersEnded = false; ///< Runs that the former incarnation is known to have executed.
+    std::vector<ActiveRun> undecided;
 };
 
 /// An end that the worker reports until it is acknowledged.
@@ -79,6 +92,11 @@
     TimePoint earlierSentAt; ///< When the last to an earlier incarnation was sent.
 
     void add(std::int64_t to, TimePoint at);
+    /// When the last to an incarnation other than the given one was sent; unset if there was none.
+    TimePoint lastToOthers(std::int64_t current) const
+    {
+        return incarnation == current ? earlierSentAt : sentAt;
+    }
 };
 
 struct Worker {
@@ -86,6 +104,7 @@
     bool listed = false; ///< Has an entry in the store.
     bool fenced = false; ///< This incarnation has accepted the owner's fence and its runs are known.
     std::int64_t incarnation = 0; ///< Latest incarnation that answered; 0 before the first answer.
+    TimePoint incarnationKnownAt; ///< When a list or an entry first showed `incarnation`.
     std::int64_t firstIncarnation = 0; ///< The first that accepted the owner's fence.
     std::map<TaskId, ActiveRun> runs;
     Resources used; ///< By `runs`.
@@ -94,7 +113,8 @@
     int bestEffortRuns = 0;
     int isolatedRuns = 0;
 
-    WorkerTime clock; ///< Worker's clock, read at `clockAt` or earlier.
+    WorkerTime clock; ///< Clock of `incarnation`, read between `clockSentAt` and `clockAt`; 0 if unknown.
+    TimePoint clockSentAt;
     TimePoint clockAt;
     WorkerTime lastDeadline; ///< Latest deadline in any order; no run outlasts it.
 
@@ -114,6 +134,7 @@
     /// Runs whose lease has expired while the worker was silent; it may have crashed under them.
     std::vector<ActiveRun> expiredRuns;
     TimePoint lapsedAt; ///< When they expired.
+    RestartInDoubt restart;
 
     const WorkerId& id() const { return report.id; }
     /// Whether `report` describes the incarnation that answers, not one that has ended.
@@ -121,6 +142,7 @@
     bool isDraining() const { return report.draining && isReportCurrent(); }
     WorkerTime clockNow(TimePoint now) const;
     void recordMissedPoll(TimePoint now);
+    bool isUndecided(const ActiveRun& run) const; ///< Whether this run is among `runs`, and undecided.
     bool isIsolated(TimePoint now) const; ///< Whether a run on probation must not share the worker.
     /// Time by which the lease has certainly expired, given the bound on the drift of the worker's clock.
     /// if no renewal sent to an earlier incarnation is executed late.
