Acknowledge ends only where no later incarnation can have ended a run

Cause: an acknowledgement meant for the former incarnation is carried out by the new one, whose ends are numbered from 1 again, so it drops ends that no list has shown.

Change: an acknowledgement goes out once, is repeated only without an answer, and only within 300 ms of a list and while each run on the worker is known to be executed by the incarnation that answered. A poll that has to withhold it does not wait for an end.

What remains: an acknowledgement without an answer that is carried out seconds later, by a later incarnation that is cut off then.

--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -320,7 +320,7 @@
     for (const auto& task : gone)
         loseRun(worker, task, why);
     worker.ends.clear();
-    worker.acknowledged = 0;
+    worker.acknowledged = worker.acknowledgementAnswered = 0;
     worker.lastDeadline = {};
     worker.clock = {};
     worker.pollInFlight = false; // A poll in flight addresses the previous incarnation.
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -34,6 +34,13 @@
     TimePoint expires; ///< After this no order of the start is executed.
 };
 
+/// A poll in flight.
+struct SentPoll {
+    TimePoint at;
+    bool extends = false; ///< Renews the lease.
+    std::uint64_t acknowledged = 0;
+};
+
 /// An update from the store that is not applied yet.
 struct HeldUpdate {
     TimePoint receivedAt;
@@ -100,8 +107,9 @@
     void stopAnswered(
         const WorkerId& id, const TaskId& task, Run run, TimePoint sentAt, const OrderAnswer& answer);
     bool isFromKnownIncarnation(const Worker& worker, TimePoint sentAt, const OrderAnswer& answer) const;
+    bool mayAcknowledge(const Worker& worker) const;
     void pollFailed(Worker& worker, bool extended, OrderFate fate);
-    void pollAnswered(const WorkerId& id, TimePoint sentAt, bool extended, const OrderAnswer& answer);
+    void pollAnswered(const WorkerId& id, const SentPoll& poll, const OrderAnswer& answer);
     void loseAbsentRuns(Worker& worker, TimePoint sentAt, const OrderAnswer& answer);
     bool markFenced(Worker& worker, const OrderAnswer& answer);
     bool processAnswer(Worker& worker, TimePoint sentAt, const OrderAnswer& answer);
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -12,8 +12,8 @@
     constexpr Duration silentPollInterval { 400 }; // Between polls of a worker that does not answer.
     // The next poll is sent after this time even if ends are not saved yet.
     constexpr Duration maxAcknowledgeDelay { 1000 };
-    // Exceeds `maxAcknowledgeDelay`; too short for a restart followed by the end of a task.
-    constexpr Duration sameIncarnationWindow { 1200 };
+    constexpr Duration sameIncarnationWindow { 300 }; // Too short for a restart and the end of a task.
+    constexpr Duration acknowledgeRetryDelay { 50 };
     constexpr Duration maxFirstClock { 2000 }; // No incarnation's clock begins above.
     constexpr Duration orderTimeout { 800 }; // About twenty round trips between regions.
     constexpr Duration stopRetryDelay { 200 };
@@ -58,9 +58,8 @@
 {
     HoldOrder order;
     order.fence = m_fence;
-    // A later incarnation numbers its ends from the start again, so an acknowledgement meant for this one
-    // would make it drop unseen ends. Acknowledge only if a restart is ruled out.
-    if (worker.missedPolls == 0 && now() - worker.answeredAt <= sameIncarnationWindow)
+    const auto acknowledges = worker.acknowledged > worker.acknowledgementAnswered;
+    if (acknowledges && mayAcknowledge(worker))
         order.acknowledged = worker.acknowledged;
     // The lease of a silent worker is not renewed, so that its runs end within a known time.
     const auto extend = worker.fenced && worker.missedPolls == 0 && !worker.runs.empty() && mayOrder();
@@ -70,20 +69,31 @@
         worker.lastDeadline = std::max(worker.lastDeadline, *order.deadline);
         m_renewals[worker.id()].add(worker.incarnation, now());
     }
+    const auto withheld = acknowledges && order.acknowledged == 0;
     const auto undecided = std::any_of(
         worker.runs.begin(), worker.runs.end(), [](const auto& entry) { return entry.second.isUndecided(); });
-    if (worker.fenced && worker.missedPolls == 0 && !worker.runs.empty() && !undecided)
+    if (worker.fenced && worker.missedPolls == 0 && !worker.runs.empty() && !withheld && !undecided)
         order.wait = pollWait;
     worker.pollInFlight = true;
     m_hooks.workers.hold(worker.report, order, order.wait + pollSlack,
-        [this, self = m_self, id = worker.id(), count = ++worker.pollCount, sentAt = now(), extend](
-            const OrderAnswer& answer) {
+        [this, self = m_self, id = worker.id(), count = ++worker.pollCount,
+            poll = SentPoll { now(), extend, order.acknowledged }](const OrderAnswer& answer) {
             const auto* asked = *self ? findWorker(id) : nullptr;
             if (asked && asked->pollCount == count)
-                pollAnswered(id, sentAt, extend, answer);
+                pollAnswered(id, poll, answer);
         });
 }
 
+// A later incarnation numbers its ends from the start again, so an acknowledgement meant for this one would
+// make it drop ends that no list has shown. So soon after a list it can only have ended a run whose
+// incarnation is not known.
+bool Owner::Impl::mayAcknowledge(const Worker& worker) const
+{
+    return worker.missedPolls == 0 && now() - worker.answeredAt <= sameIncarnationWindow
+        && std::all_of(worker.runs.begin(), worker.runs.end(),
+            [&](const auto& entry) { return entry.second.incarnation == worker.incarnation; });
+}
+
 // Answers of starts do not name the incarnation. Clocks begin anew with each incarnation, so one that has
 // begun since the last list was requested cannot show a later time than this.
 bool Owner::Impl::isFromKnownIncarnation(
@@ -167,7 +177,7 @@
                 { "clock", answer.clock.value }, { "running", answer.running.size() },
                 { "ended", answer.ended.size() },
                 { "firstEnd", answer.ended.empty() ? 0 : answer.ended.front().number } });
-    worker.acknowledged = 0;
+    worker.acknowledged = worker.acknowledgementAnswered = 0;
     worker.ends.clear();
     markResolved(worker.id());
     m_rosterDue = m_rosterDue || rosterDiffers(worker);
@@ -175,16 +185,17 @@
     return true;
 }
 
-void Owner::Impl::pollAnswered(const WorkerId& id, TimePoint sentAt, bool extended, const OrderAnswer& answer)
+void Owner::Impl::pollAnswered(const WorkerId& id, const SentPoll& poll, const OrderAnswer& answer)
 {
     auto* worker = findWorker(id);
     if (!worker || m_superseded)
         return;
     worker->pollInFlight = false;
-    if (!processAnswer(*worker, sentAt, answer))
+    const auto incarnation = worker->incarnation;
+    if (!processAnswer(*worker, poll.at, answer))
         return;
     if (answer.fate != OrderFate::Done)
-        return pollFailed(*worker, extended, answer.fate);
+        return pollFailed(*worker, poll.extends, answer.fate);
     worker->answeredAt = now();
     if (worker->missedPolls > 0) {
         m_hooks.log("worker-answers", { { "worker", id.str() }, { "misses", worker->missedPolls } });
@@ -195,17 +206,21 @@
     }
     if (!worker->fenced && !markFenced(*worker, answer))
         return;
+    if (worker->incarnation == incarnation)
+        worker->acknowledgementAnswered = std::max(worker->acknowledgementAnswered, poll.acknowledged);
     for (const auto& end : answer.ended)
         recordEnd(*worker, end);
     for (const auto& running : answer.running)
-        adopt(*worker, running, sentAt);
+        adopt(*worker, running, poll.at);
     if (answer.listsComplete && answer.ended.size() < maxListedEnds)
-        loseAbsentRuns(*worker, sentAt, answer);
+        loseAbsentRuns(*worker, poll.at, answer);
     acknowledgeSavedEnds(*worker);
     if (!worker->ends.empty())
         worker->nextPoll = now() + maxAcknowledgeDelay;
+    else if (worker->acknowledged > worker->acknowledgementAnswered && !mayAcknowledge(*worker))
+        worker->nextPoll = now() + acknowledgeRetryDelay;
     if (worker->runs.empty() && worker->ends.empty() && answer.ended.empty()) {
-        worker->acknowledged = 0; // Nothing left to acknowledge.
+        worker->acknowledged = worker->acknowledgementAnswered = 0; // Nothing left to acknowledge.
         worker->nextPoll = now() + silentPollInterval;
     }
     sendDueCalls(*worker);
--- a/packages/fleet/src/worker.h
+++ b/packages/fleet/src/worker.h
@@ -126,6 +126,7 @@
     bool lapsed = false; ///< The lease has expired since the last answer.
     TimePoint nextPoll;
     std::uint64_t acknowledged = 0;
+    std::uint64_t acknowledgementAnswered = 0; ///< The worker has dropped ends up to this number.
     std::map<std::uint64_t, UnacknowledgedEnd> ends;
     /// Starts that a later incarnation may still execute, even if this one has ended or stopped them.
     std::map<TaskId, UnansweredStart> unansweredStarts;
