Decide by lists alone which incarnation executes a run

Cause: took the clock in the answer of a start as evidence, on the assumption that clocks begin near 0 with each incarnation.

Change: only lists decide. A run is undecided from the answer of its start until a list shows it; the list is requested at once, in place of a poll that waits for an end.

--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -106,7 +106,8 @@
         const WorkerId& id, const TaskId& task, Run run, TimePoint sentAt, const OrderAnswer& answer);
     void stopAnswered(
         const WorkerId& id, const TaskId& task, Run run, TimePoint sentAt, const OrderAnswer& answer);
-    bool isFromKnownIncarnation(const Worker& worker, TimePoint sentAt, const OrderAnswer& answer) const;
+    static bool awaitsList(const Worker& worker); ///< Whether a list decides what to do next.
+    void requestList(Worker& worker);
     bool mayAcknowledge(const Worker& worker) const;
     void pollFailed(Worker& worker, bool extended, OrderFate fate);
     void pollAnswered(const WorkerId& id, const SentPoll& poll, const OrderAnswer& answer);
@@ -163,6 +164,8 @@
     Task* findTask(const TaskId& id);
     void markAnswered(ActiveRun& run);
     void confirmStart(ActiveRun& run);
+    /// Stores which incarnation executes the run; 0 if that is not known, or if the worker leaves.
+    void setIncarnation(const ActiveRun& run, const Worker& worker, std::int64_t incarnation);
     void markLeaving(const Worker& worker);
     void forgetStart(const TaskId& id, const Worker& worker);
     void forgetStartsBeforeRestart(Worker& worker, std::int64_t newIncarnation);
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -13,8 +13,7 @@
     // The next poll is sent after this time even if ends are not saved yet.
     constexpr Duration maxAcknowledgeDelay { 1000 };
     constexpr Duration sameIncarnationWindow { 300 }; // Too short for a restart and the end of a task.
-    constexpr Duration acknowledgeRetryDelay { 50 };
-    constexpr Duration maxFirstClock { 2000 }; // No incarnation's clock begins above.
+    constexpr Duration listRetryDelay { 50 };
     constexpr Duration orderTimeout { 800 }; // About twenty round trips between regions.
     constexpr Duration stopRetryDelay { 200 };
     constexpr Duration entryDelay { 100 }; // Between checks whether the entry of a new incarnation is there.
@@ -59,8 +58,13 @@
     HoldOrder order;
     order.fence = m_fence;
     const auto acknowledges = worker.acknowledged > worker.acknowledgementAnswered;
-    if (acknowledges && mayAcknowledge(worker))
+    const auto withheld = acknowledges && !mayAcknowledge(worker);
+    if (acknowledges && !withheld)
         order.acknowledged = worker.acknowledged;
+    if (!withheld)
+        worker.withheldSince = {};
+    else if (worker.withheldSince == TimePoint {})
+        worker.withheldSince = now();
     // The lease of a silent worker is not renewed, so that its runs end within a known time.
     const auto extend = worker.fenced && worker.missedPolls == 0 && !worker.runs.empty() && mayOrder();
     if (extend) {
@@ -69,12 +73,10 @@
         worker.lastDeadline = std::max(worker.lastDeadline, *order.deadline);
         m_renewals[worker.id()].add(worker.incarnation, now());
     }
-    const auto withheld = acknowledges && order.acknowledged == 0;
-    const auto undecided = std::any_of(
-        worker.runs.begin(), worker.runs.end(), [](const auto& entry) { return entry.second.isUndecided(); });
-    if (worker.fenced && worker.missedPolls == 0 && !worker.runs.empty() && !withheld && !undecided)
+    if (worker.fenced && worker.missedPolls == 0 && !worker.runs.empty() && !withheld && !awaitsList(worker))
         order.wait = pollWait;
     worker.pollInFlight = true;
+    worker.pollWaits = order.wait.count() > 0;
     m_hooks.workers.hold(worker.report, order, order.wait + pollSlack,
         [this, self = m_self, id = worker.id(), count = ++worker.pollCount,
             poll = SentPoll { now(), extend, order.acknowledged }](const OrderAnswer& answer) {
@@ -84,25 +86,34 @@
         });
 }
 
+// A poll that waits for an end is replaced: its answer may come much later.
+void Owner::Impl::requestList(Worker& worker)
+{
+    if (!worker.pollInFlight || worker.pollWaits)
+        poll(worker);
+}
+
 // A later incarnation numbers its ends from the start again, so an acknowledgement meant for this one would
 // make it drop ends that no list has shown. So soon after a list it can only have ended a run whose
-// incarnation is not known.
+// incarnation is not known. A worker that always has such a run would never get an acknowledgement.
 bool Owner::Impl::mayAcknowledge(const Worker& worker) const
 {
-    return worker.missedPolls == 0 && now() - worker.answeredAt <= sameIncarnationWindow
-        && std::all_of(worker.runs.begin(), worker.runs.end(),
-            [&](const auto& entry) { return entry.second.incarnation == worker.incarnation; });
+    if (worker.missedPolls > 0 || now() - worker.answeredAt > sameIncarnationWindow)
+        return false;
+    const auto overdue
+        = worker.withheldSince != TimePoint {} && now() - worker.withheldSince > maxAcknowledgeDelay;
+    return overdue || std::all_of(worker.runs.begin(), worker.runs.end(), [&](const auto& entry) {
+        return entry.second.incarnation == worker.incarnation;
+    });
 }
 
-// Answers of starts do not name the incarnation. Clocks begin anew with each incarnation, so one that has
-// begun since the last list was requested cannot show a later time than this.
-bool Owner::Impl::isFromKnownIncarnation(
-    const Worker& worker, TimePoint sentAt, const OrderAnswer& answer) const
+// Answers of starts and stops do not name the incarnation, nor do their clocks: they begin at any time.
+bool Owner::Impl::awaitsList(const Worker& worker)
 {
-    if (worker.clock.value == 0 || sentAt < worker.incarnationKnownAt)
-        return false;
-    const auto age = static_cast<double>((now() - worker.clockSentAt).count()) * (1 + clockDrift);
-    return static_cast<double>(answer.clock.value) > age + static_cast<double>(maxFirstClock.count());
+    return std::any_of(worker.runs.begin(), worker.runs.end(), [&](const auto& entry) {
+        const auto& run = entry.second;
+        return run.phase == RunPhase::Running && run.isUndecided();
+    });
 }
 
 bool Owner::Impl::processAnswer(Worker& worker, TimePoint sentAt, const OrderAnswer& answer)
@@ -129,11 +140,9 @@
     }
     if (answer.incarnation > worker.incarnation) {
         worker.incarnation = answer.incarnation;
-        worker.incarnationKnownAt = now();
     }
     if (answer.clock.value > 0 && answer.incarnation >= worker.incarnation && sentAt >= worker.clockAt) {
         worker.clock = answer.clock;
-        worker.clockSentAt = sentAt;
         worker.clockAt = now();
     }
     return true;
@@ -197,6 +206,7 @@
     if (answer.fate != OrderFate::Done)
         return pollFailed(*worker, poll.extends, answer.fate);
     worker->answeredAt = now();
+    worker->listRequestedAt = poll.at;
     if (worker->missedPolls > 0) {
         m_hooks.log("worker-answers", { { "worker", id.str() }, { "misses", worker->missedPolls } });
         worker->missedPolls = 0;
@@ -218,7 +228,9 @@
     if (!worker->ends.empty())
         worker->nextPoll = now() + maxAcknowledgeDelay;
     else if (worker->acknowledged > worker->acknowledgementAnswered && !mayAcknowledge(*worker))
-        worker->nextPoll = now() + acknowledgeRetryDelay;
+        worker->nextPoll = now() + listRetryDelay;
+    if (awaitsList(*worker))
+        worker->nextPoll = now() + (answer.listsComplete ? listRetryDelay : silentPollInterval);
     if (worker->runs.empty() && worker->ends.empty() && answer.ended.empty()) {
         worker->acknowledged = worker->acknowledgementAnswered = 0; // Nothing left to acknowledge.
         worker->nextPoll = now() + silentPollInterval;
@@ -297,8 +309,6 @@
     auto& run = found->second;
     if (answer.fate == OrderFate::Done || answer.fate == OrderFate::Old) {
         run.startAnsweredAt = now();
-        if (run.incarnation == 0 && isFromKnownIncarnation(*worker, sentAt, answer))
-            run.incarnation = worker->incarnation;
     }
     if (run.phase == RunPhase::Stopping) {
         if (answer.fate != OrderFate::Unknown && run.startAttempts == 1) {
@@ -327,9 +337,7 @@
     case OrderFate::Done:
     case OrderFate::Old: // Already ended or stopped: the next poll shows which.
         markStarted(run);
-        if (!worker->pollInFlight || run.isUndecided())
-            poll(*worker);
-        return;
+        return requestList(*worker);
     case OrderFate::Unknown:
         run.startUnanswered = true;
         worker->unansweredStarts[task] = { number, run.startSentAt };
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -165,7 +165,6 @@
     if (restarted) {
         loseRuns(worker, "its worker has restarted");
         worker.incarnation = report.incarnation;
-        worker.incarnationKnownAt = now();
         worker.fenced = false;
     }
     if (report.draining && (report.leavesIn.count() > 0 || !wasDraining))
--- a/packages/fleet/src/worker.h
+++ b/packages/fleet/src/worker.h
@@ -25,7 +25,7 @@
     bool orphaned = false; ///< Not the current run of any task; only to be stopped.
     bool adopted = false; ///< Found on the worker: its start time is not known.
     bool reported = false; ///< This incarnation has confirmed its start or listed it.
-    /// Known to execute it, from a list or from the clock in the answer of the start; 0 if none is.
+    /// The latest whose list has shown the run; 0 if none has.
     std::int64_t incarnation = 0;
     bool carriedOver = false; ///< Ordered from an earlier incarnation; not reported by this one.
     bool isolated = false; ///< Nothing else starts on the worker before `probationEnds`.
@@ -56,7 +56,7 @@
 /// A restart, of which the first list of the new incarnation tells which runs it has ended.
 struct RestartInDoubt {
     TimePoint crashedAt;
-    bool othersEnded = false; ///< Runs that the former incarnation is known to have executed.
+    bool othersEnded = false; ///< It has ended runs that are not undecided.
     std::vector<ActiveRun> undecided;
 };
 
@@ -104,7 +104,6 @@
     bool listed = false; ///< Has an entry in the store.
     bool fenced = false; ///< This incarnation has accepted the owner's fence and its runs are known.
     std::int64_t incarnation = 0; ///< Latest incarnation that answered; 0 before the first answer.
-    TimePoint incarnationKnownAt; ///< When a list or an entry first showed `incarnation`.
     std::int64_t firstIncarnation = 0; ///< The first that accepted the owner's fence.
     std::map<TaskId, ActiveRun> runs;
     Resources used; ///< By `runs`.
@@ -113,20 +112,22 @@
     int bestEffortRuns = 0;
     int isolatedRuns = 0;
 
-    WorkerTime clock; ///< Clock of `incarnation`, read between `clockSentAt` and `clockAt`; 0 if unknown.
-    TimePoint clockSentAt;
+    WorkerTime clock; ///< Worker's clock, read at `clockAt` or earlier.
     TimePoint clockAt;
     WorkerTime lastDeadline; ///< Latest deadline in any order; no run outlasts it.
 
     bool pollInFlight = false;
+    bool pollWaits = false; ///< The poll in flight waits for an end.
     std::uint64_t pollCount = 0; ///< Identifies the last poll; answers to earlier ones are ignored.
     int missedPolls = 0; ///< Polls without an answer since the last answered one.
     TimePoint silentSince; ///< While polls are missed: when the first one failed.
     TimePoint answeredAt; ///< When the last poll was answered.
+    TimePoint listRequestedAt; ///< When that poll was sent.
     bool lapsed = false; ///< The lease has expired since the last answer.
     TimePoint nextPoll;
     std::uint64_t acknowledged = 0;
     std::uint64_t acknowledgementAnswered = 0; ///< The worker has dropped ends up to this number.
+    TimePoint withheldSince; ///< While an acknowledgement is withheld: since when.
     std::map<std::uint64_t, UnacknowledgedEnd> ends;
     /// Starts that a later incarnation may still execute, even if this one has ended or stopped them.
     std::map<TaskId, UnansweredStart> unansweredStarts;
