Store which incarnation executes a run, and keep what a successor must await

Found by the reviewer, each with a test in misdirected-orders-test that failed on: - A successor counted crashes under runs that were alive: the stored incarnation of a start was the one that the owner had in mind. It is corrected when a list shows the run, and unknown while the run is undecided, which is no evidence of a crash. - A start that was moved to the next incarnation kept 'reported' of the former one, and its crash counted as confirmed twice. - A successor that adopted a run forgot that another attempt of its start had no answer. - A late start counted as over once its time had passed at a worker that answers; the list must have been requested after that time, since an earlier poll may have reached an earlier incarnation. - After a second restart before a list a run counted as alone on its worker.

--- a/packages/fleet/src/owner-crashes.cpp
+++ b/packages/fleet/src/owner-crashes.cpp
@@ -55,6 +55,7 @@
         if (!run.carriedOver)
             suspects.push_back(run);
     }
+    const auto pending = !worker.restart.undecided.empty();
     for (auto& run : std::exchange(worker.restart.undecided, {})) {
         if (newIncarnation == 0 || worker.isUndecided(run))
             suspects.push_back(std::move(run));
@@ -72,7 +73,7 @@
         worker.restart.undecided.assign(undecided, suspects.end());
         suspects.erase(undecided, suspects.end());
         worker.restart.crashedAt = crashedAt;
-        worker.restart.othersEnded = !suspects.empty();
+        worker.restart.othersEnded = (pending && worker.restart.othersEnded) || !suspects.empty();
     }
     if (!suspects.empty())
         countCrash(worker, suspects, crashedAt, present == 1 || sameGang);
--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -79,9 +79,14 @@
         return stop(worker, running.task, "nobody waits for it");
     task->worker = worker.id();
     task->startUnresolved = false;
-    const auto answered = task->start && task->start->worker == worker.id() && task->start->answered;
-    const TaskStart start { worker.id(), worker.isDraining() ? 0 : worker.incarnation, answered, true };
     auto& lastRun = step->shared(running.task.index).lastRun;
+    const auto stored = task->start && task->start->worker == worker.id();
+    const auto answered = stored && task->start->answered;
+    if (stored && !answered && lastRun == running.run && now() < lastEarlierOrder() + maxOrderDelay) {
+        worker.runs.at(running.task).startUnanswered = true; // An earlier attempt may still be executed.
+        worker.unansweredStarts[running.task] = { running.run, lastEarlierOrder() };
+    }
+    const TaskStart start { worker.id(), worker.isDraining() ? 0 : worker.incarnation, answered, true };
     if (task->start != start || lastRun != running.run)
         markChanged(*job); // A start that the previous owner has not stored.
     task->start = start;
@@ -136,7 +141,8 @@
         run.callInFlight = false;
     }
     run.reported = true;
-    run.incarnation = worker.incarnation;
+    if (std::exchange(run.incarnation, worker.incarnation) != worker.incarnation && !worker.isDraining())
+        setIncarnation(run, worker, worker.incarnation);
     run.carriedOver = false;
     if (step && !seen.checkpoint.empty())
         step->shared(seen.task.index).checkpoint = seen.checkpoint;
--- a/packages/fleet/src/owner-starts.cpp
+++ b/packages/fleet/src/owner-starts.cpp
@@ -50,16 +50,21 @@
     markChanged(*findJob(run.task.job));
 }
 
+void Owner::Impl::setIncarnation(const ActiveRun& run, const Worker& worker, std::int64_t incarnation)
+{
+    auto* task = findTask(run.task);
+    if (!task || !task->start || task->start->worker != worker.id() || run.orphaned
+        || task->start->incarnation == incarnation)
+        return;
+    task->start->incarnation = incarnation;
+    markChanged(*findJob(run.task.job));
+}
+
 // The runs that are left when the worker leaves end with it, so that its restart is no crash under them.
 void Owner::Impl::markLeaving(const Worker& worker)
 {
-    for (const auto& [id, run] : worker.runs) {
-        auto* task = findTask(id);
-        if (!task || !task->start || task->start->worker != worker.id() || run.orphaned)
-            continue;
-        task->start->incarnation = 0;
-        markChanged(*findJob(id.job));
-    }
+    for (const auto& [id, run] : worker.runs)
+        setIncarnation(run, worker, 0);
 }
 
 // The run that was started on the worker has ended or was refused. An attempt without an answer stays
@@ -89,14 +94,16 @@
             forgetStart(run.task, worker);
     }
     for (const auto& [id, run] : worker.runs) {
-        if (newIncarnation != 0 && run.isUndecided())
+        if (newIncarnation != 0 && run.isUndecided()) {
+            setIncarnation(run, worker, 0); // A successor cannot tell whether the restart has ended it.
             continue;
+        }
         const auto mayCome = run.startUnanswered || (run.phase == RunPhase::Ordered && run.callInFlight);
         auto* task = findTask(id);
         if (!mayCome || newIncarnation == 0)
             forgetStart(id, worker);
         else if (task && task->start && task->start->worker == worker.id())
-            task->start->incarnation = newIncarnation;
+            task->start = { worker.id(), newIncarnation, false, false };
     }
 }
 
@@ -177,7 +184,8 @@
 bool Owner::Impl::isOver(const LateStart& late)
 {
     const auto* worker = findWorker(late.worker);
-    const auto answers = worker && worker->fenced && worker->missedPolls == 0;
+    const auto answers = worker && worker->fenced && worker->missedPolls == 0
+        && worker->listRequestedAt > late.expires; // An earlier list may be of an earlier incarnation.
     return now() > late.expires + (answers ? Duration(0) : longestHold() + lapseMargin);
 }
 
