--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -75,29 +75,34 @@
     m_hooks.log("adopt",
         { { "task", toString(running.task) }, { "run", running.run.value }, { "worker", worker.id().str() },
             { "wanted", wanted }, { "percent", running.percent } });
-    if (!wanted)
-        return stop(worker, running.task, "nobody waits for it");
-    task->worker = worker.id();
-    task->startUnresolved = false;
-    auto& lastRun = step->shared(running.task.index).lastRun;
-    const auto stored = task->start && task->start->worker == worker.id();
-    const auto answered = stored && task->start->answered;
+    wanted ? assign(worker, *job, *step, running) : stop(worker, running.task, "nobody waits for it");
+}
+
+// Makes an adopted run the current run of its task.
+void Owner::Impl::assign(Worker& worker, Job& job, Step& step, const RunningTask& running)
+{
+    auto& task = step.tasks[static_cast<std::size_t>(running.task.index)];
+    task.worker = worker.id();
+    task.startUnresolved = false;
+    auto& lastRun = step.shared(running.task.index).lastRun;
+    const auto stored = task.start && task.start->worker == worker.id();
+    const auto answered = stored && task.start->answered;
     if (stored && !answered && lastRun == running.run && now() < lastEarlierOrder() + maxOrderDelay) {
         worker.runs.at(running.task).startUnanswered = true; // An earlier attempt may still be executed.
         worker.unansweredStarts[running.task] = { running.run, lastEarlierOrder() };
     }
     const TaskStart start { worker.id(), worker.isDraining() ? 0 : worker.incarnation, answered, true };
-    if (task->start != start || lastRun != running.run)
-        markChanged(*job); // A start that the previous owner has not stored.
-    task->start = start;
+    if (task.start != start || lastRun != running.run)
+        markChanged(job); // A start that the previous owner has not stored.
+    task.start = start;
     lastRun = running.run;
-    ++step->active;
-    ++step->onWorker[worker.id()];
+    ++step.active;
+    ++step.onWorker[worker.id()];
     if (!running.checkpoint.empty())
-        step->shared(running.task.index).checkpoint = running.checkpoint;
-    if (job->state == JobState::Queued) {
-        job->state = JobState::Running;
-        markChanged(*job);
+        step.shared(running.task.index).checkpoint = running.checkpoint;
+    if (job.state == JobState::Queued) {
+        job.state = JobState::Running;
+        markChanged(job);
     }
 }
 
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -122,6 +122,7 @@
 
     // owner-ends.cpp: transitions of runs and of their jobs.
     void adopt(Worker& worker, const RunningTask& running, TimePoint sentAt);
+    void assign(Worker& worker, Job& job, Step& step, const RunningTask& running);
     void recordEnd(Worker& worker, const EndedTask& end);
     void release(Worker& worker, const TaskId& task);
     void loseRuns(Worker& worker, const char* why, bool mayReturn = true);
