Take a refused start for one that did not run only if it was sent once

Callers would see a job that must not be repeated run twice, and a job that crashes its workers restarted without end.

Cause: a start without an answer is sent again. The refusal of the second one ("gang ended", or "gang unknown" after a restart of the worker that kept its lease) was taken to say that the gang had never run, although the first one had been executed: by the former incarnation, or by the same one until the task failed. The claim was given back and the job started anew; the lost worker was not counted, since the refusal ended the attempt before the report showed that the task was gone. Class of fault: an answer was attributed to the addressee that the caller had in mind.

Change: the refusal of a repeated start decides nothing. The report in the same reply does, and without the task in it the outcome is unknown.

Evidence: jobs-test, before: repeatsAJobWhoseWorkerRestartedAfterAnUnansweredStart and repeatsAJobThatFailedAfterAnUnansweredStart had 2 attempts instead of 1, countsNoLossOfAWorkerThatRestartedAfterAnUnansweredStart 0 losses instead of 1. All 28 cases pass now, among them refusedStartThatWasSentOnceIsRepeated, which passed before.

--- a/packages/jobs/src/gang.cpp
+++ b/packages/jobs/src/gang.cpp
@@ -139,6 +139,7 @@
 
 platform::WorkerCommand Gang::makeStart(Member& member, TimePoint now)
 {
+    member.startRepeated = member.startSent;
     member.startSent = true;
     member.occupiedUntil = std::max(member.occupiedUntil, now + m_times.taskLease + m_times.recoveryMargin);
     auto result = makeCommand(WorkerOp::Start);
@@ -164,6 +165,9 @@
         return;
     auto& member = entry->second;
     bool done = result.outcome == platform::CommandOutcome::Done;
+    // An earlier start may have run, perhaps before a restart of the worker. The report that follows decides.
+    if (result.op == WorkerOp::Start && !done && member.startRepeated)
+        return;
     if (result.op == WorkerOp::Hold && done)
         member.held = true;
     if (result.op == WorkerOp::Start && done && !member.ended)
--- a/packages/jobs/src/gang.h
+++ b/packages/jobs/src/gang.h
@@ -77,6 +77,7 @@
         bool holdSent = false;
         bool held = false;
         bool startSent = false;
+        bool startRepeated = false; ///< More than one start may have been executed.
         bool startRefused = false;
         bool running = false;
         bool stopSent = false;
--- a/packages/jobs/test/fake-worker.h
+++ b/packages/jobs/test/fake-worker.h
@@ -82,6 +82,20 @@
         m_leaseUntil = now + Duration(2'000);
     }
 
+    /// Loses all tasks. Keeps its lease, epoch and ended gangs, as one that stores them does.
+    void restartWithLease()
+    {
+        for (auto& [gang, task] : tasks)
+            m_endedGangs.insert(gang);
+        tasks.clear();
+    }
+
+    void fail()
+    {
+        for (auto& [gang, task] : tasks)
+            end(gang, task, TaskState::Failed);
+    }
+
     bool isHeld() const
     {
         return std::ranges::any_of(
--- a/packages/jobs/test/jobs-test.cpp
+++ b/packages/jobs/test/jobs-test.cpp
@@ -110,6 +110,10 @@
     CPPUNIT_TEST(cutWorkerThatKeepsTheTaskIsNoLoss);
     CPPUNIT_TEST(savedProgressEndsTheRowOfLosses);
     CPPUNIT_TEST(recordWithoutLossesIsReadable);
+    CPPUNIT_TEST(repeatsAJobWhoseWorkerRestartedAfterAnUnansweredStart);
+    CPPUNIT_TEST(repeatsAJobThatFailedAfterAnUnansweredStart);
+    CPPUNIT_TEST(countsNoLossOfAWorkerThatRestartedAfterAnUnansweredStart);
+    CPPUNIT_TEST(refusedStartThatWasSentOnceIsRepeated);
     CPPUNIT_TEST_SUITE_END();
 
     /// An owner freezes with a renewal ready to send. The next owner cannot reach that worker and restarts
@@ -570,6 +574,96 @@
         CPPUNIT_ASSERT_EQUAL(2u, decodeLabel(encodeLabel({ job, { 0, 2 } }))->job.workerLosses);
     }
 
+    /// Submits the job and carries out its start on worker 0, whose reply is lost.
+    void startWithoutAnswer(OwnerFixture& fixture, const scheduling::JobSpec& job)
+    {
+        fixture.owner.setOwning(true, m_now);
+        fixture.runFor(Duration(200), m_workers, m_now);
+        fixture.owner.submit(job, m_now);
+        fixture.runFor(Duration(10), m_workers, m_now);
+        while (!isRunningOn(0)) {
+            CPPUNIT_ASSERT(m_now < TimePoint { Duration(110'000) });
+            m_now += Duration(10);
+            fixture.owner.tick(m_now);
+            for (const auto& out : fixture.owner.dueSyncs(m_now)) {
+                auto reply = m_workers[out.workerIndex].sync(out.sync, m_now);
+                if (isRunningOn(0) && out.workerIndex == 0)
+                    reply = {};
+                fixture.owner.onSyncReply(out.workerIndex, reply, m_now);
+            }
+            for (auto& event : fixture.owner.takeEvents()) {
+                fixture.owner.onEventCommitted(event.number, m_now);
+                fixture.events.push_back(std::move(event));
+            }
+        }
+    }
+
+    bool isRunningOn(std::size_t worker) const
+    {
+        return std::ranges::any_of(
+            m_workers[worker].tasks, [](const auto& entry) { return isRunning(entry.second.state); });
+    }
+
+    /// Number of attempts of any job that have held accelerators.
+    std::size_t attempts() const
+    {
+        std::set<GangId> gangs;
+        for (const auto& worker : m_workers)
+            gangs.insert(worker.everHeld.begin(), worker.everHeld.end());
+        return gangs.size();
+    }
+
+    void assertNotRepeated(OwnerFixture& fixture, const JobId& job)
+    {
+        fixture.runFor(Duration(10'000), m_workers, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), attempts());
+        const auto* end = endOf(fixture, job);
+        CPPUNIT_ASSERT(end && end->ran != Ran::No);
+    }
+
+    void repeatsAJobWhoseWorkerRestartedAfterAnUnansweredStart()
+    {
+        OwnerFixture fixture;
+        startWithoutAnswer(fixture, jobOf("j", 2, false));
+        m_workers[0].restartWithLease();
+        assertNotRepeated(fixture, JobId("j"));
+    }
+
+    void repeatsAJobThatFailedAfterAnUnansweredStart()
+    {
+        OwnerFixture fixture;
+        startWithoutAnswer(fixture, jobOf("j", 2, false));
+        m_workers[0].fail();
+        assertNotRepeated(fixture, JobId("j"));
+    }
+
+    void countsNoLossOfAWorkerThatRestartedAfterAnUnansweredStart()
+    {
+        OwnerFixture fixture;
+        startWithoutAnswer(fixture, longJob("j", 2));
+        m_workers[0].restartWithLease();
+        fixture.runFor(Duration(4'000), m_workers, m_now);
+        CPPUNIT_ASSERT(isRunningOn(0) || isRunningOn(1) || isRunningOn(2) || isRunningOn(3));
+        CPPUNIT_ASSERT_EQUAL(1u, lossesOf(fixture));
+    }
+
+    void refusedStartThatWasSentOnceIsRepeated()
+    {
+        OwnerFixture fixture;
+        fixture.commits = false;
+        fixture.owner.setOwning(true, m_now);
+        fixture.runFor(Duration(200), m_workers, m_now);
+        fixture.owner.submit(jobOf("j", 2, false), m_now);
+        fixture.runFor(Duration(100), m_workers, m_now);
+        CPPUNIT_ASSERT(m_workers[0].isHeld());
+        m_workers[0].restartWithLease();
+        fixture.commits = true;
+        fixture.owner.onEventCommitted(fixture.events.front().number, m_now);
+        fixture.runFor(Duration(10'000), m_workers, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), attempts());
+        CPPUNIT_ASSERT(endOf(fixture, JobId("j"))->end == scheduling::EndKind::Completed);
+    }
+
     void handOverTakesLessThanASecond()
     {
         OwnerFixture first("a#1");
