Tell the owner when a sync was sent to its worker twice

Callers would see a job that must not be repeated run twice.

Cause: after a silent or broken pooled connection the HTTP client sends a sync again on a new one, and the owner sees one reply. The first copy may have started a task that a restart of the worker ended; the second copy's refusal of the start was then taken to say that it never ran.

Change: the reply says that the sync was repeated, and the owner treats a refused start in it like that of a repeated start.

Evidence, with the field added and nothing else: jobs-test, repeatsAJobWhoseStartWasSentTwiceInOneSync had 2 attempts instead of 1; platform-test, takesTheReplyToARepeatedSyncForThatToItsOnlyCopy failed.

--- a/packages/jobs/src/gang.cpp
+++ b/packages/jobs/src/gang.cpp
@@ -158,7 +158,7 @@
     return result;
 }
 
-void Gang::onResult(std::uint32_t worker, const platform::CommandResult& result, TimePoint now)
+void Gang::onResult(std::uint32_t worker, const platform::CommandResult& result, bool repeated, TimePoint now)
 {
     auto entry = m_members.find(worker);
     if (entry == m_members.end())
@@ -166,7 +166,7 @@
     auto& member = entry->second;
     bool done = result.outcome == platform::CommandOutcome::Done;
     // An earlier start may have run, perhaps before a restart of the worker. The report that follows decides.
-    if (result.op == WorkerOp::Start && !done && member.startRepeated)
+    if (result.op == WorkerOp::Start && !done && (repeated || member.startRepeated))
         return;
     if (result.op == WorkerOp::Hold && done)
         member.held = true;
--- a/packages/jobs/src/gang.h
+++ b/packages/jobs/src/gang.h
@@ -57,7 +57,8 @@
     /// `allLeasesFresh`, that is, while the leases of all the gang's workers are held for certain.
     std::optional<platform::WorkerCommand> nextCommand(
         std::uint32_t worker, bool allLeasesFresh, TimePoint now);
-    void onResult(std::uint32_t worker, const platform::CommandResult& result, TimePoint now);
+    /// `repeated`: another copy of the command may have been executed.
+    void onResult(std::uint32_t worker, const platform::CommandResult& result, bool repeated, TimePoint now);
     /// `report` is null when the worker's report does not list the gang.
     void onReport(std::uint32_t worker, const platform::TaskReport* report, TimePoint now);
     void onWorkerLost(std::uint32_t worker, TimePoint now);
--- a/packages/jobs/src/owner-sync.cpp
+++ b/packages/jobs/src/owner-sync.cpp
@@ -79,7 +79,7 @@
     }
     for (const auto& result : reply.results) {
         if (auto gang = m_gangs.find(result.gang); gang != m_gangs.end()) {
-            gang->second.onResult(worker, result, now);
+            gang->second.onResult(worker, result, reply.repeated, now);
             handlePhaseChange(gang->second, now);
         }
     }
--- a/packages/jobs/test/jobs-test.cpp
+++ b/packages/jobs/test/jobs-test.cpp
@@ -113,6 +113,7 @@
     CPPUNIT_TEST(repeatsAJobWhoseWorkerRestartedAfterAnUnansweredStart);
     CPPUNIT_TEST(repeatsAJobThatFailedAfterAnUnansweredStart);
     CPPUNIT_TEST(countsNoLossOfAWorkerThatRestartedAfterAnUnansweredStart);
+    CPPUNIT_TEST(repeatsAJobWhoseStartWasSentTwiceInOneSync);
     CPPUNIT_TEST(refusedStartThatWasSentOnceIsRepeated);
     CPPUNIT_TEST_SUITE_END();
 
@@ -576,19 +577,27 @@
 
     /// Submits the job and carries out its start on worker 0, whose reply is lost.
     void startWithoutAnswer(OwnerFixture& fixture, const scheduling::JobSpec& job)
+    {
+        startUntilRunning(fixture, job, [](const OutgoingSync&) { return platform::WorkerReply {}; });
+    }
+
+    void startUntilRunning(OwnerFixture& fixture, const scheduling::JobSpec& job,
+        const std::function<platform::WorkerReply(const OutgoingSync&)>& replyToStart)
     {
         fixture.owner.setOwning(true, m_now);
         fixture.runFor(Duration(200), m_workers, m_now);
         fixture.owner.submit(job, m_now);
         fixture.runFor(Duration(10), m_workers, m_now);
-        while (!isRunningOn(0)) {
+        for (bool started = false; !started;) {
             CPPUNIT_ASSERT(m_now < TimePoint { Duration(110'000) });
             m_now += Duration(10);
             fixture.owner.tick(m_now);
             for (const auto& out : fixture.owner.dueSyncs(m_now)) {
                 auto reply = m_workers[out.workerIndex].sync(out.sync, m_now);
-                if (isRunningOn(0) && out.workerIndex == 0)
-                    reply = {};
+                if (isRunningOn(0) && out.workerIndex == 0) {
+                    started = true;
+                    reply = replyToStart(out);
+                }
                 fixture.owner.onSyncReply(out.workerIndex, reply, m_now);
             }
             for (auto& event : fixture.owner.takeEvents()) {
@@ -647,6 +656,18 @@
         CPPUNIT_ASSERT_EQUAL(1u, lossesOf(fixture));
     }
 
+    void repeatsAJobWhoseStartWasSentTwiceInOneSync()
+    {
+        OwnerFixture fixture;
+        startUntilRunning(fixture, jobOf("j", 2, false), [this](const OutgoingSync& out) {
+            m_workers[0].restartWithLease();
+            auto reply = m_workers[0].sync(out.sync, m_now);
+            reply.repeated = true;
+            return reply;
+        });
+        assertNotRepeated(fixture, JobId("j"));
+    }
+
     void refusedStartThatWasSentOnceIsRepeated()
     {
         OwnerFixture fixture;
--- a/packages/platform/include/jujubereach/platform/worker.h
+++ b/packages/platform/include/jujubereach/platform/worker.h
@@ -86,6 +86,7 @@
     std::string holder; ///< Current holder, also when refused.
     Epoch epoch; ///< Highest epoch granted so far.
     Duration leaseLeft { 0 };
+    bool repeated = false; ///< The sync was sent twice, and the other copy may have been executed too.
     std::vector<CommandResult> results;
     std::vector<TaskReport> tasks; ///< Every task not yet removed by Forget; set when granted or refused.
 };
--- a/packages/platform/src/http-client.cpp
+++ b/packages/platform/src/http-client.cpp
@@ -38,6 +38,7 @@
     auto reply = callOnNew(address, call, deadline);
     if (maybeSent && reply.outcome == HttpOutcome::NotSent)
         reply.outcome = HttpOutcome::Unknown;
+    reply.repeated = maybeSent;
     return reply;
 }
 
@@ -53,7 +54,7 @@
     auto left = std::chrono::duration_cast<Duration>(deadline - std::chrono::steady_clock::now());
     auto connection = HttpConnection::open(address, std::min(left, m_options.connectTimeout));
     if (!connection)
-        return { HttpOutcome::NotSent, 0, {}, {} };
+        return { HttpOutcome::NotSent, 0, {}, {}, false };
     auto reply = connection->exchange(call, m_options, deadline);
     if (reply.outcome == HttpOutcome::Answered)
         returnToPool(address, std::move(connection));
--- a/packages/platform/src/http-client.h
+++ b/packages/platform/src/http-client.h
@@ -40,6 +40,7 @@
     int status = 0;
     std::map<std::string, std::string> headers; ///< Names in lower case.
     std::string body;
+    bool repeated = false; ///< An earlier copy of the call may have taken effect.
 
     std::string header(const std::string& lowerCaseName) const;
 };
--- a/packages/platform/src/http-worker.cpp
+++ b/packages/platform/src/http-worker.cpp
@@ -14,7 +14,10 @@
             return none;
         auto object = parseObject(http.body);
         auto reply = object ? workerReplyFromJson(**object) : std::nullopt;
-        return reply ? *reply : none;
+        if (!reply)
+            return none;
+        reply->repeated = http.repeated;
+        return *reply;
     }
 
 } // namespace
--- a/packages/platform/test/platform-test.cpp
+++ b/packages/platform/test/platform-test.cpp
@@ -155,6 +155,7 @@
     CPPUNIT_TEST(busyUpstreamDidNotRun);
     CPPUNIT_TEST(workerSyncRoundTripsThroughJson);
     CPPUNIT_TEST(malformedWorkerReplyIsUnknown);
+    CPPUNIT_TEST(takesTheReplyToARepeatedSyncForThatToItsOnlyCopy);
     CPPUNIT_TEST(hostListReportsOutage);
     CPPUNIT_TEST(oddMachinesLeaveTheOthers);
     CPPUNIT_TEST(anUnusableAddressIsUnreachable);
@@ -295,6 +296,20 @@
         CPPUNIT_ASSERT(command.runTime == Duration(6) && command.label == "l" && command.percent == 50);
     }
 
+    void takesTheReplyToARepeatedSyncForThatToItsOnlyCopy()
+    {
+        const auto reply = ok(R"({"status":"granted","holder":"h#1","epoch":3,"leaseLeftMs":1,)"
+                              R"("results":[],"tasks":[]})");
+        ScriptedServer server(ScriptedServer::Script { { reply, "" }, { reply } });
+        auto client = httpWorkerClient(timeout, "h");
+        const WorkerSync sync { "h#1", Epoch { 3 }, Duration(2000), {} };
+        const auto first = client(server.address(), sync);
+        CPPUNIT_ASSERT(first.status == SyncStatus::Granted && !first.repeated);
+        const auto second = client(server.address(), sync);
+        CPPUNIT_ASSERT(second.status == SyncStatus::Granted && second.repeated);
+        CPPUNIT_ASSERT_EQUAL(3, server.requests());
+    }
+
     void malformedWorkerReplyIsUnknown()
     {
         ScriptedServer server(ScriptedServer::Script { { ok("{\"status\":\"granted\"}") } });
