Use an upstream again once the list shows that it is back

Callers would see requests refused while a zone's upstreams restart in turn: each got nothing for 30 s after its former process had said that it was leaving.

Cause: the answer "leaving" was kept by id and address, and a restarted upstream has both in common with the process that gave it. Class of fault: an answer was attributed to the addressee that the caller had in mind.

Change: an upstream that the list shows as leaving and then no longer is another process, as with a changed address; what the former one said is dropped. A wrong list costs an answer that says "not run". What remains: a restart that is too quick for the list to show it as leaving still waits for 30 s, since nothing in an answer or in the list names the process.

Evidence: upstreams-test, avoidsARestartedUpstreamForWhatItsFormerProcessSaid failed before (10 of 40 requests at most after the return).

--- a/packages/dispatch/src/upstream.cpp
+++ b/packages/dispatch/src/upstream.cpp
@@ -50,7 +50,8 @@
 void UpstreamSet::Upstream::setInfo(const UpstreamInfo& info)
 {
     m_gone = false;
-    if (info.address != m_info.address)
+    const bool isBack = m_info.leaving && !info.leaving;
+    if (info.address != m_info.address || isBack)
         m_saidLeaving = TimePoint(); // another process under the same id
     if (info.slots > m_info.slots)
         m_limit += info.slots - m_info.slots;
--- a/packages/dispatch/test/upstreams-test.cpp
+++ b/packages/dispatch/test/upstreams-test.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(sharesOfAllHostsSumToTheSlots);
     CPPUNIT_TEST(neverMoreThanItsCredits);
     CPPUNIT_TEST(leavingGetsNothingWhicheverSignIsFirst);
+    CPPUNIT_TEST(avoidsARestartedUpstreamForWhatItsFormerProcessSaid);
     CPPUNIT_TEST(failingIsSetAsideAndProbed);
     CPPUNIT_TEST(slowGetsLess);
     CPPUNIT_TEST(silentGetsNothingMore);
@@ -125,6 +126,24 @@
         CPPUNIT_ASSERT(sent["u0"] <= 2);
     }
 
+    void avoidsARestartedUpstreamForWhatItsFormerProcessSaid()
+    {
+        Single single(2);
+        const auto leaves = [](const std::string& id) {
+            return id == "u0" ? UpstreamAnswer { UpstreamStatus::Leaving, 0, {}, Duration(1) } : good;
+        };
+        CPPUNIT_ASSERT_EQUAL(1, single.send(40, leaves)["u0"]);
+        auto list = upstreamsOf(2);
+        single.set.setUpstreams(list, single.now); // The list lags.
+        CPPUNIT_ASSERT_EQUAL(0, single.send(40, leaves)["u0"]);
+        list[0].leaving = true;
+        single.set.setUpstreams(list, single.now);
+        CPPUNIT_ASSERT_EQUAL(0, single.send(40, leaves)["u0"]);
+        list[0].leaving = false;
+        single.set.setUpstreams(list, single.now);
+        CPPUNIT_ASSERT(single.send(40, [](const std::string&) { return good; })["u0"] > 10);
+    }
+
     void failingIsSetAsideAndProbed()
     {
         Single single(2);
