Leave calls of a former life unanswered in the stand-in worker

A long poll that was open at a restart without a pause was answered with the lists of the next life, so the owner learned of the restart from it. A process that has ended answers nothing on the platform, and the stand-in's crashes already did so.

Evidence: users-standins-test, aRestartedWorkerAnswersNoCallOfItsFormerLife failed before; its 11 cases pass now.

--- a/standins/test/users-standins-test.cpp
+++ b/standins/test/users-standins-test.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(onlyTheNamedTaskCrashesItsWorker);
     CPPUNIT_TEST(aCrashedWorkerIsBackUnderANewId);
     CPPUNIT_TEST(aCrashedWorkerIsBackUnderItsId);
+    CPPUNIT_TEST(aRestartedWorkerAnswersNoCallOfItsFormerLife);
     CPPUNIT_TEST(theEntryOfACrashedWorkerIsRemoved);
     CPPUNIT_TEST(aCrashDropsACallWhoseTimeIsUp);
     CPPUNIT_TEST(recordsStartsAfterThreeCrashes);
@@ -125,6 +126,19 @@
         CPPUNIT_ASSERT(platform.isListed("w"));
     }
 
+    void aRestartedWorkerAnswersNoCallOfItsFormerLife()
+    {
+        Platform platform;
+        std::optional<net::DeliveryStatus> delivery;
+        platform.client.call(platform.address,
+            { "POST", "/v1/hold", { { "Expected-Instance", "w" } }, R"({"FencingToken":1,"WaitMs":300})" },
+            Duration(800), [&](const net::CallResult& result) { delivery = result.delivery; });
+        platform.spend(Duration(100));
+        platform.worker.rebirth();
+        platform.spend(Duration(900));
+        CPPUNIT_ASSERT(delivery == net::DeliveryStatus::Unknown);
+    }
+
     void theEntryOfACrashedWorkerIsRemoved()
     {
         Platform platform;
--- a/standins/users/users-worker.cpp
+++ b/standins/users/users-worker.cpp
@@ -88,6 +88,9 @@
     m_lastNumber = m_fence = 0;
     m_deadline = 0;
     m_lease.cancel();
+    for (auto& waiting : m_waiting) // The next life does not answer them.
+        waiting.timer->cancel();
+    m_waiting.clear();
 }
 
 void UsersWorker::crash(Duration downTime, bool newId)
@@ -97,9 +100,6 @@
     m_down = true;
     ++m_crashes;
     endLife();
-    for (auto& waiting : m_waiting)
-        waiting.timer->cancel();
-    m_waiting.clear();
     removeEntry();
     m_silentId = m_id;
     m_silence.expires_after(beatInterval * beatsOfSilence);
