Restart workers under their ids in the soak before their entries show it

Now, every 2.1 s, one to four workers of a rack are dark for 0.3 to 2.5 s and take calls under the same id, on the same connections, up to 1 s before their entry changes. Their answers take 0.12 s each way meanwhile: on the loopback the list of the next life came before its tasks could start elsewhere. Half of them are cut off 0.2 to 4 s after their return. The numbers have a generator of their own, so the other faults of a seed stay.

--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -29,6 +29,9 @@
 constexpr Duration faultEvery { 700 };
 constexpr Duration platformChangeEvery { 450 }; // Capacities and odd entries.
 constexpr Duration deadlyEvery { 8000 };
+constexpr Duration restartEvery { 2100 }; // Of workers under their ids.
+constexpr Duration maxDownTime { 2500 }; // Less than the silence after which an entry is removed.
+constexpr std::size_t rackSize = 4;
 constexpr Duration submitEvery { 120 };
 constexpr Duration retryPause { 400 };
 constexpr Duration callTimeout { 3500 };
@@ -71,6 +74,7 @@
         : m_options(std::move(options))
         , m_random(m_options.seed)
         , m_platformRandom(m_options.seed)
+        , m_restartRandom(m_options.seed)
         , m_store(m_loop, address(storePort()))
     {
         m_store.put("op/config",
@@ -82,8 +86,9 @@
         for (int i = 0; i < m_options.workers; ++i) {
             const auto port = portAt(400 + 2 * i);
             m_workerProxies.push_back(std::make_unique<Proxy>(m_loop, port + 1, port));
-            m_workers.push_back(std::make_unique<standins::UsersWorker>(m_loop, m_store, m_record,
-                "i-" + std::to_string(i), address(port), address(port + 1), "r" + std::to_string(i / 4)));
+            m_workers.push_back(
+                std::make_unique<standins::UsersWorker>(m_loop, m_store, m_record, "i-" + std::to_string(i),
+                    address(port), address(port + 1), "r" + std::to_string(i / static_cast<int>(rackSize))));
         }
         for (int i = 0; i < m_options.daemons; ++i) {
             const DaemonPorts ports { portAt(10 + 8 * i), portAt(11 + 8 * i), portAt(12 + 8 * i),
@@ -103,7 +108,9 @@
         every(faultEvery, [this] { fault(); });
         every(platformChangeEvery, [this] { changePlatform(); });
         every(deadlyEvery, [this] { submitDeadly(); });
+        every(restartEvery, [this] { restartWorkers(); });
         every(askEvery, [this] { watchDaemons(); });
+        m_faultsEnd = steadyClock()() + Duration(m_options.seconds * 1000);
         spend(Duration(m_options.seconds * 1000));
         m_healing = true;
         heal();
@@ -124,6 +131,12 @@
     static std::string address(unsigned short port) { return "127.0.0.1:" + std::to_string(port); }
     std::uint64_t below(std::uint64_t bound) { return m_random() % bound; }
     std::uint64_t platformBelow(std::uint64_t bound) { return m_platformRandom() % bound; }
+    std::uint64_t restartBelow(std::uint64_t bound) { return m_restartRandom() % bound; }
+    std::uint64_t shortBelow(std::uint64_t bound)
+    {
+        const auto one = restartBelow(bound);
+        return std::min(one, restartBelow(bound));
+    }
 
     void spend(Duration time)
     {
@@ -341,6 +354,30 @@
         }
     }
 
+    // Workers of one rack are back under their ids before their silence or their entries show it, far away,
+    // so that their lists arrive late, and some of them are cut off soon after.
+    void restartWorkers()
+    {
+        if (steadyClock()() > m_faultsEnd - maxDownTime) // The heal crashes only workers that are up.
+            return;
+        const Duration downTime(static_cast<std::int64_t>(300 + shortBelow(2200)));
+        const Duration farTime(static_cast<std::int64_t>(200 + shortBelow(3800)));
+        const Duration cutTime(static_cast<std::int64_t>(500 + restartBelow(8500)));
+        const auto cuts = restartBelow(2) == 0;
+        const auto first = restartBelow(m_workers.size()) / rackSize * rackSize;
+        const auto end = std::min(first + 1 + restartBelow(rackSize), m_workers.size());
+        for (auto i = first; i < end; ++i) {
+            auto& proxy = *m_workerProxies[i];
+            m_workers[i]->restart(downTime);
+            proxy.setHarm(Harm::Delay);
+            after(downTime + farTime, [this, cuts, cutTime, &proxy] {
+                proxy.setHarm(cuts && !m_healing ? Harm::Silent : Harm::None);
+                after(cutTime, [&proxy] { proxy.setHarm(Harm::None); });
+            });
+        }
+        ++m_restarts;
+    }
+
     // Another writer's entries, and workers that shrink for a while.
     void changePlatform()
     {
@@ -437,8 +474,8 @@
                   << " accepted;";
         for (const auto& [state, count] : states)
             std::cout << ' ' << count << ' ' << state << ';';
-        std::cout << ' ' << m_record.starts << " starts, " << m_faults << " faults, " << m_store.calls()
-                  << " calls to the store\n";
+        std::cout << ' ' << m_record.starts << " starts, " << m_faults << " faults, " << m_restarts
+                  << " restarts of workers, " << m_store.calls() << " calls to the store\n";
         for (const auto& line : m_record.broken)
             std::cout << "soak: broken: " << line << '\n';
         std::cout << (m_record.broken.empty() ? "soak: all promises kept" : "soak: FAILED") << std::endl;
@@ -449,6 +486,7 @@
     boost::asio::io_context m_loop { 1 };
     std::mt19937_64 m_random;
     std::mt19937_64 m_platformRandom; ///< Of its own, so that the other faults of a seed stay.
+    std::mt19937_64 m_restartRandom; ///< Likewise.
     standins::UsersStore m_store;
     standins::WorkerRecord m_record;
     std::vector<std::unique_ptr<Proxy>> m_workerProxies;
@@ -458,8 +496,10 @@
     net::HttpClient m_client { m_loop };
     std::map<std::string, Submitted> m_jobs;
     std::uint64_t m_faults = 0;
+    std::uint64_t m_restarts = 0;
     int m_ticks = 0;
     bool m_healing = false;
+    TimePoint m_faultsEnd;
 };
 
 } // namespace
--- a/standins/test/users-standins-test.cpp
+++ b/standins/test/users-standins-test.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(onlyTheNamedTaskCrashesItsWorker);
     CPPUNIT_TEST(aCrashedWorkerIsBackUnderANewId);
     CPPUNIT_TEST(aCrashedWorkerIsBackUnderItsId);
+    CPPUNIT_TEST(aRestartedWorkerTakesCallsBeforeItsEntryShowsIt);
     CPPUNIT_TEST(aRestartedWorkerAnswersNoCallOfItsFormerLife);
     CPPUNIT_TEST(theEntryOfACrashedWorkerIsRemoved);
     CPPUNIT_TEST(aCrashDropsACallWhoseTimeIsUp);
@@ -126,6 +127,21 @@
         CPPUNIT_ASSERT(platform.isListed("w"));
     }
 
+    void aRestartedWorkerTakesCallsBeforeItsEntryShowsIt()
+    {
+        Platform platform;
+        const auto before = platform.store.value("servers/w");
+        platform.worker.restart(Duration(300));
+        CPPUNIT_ASSERT_EQUAL(0, platform.start("j.0.0.0", small)); // Waits for longer than that.
+        CPPUNIT_ASSERT_EQUAL(200, platform.start("j.0.0.0", small));
+        CPPUNIT_ASSERT_EQUAL(before, platform.store.value("servers/w"));
+        platform.spend(Duration(1200));
+        CPPUNIT_ASSERT(platform.store.value("servers/w") != before);
+        CPPUNIT_ASSERT_EQUAL(std::string("w"), platform.worker.id());
+        platform.spend(Duration(3000));
+        CPPUNIT_ASSERT(platform.isListed("w"));
+    }
+
     void aRestartedWorkerAnswersNoCallOfItsFormerLife()
     {
         Platform platform;
--- a/standins/users/users-worker.cpp
+++ b/standins/users/users-worker.cpp
@@ -94,6 +94,21 @@
 }
 
 void UsersWorker::crash(Duration downTime, bool newId)
+{
+    goDown(downTime, [this, newId] { comeBack(newId); });
+}
+
+void UsersWorker::restart(Duration downTime)
+{
+    goDown(downTime, [this] {
+        m_down = false;
+        m_silence.cancel();
+        m_silentId.clear();
+        rebirth();
+    });
+}
+
+void UsersWorker::goDown(Duration downTime, std::function<void()> comeBack)
 {
     if (m_down)
         return;
@@ -108,9 +123,9 @@
             removeEntry();
     });
     m_return.expires_after(downTime);
-    m_return.async_wait([this, newId](const boost::system::error_code& failed) {
+    m_return.async_wait([comeBack = std::move(comeBack)](const boost::system::error_code& failed) {
         if (!failed)
-            comeBack(newId);
+            comeBack();
     });
 }
 
--- a/standins/users/users-worker.h
+++ b/standins/users/users-worker.h
@@ -44,6 +44,9 @@
     /// Ends all that runs and answers nothing for `downTime`. The next life is at the same address, under a
     /// new id or under the same one.
     void crash(Duration downTime, bool newId);
+    /// A crash whose next life, under the same id, takes calls before its entry shows it. `downTime` is
+    /// shorter than the silence after which the entry is removed.
+    void restart(Duration downTime);
     /// The entry shows it from the next beat on.
     void setCapacity(const Size& capacity);
     const std::string& id() const { return m_id; }
@@ -75,6 +78,7 @@
 
     void beat();
     void endLife();
+    void goDown(Duration downTime, std::function<void()> comeBack);
     void comeBack(bool newId);
     void removeEntry();
     bool hasRoomFor(const Size& size);
