--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -175,6 +175,7 @@
     bool awaitLateStart(const TaskId& id, const WorkerId& worker, TimePoint expires);
     bool isOver(const LateStart& late);
     TimePoint lastEarlierOrder() const; ///< The previous owner issues no orders later.
+    void requestListAfter(const LateStart& late);
     void expireLateStarts();
     bool awaitsLateStart(const Worker& worker) const;
 
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -73,7 +73,8 @@
         worker.lastDeadline = std::max(worker.lastDeadline, *order.deadline);
         m_renewals[worker.id()].add(worker.incarnation, now());
     }
-    if (worker.fenced && worker.missedPolls == 0 && !worker.runs.empty() && !withheld && !awaitsList(worker))
+    const auto atOnce = std::exchange(worker.listDue, false) || withheld || awaitsList(worker);
+    if (worker.fenced && worker.missedPolls == 0 && !worker.runs.empty() && !atOnce)
         order.wait = pollWait;
     worker.pollInFlight = true;
     worker.pollWaits = order.wait.count() > 0;
@@ -138,9 +139,8 @@
         worker.fenced = false;
         worker.nextPoll = now();
     }
-    if (answer.incarnation > worker.incarnation) {
+    if (answer.incarnation > worker.incarnation)
         worker.incarnation = answer.incarnation;
-    }
     if (answer.clock.value > 0 && answer.incarnation >= worker.incarnation && sentAt >= worker.clockAt) {
         worker.clock = answer.clock;
         worker.clockAt = now();
@@ -307,9 +307,8 @@
     if (found == worker->runs.end() || found->second.run != number)
         return;
     auto& run = found->second;
-    if (answer.fate == OrderFate::Done || answer.fate == OrderFate::Old) {
+    if (answer.fate == OrderFate::Done || answer.fate == OrderFate::Old)
         run.startAnsweredAt = now();
-    }
     if (run.phase == RunPhase::Stopping) {
         if (answer.fate != OrderFate::Unknown && run.startAttempts == 1) {
             run.startUnanswered = false; // Set by `stop` while the start was in flight.
--- a/packages/fleet/src/owner-starts.cpp
+++ b/packages/fleet/src/owner-starts.cpp
@@ -189,11 +189,23 @@
     return now() > late.expires + (answers ? Duration(0) : longestHold() + lapseMargin);
 }
 
+// Without it the task would wait for the next poll that happens to be sent after the start has expired.
+void Owner::Impl::requestListAfter(const LateStart& late)
+{
+    auto* worker = findWorker(late.worker);
+    if (!worker || !worker->fenced || worker->missedPolls > 0 || now() <= late.expires
+        || worker->listRequestedAt > late.expires)
+        return;
+    worker->listDue = true;
+    requestList(*worker);
+}
+
 void Owner::Impl::expireLateStarts()
 {
     auto expired = false;
     for (auto i = m_lateStarts.begin(); i != m_lateStarts.end();) {
         if (!isOver(i->second)) {
+            requestListAfter(i->second);
             ++i;
             continue;
         }
--- a/packages/fleet/src/worker.h
+++ b/packages/fleet/src/worker.h
@@ -123,6 +123,7 @@
     TimePoint silentSince; ///< While polls are missed: when the first one failed.
     TimePoint answeredAt; ///< When the last poll was answered.
     TimePoint listRequestedAt; ///< When that poll was sent.
+    bool listDue = false; ///< The next poll does not wait for an end.
     bool lapsed = false; ///< The lease has expired since the last answer.
     TimePoint nextPoll;
     std::uint64_t acknowledged = 0;
