--- a/packages/fleet/test/takeover-soak.h
+++ b/packages/fleet/test/takeover-soak.h
@@ -145,7 +145,7 @@
     void crash(FakeWorker& worker)
     {
         for (const auto& [task, run] : worker.live)
-            ++m_crashesUnder[task.job];
+            ++m_crashesUnder[task];
         worker.live.clear();
     }
 
@@ -213,15 +213,15 @@
     }
 
     // The crash of a cut-off worker has no effect, so a deadly task may complete there. Where
-    // racks restart, a job may be given up after two crashes of workers under its runs.
+    // racks restart, a job may be given up after two crashes of workers under runs of one task.
     std::string firstWrongEnd() const
     {
         for (const auto& record : m_fleet.accepted) {
             const auto deadly = m_fleet.deadlyTasks.contains(taskOf(record.id));
             const auto state = m_fleet.savedState(record.id.str());
-            const auto crashes = m_crashesUnder.find(record.id);
-            const auto mayBeGivenUp
-                = m_faults.rackRestarts && crashes != m_crashesUnder.end() && crashes->second > 1;
+            const auto mayBeGivenUp = m_faults.rackRestarts
+                && std::any_of(m_crashesUnder.begin(), m_crashesUnder.end(),
+                    [&](const auto& row) { return row.first.job == record.id && row.second > 1; });
             const auto mayFail = deadly || mayBeGivenUp;
             if (mayFail ? !isFinal(state) : state != JobState::Completed)
                 return record.id.str() + " is " + nameOf(state);
@@ -234,7 +234,7 @@
     FakeFleet m_fleet;
     std::vector<Change> m_pending;
     TimePoint m_nextTakeover;
-    std::map<JobId, int> m_crashesUnder; ///< Of workers, by job with a run there.
+    std::map<TaskId, int> m_crashesUnder; ///< Of workers, by task with a run there.
     int m_jobs = 0;
 };
 
