--- a/packages/daemon/program.cpp
+++ b/packages/daemon/program.cpp
@@ -8,8 +8,10 @@
 #include <CLI/CLI.hpp>
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
+#include <set>
 #include <thread>
 
 namespace jujubereach::daemon {
@@ -18,6 +20,13 @@
 
     constexpr Duration upstreamConnectTimeout { 500 };
     constexpr Duration upstreamIdleBound { 5000 };
+    constexpr std::pair<const char*, bool fleet::OwnerFeatures::*> namedFeatures[] {
+        { "worker-speed", &fleet::OwnerFeatures::workerSpeed },
+        { "workspace-shares", &fleet::OwnerFeatures::workspaceShares },
+        { "preemption-cost", &fleet::OwnerFeatures::preemptionCost },
+        { "interference", &fleet::OwnerFeatures::interference },
+        { "demand-forecast", &fleet::OwnerFeatures::demandForecast },
+    };
 
     Platform connectPlatform(const Settings& settings)
     {
@@ -56,6 +65,17 @@
         }).detach();
     }
 
+    // Returns the features without those that are named in `disabled`.
+    fleet::OwnerFeatures featuresWithout(const std::vector<std::string>& disabled)
+    {
+        fleet::OwnerFeatures features;
+        for (const auto& [name, feature] : namedFeatures) {
+            if (std::find(disabled.begin(), disabled.end(), name) != disabled.end())
+                features.*feature = false;
+        }
+        return features;
+    }
+
     // "jujubereachd entry" serves the users' platform; its settings come from the file that the platform
     // names, the order of the queue from a flag or the environment.
     int serveUsers(int argc, char** argv, const Extensions& extensions)
@@ -69,6 +89,14 @@
         app.add_option("--order", order, "Order of the queue: by-gain, or by-arrival as a baseline")
             ->transform(CLI::CheckedTransformer(orders))
             ->envname("JUJUBEREACH_ORDER");
+        std::set<std::string> names;
+        for (const auto& [name, feature] : namedFeatures)
+            names.insert(name);
+        std::vector<std::string> disabled;
+        app.add_option("--disable", disabled, "Parts of the scheduler to switch off; may be repeated")
+            ->delimiter(',')
+            ->check(CLI::IsMember(names))
+            ->envname("JUJUBEREACH_DISABLE");
         if (extensions.entry)
             extensions.entry(app, switches);
         try {
@@ -81,7 +109,7 @@
             std::cerr << "jujubereachd: " << users::settingsVariable << " must name the settings file\n";
             return badSettingStatus;
         }
-        return users::serve(path, { order, switches });
+        return users::serve(path, { order, switches, featuresWithout(disabled) });
     }
 
 } // namespace
--- a/packages/fleet/include/jujubereach/fleet/owner.h
+++ b/packages/fleet/include/jujubereach/fleet/owner.h
@@ -35,6 +35,15 @@
     bool trackUnansweredStarts = true; ///< A start without an answer is treated as possibly executed later.
 };
 
+/// Parts of the scheduler that operators can switch off; decisions are then made without them.
+struct OwnerFeatures {
+    bool workerSpeed = true; ///< Learns the speed of workers and places gangs by it.
+    bool workspaceShares = true; ///< Divides scarce capacity fairly between workspaces.
+    bool preemptionCost = true; ///< Weighs a preemption against waiting for runs to end.
+    bool interference = true; ///< Separates and paces tasks that slow each other down.
+    bool demandForecast = true; ///< Reserves capacity for the urgent demand that is expected.
+};
+
 struct OwnerSettings {
     Duration maxHold { 10'000 }; ///< Longest lease that workers grant.
     Duration stopTimeout { 200 }; ///< Time a worker has to complete a stop.
@@ -45,6 +54,7 @@
     Duration restoreTime { 250 }; ///< Time that a task restored from a checkpoint takes to make progress.
     QueueOrder order = QueueOrder::ByUtility;
     OwnerSwitches switches;
+    OwnerFeatures features;
     /// Run time off the preferred rack, or across racks, relative to that on one rack.
     double remoteFactor = 3;
     /// An owner whose ownership has not been confirmed for this time starts nothing and renews no lease.
