--- a/soak/daemons.cpp
+++ b/soak/daemons.cpp
@@ -11,7 +11,8 @@
 
 namespace jujubereach::soak {
 
-Daemon::Daemon(std::string binary, std::string folder, std::string name, DaemonPorts ports)
+Daemon::Daemon(std::string binary, std::string folder, std::string name, DaemonPorts ports,
+    const std::string& moreSettings)
     : m_binary(std::move(binary))
     , m_folder(std::move(folder))
     , m_name(std::move(name))
@@ -22,7 +23,7 @@
     out << "NodeName = \"" << m_name << "\"\nZone = \"z\"\nRegion = \"r\"\nIp = \"127.0.0.1\"\nPortRange = ["
         << m_ports.metrics << ", " << m_ports.metrics + 1
         << "]\n[Listen]\nFront = " << address(m_ports.callers) << "Ready = " << address(m_ports.ready)
-        << "[platform]\nAddress = " << address(m_ports.store);
+        << "[platform]\nAddress = " << address(m_ports.store) << moreSettings;
 }
 
 Daemon::~Daemon()
--- a/soak/daemons.h
+++ b/soak/daemons.h
@@ -18,8 +18,9 @@
 
 class Daemon {
 public:
-    /// `folder` holds its settings file and its log.
-    Daemon(std::string binary, std::string folder, std::string name, DaemonPorts ports);
+    /// `folder` holds its settings file and its log; `moreSettings` are further tables of that file.
+    Daemon(std::string binary, std::string folder, std::string name, DaemonPorts ports,
+        const std::string& moreSettings = {});
     ~Daemon();
     Daemon(const Daemon&) = delete;
     Daemon& operator=(const Daemon&) = delete;
@@ -33,6 +34,7 @@
     /// Collects an ended process. Returns whether it has ended; `badly` tells an end that nobody asked for.
     bool reap(bool& badly);
     bool isRunning() const { return m_pid > 0; }
+    pid_t pid() const { return m_pid; }
     const std::string& name() const { return m_name; }
     const DaemonPorts& ports() const { return m_ports; }
 
