--- a/floods/flood-test.cpp
+++ b/floods/flood-test.cpp
@@ -26,9 +26,7 @@
 using namespace jujubereach;
 using namespace jujubereach::floods;
 
-constexpr std::size_t memoryMb = 48;
-constexpr std::size_t maxDescriptors = 400;
-constexpr std::size_t clientDescriptors = 2000; // Of this process: the clients of a flood and the stand-ins.
+constexpr std::size_t ownDescriptors = 1000; // Of this process, for all but the clients of a flood.
 constexpr Duration floodTime { 2500 }; // All clients are connected for most of it.
 constexpr Duration sampleEvery { 20 };
 constexpr Duration submitEvery { 250 };
@@ -45,6 +43,9 @@
     std::string listener; ///< Empty for all.
     std::string folder;
     unsigned short basePort = 31'000;
+    std::size_t memoryMb = 48; ///< Limit of the settings, and bound of the check; likewise the next.
+    std::size_t maxDescriptors = 400;
+    std::size_t clients = 0; ///< 0 for the number that the flood states.
 };
 
 struct Job {
@@ -72,8 +73,8 @@
         , m_store(m_loop, address(portAt(0)))
         , m_daemon(options.binary, options.folder, "host-" + listener,
               { portAt(1), portAt(2), portAt(0), portAt(3) },
-              "[Limits]\nMemoryMb = " + std::to_string(memoryMb)
-                  + "\nMaxFds = " + std::to_string(maxDescriptors) + '\n')
+              "[Limits]\nMemoryMb = " + std::to_string(options.memoryMb)
+                  + "\nMaxFds = " + std::to_string(options.maxDescriptors) + '\n')
         , m_listeners(listeners())
         , m_flooded(*std::find_if(m_listeners.begin(), m_listeners.end(),
               [&](const Listener& each) { return each.name == listener; }))
@@ -89,7 +90,7 @@
             m_workers.push_back(std::make_unique<standins::UsersWorker>(
                 m_loop, m_store, m_record, "i-" + std::to_string(i), workerAddress, workerAddress, "rack"));
         }
-        const DescriptorLimit limit(maxDescriptors);
+        const DescriptorLimit limit(options.maxDescriptors);
         m_daemon.start();
     }
 
@@ -235,7 +236,10 @@
 
     void flood(pid_t pid)
     {
-        FloodClients clients(m_loop, m_flooded.port, makeFlood(m_options.flood, m_flooded));
+        auto shape = makeFlood(m_options.flood, m_flooded);
+        if (m_options.clients != 0)
+            shape.clients = m_options.clients;
+        FloodClients clients(m_loop, m_flooded.port, std::move(shape));
         const auto until = steadyClock()() + floodTime;
         for (auto submitAt = steadyClock()(); steadyClock()() < until; spend(sampleEvery)) {
             m_peakDescriptors = std::max(m_peakDescriptors, openDescriptors(pid));
@@ -298,11 +302,12 @@
     {
         reap();
         m_peakKb = peakMemoryKb(pid);
-        if (m_peakKb >= memoryMb * 1024)
+        if (m_peakKb >= m_options.memoryMb * 1024)
             m_broken.push_back("MEMORY: peak of " + std::to_string(m_peakKb / 1024) + " MB, limit "
-                + std::to_string(memoryMb));
-        if (m_peakDescriptors >= maxDescriptors)
-            m_broken.push_back("DESCRIPTORS: all " + std::to_string(maxDescriptors) + " were in use");
+                + std::to_string(m_options.memoryMb));
+        if (m_peakDescriptors >= m_options.maxDescriptors)
+            m_broken.push_back(
+                "DESCRIPTORS: all " + std::to_string(m_options.maxDescriptors) + " were in use");
     }
 
     void checkJobs()
@@ -365,10 +370,14 @@
     app.add_option("--folder", options.folder, "For settings and logs; kept")->required();
     app.add_option("--port", options.basePort, "First of the ports that it takes")
         ->check(CLI::Range(1024, 60'000));
+    app.add_option("--memory-mb", options.memoryMb, "Memory of the process's settings");
+    app.add_option("--descriptors", options.maxDescriptors, "Descriptors of the process's settings");
+    app.add_option("--clients", options.clients, "Clients of the flood");
     CLI11_PARSE(app, argc, argv);
     std::filesystem::create_directories(options.folder);
-    if (raiseDescriptorLimit() < clientDescriptors) {
-        std::cerr << "flood-test: needs " << clientDescriptors << " descriptors\n";
+    if (const auto needed = ownDescriptors + std::max<std::size_t>(options.clients, 1000);
+        raiseDescriptorLimit() < needed) {
+        std::cerr << "flood-test: needs " << needed << " descriptors\n";
         return 2;
     }
     auto held = true;
