Bound the memory and connections that clients hold

A host bounded each request, but neither the number of connections nor the bytes that all of them held: 1,000 bodies that stop short of their end take 272 MB (docs/hard-load.md), against a machine of 160 MB.

Each listener now has a share of one account of memory and of the descriptors. A request reserves before its body is read; connections without progress are closed first; a chunked body is decoded once, as it arrives; a job's structure is measured before it is parsed. Ruled out: charging bodies as they arrive, since a flood then fills the account with parts of requests.

No timer per connection remains: one per listener serves all timeouts.

--- /dev/null
+++ b/packages/net/include/jujubereach/net/memory-budget.h
@@ -0,0 +1,79 @@
+// Account of the bytes that the connections of a server hold. One share per listener, so that a flood at one
+// listener leaves the memory of the others untouched. No I/O and no clock.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+
+namespace jujubereach::net {
+
+/// Network address of a client; for IPv6 its network of 64 bits, since one machine has many addresses of it.
+struct ClientId {
+    std::uint64_t value = 0;
+
+    friend bool operator==(const ClientId&, const ClientId&) = default;
+};
+
+/// What the connections of one client address hold. The reference is valid until the last leave().
+struct ClientUse {
+    ClientId id;
+    std::size_t connections = 0;
+    std::size_t bytes = 0;
+};
+
+enum class Reservation { Granted, ShareFull, ClientOverPart };
+
+class MemoryShare {
+public:
+    /// Requests with a body above this size are large, in bytes. Jobs of ordinary callers are below it.
+    static constexpr std::size_t largeBody = 16'384;
+
+    explicit MemoryShare(std::size_t limit = SIZE_MAX)
+        : m_limit(limit)
+    {
+    }
+
+    /// Each connection joins once and leaves once.
+    ClientUse& join(ClientId id);
+    void leave(ClientUse& client);
+
+    /// Charges `bytes` if they fit. Large requests leave a quarter of the share to small ones. When more than
+    /// half of the share is held, no client may hold more than an equal part of it.
+    Reservation reserve(ClientUse& client, std::size_t bytes, bool large);
+    /// Charges bytes that exist already. May exceed the limit; the caller then closes connections.
+    void charge(ClientUse& client, std::size_t bytes);
+    void release(ClientUse& client, std::size_t bytes);
+
+    std::size_t held() const { return m_held; }
+    std::size_t limit() const { return m_limit; }
+    bool isExceeded() const { return m_held > m_limit; }
+    std::size_t clients() const { return m_clients.size(); }
+
+private:
+    std::size_t m_limit;
+    std::size_t m_held = 0; ///< Sum of ClientUse::bytes.
+    std::unordered_map<std::uint64_t, ClientUse> m_clients;
+};
+
+/// Bounds of the memory and descriptors that the listeners of one process may use.
+struct ProcessLimits {
+    std::size_t memoryBytes = 0; ///< Memory of the process, not only of its connections.
+    std::size_t maxFds = 0;
+};
+
+struct ListenerBounds {
+    std::size_t memoryBytes = 0;
+    std::size_t maxConnections = 0;
+};
+
+/// Divides the process's limits among its listeners.
+struct MemoryBudget {
+    ListenerBounds callers;
+    ListenerBounds hosts;
+    ListenerBounds readiness;
+    ListenerBounds metrics;
+};
+MemoryBudget divide(const ProcessLimits& limits);
+
+} // namespace jujubereach::net
--- a/packages/net/src/http-server.cpp
+++ b/packages/net/src/http-server.cpp
@@ -1,14 +1,9 @@
 #include "jujubereach/net/http-server.h"
 
 #include "endpoint.h"
-#include "message-codec.h"
+#include "server-connection.h"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
-
-#include <array>
-#include <set>
+#include <algorithm>
 
 namespace jujubereach::net {
 
@@ -17,211 +12,144 @@
 
 namespace {
 
-    constexpr std::size_t readBytes = 8192;
-    constexpr unsigned peerTimeoutMs = 10'000; // For unacknowledged data; then the peer counts as dead.
     constexpr int listenBacklog = 1024;
     constexpr Duration acceptPause { 50 }; // After a failed accept, such as for lack of descriptors.
+    // Per connection, in the kernel. A body of 256 KiB takes four round trips; responses are far smaller.
+    constexpr int receiveBufferBytes = 65'536;
+    constexpr int sendBufferBytes = 16'384;
 
-} // namespace
-
-class ServerConnection;
-
-struct HttpServer::Shared {
-    explicit Shared(asio::io_context& usedLoop)
-        : loop(usedLoop)
-        , acceptor(usedLoop)
-        , acceptTimer(usedLoop)
+    ClientId clientIdOf(const asio::ip::address& address)
     {
+        if (address.is_v4())
+            return { address.to_v4().to_uint() };
+        const auto bytes = address.to_v6().to_bytes();
+        std::uint64_t network = 0;
+        for (std::size_t i = 0; i < sizeof network; ++i)
+            network = network << 8U | bytes[i];
+        return { network };
     }
 
-    asio::io_context& loop;
-    tcp::acceptor acceptor;
-    asio::steady_timer acceptTimer;
-    RequestHandler handler;
-    ServerLimits limits;
-    bool draining = false;
-    bool accepting = true;
-    std::size_t inProgress = 0;
-    std::set<std::shared_ptr<ServerConnection>> connections;
-};
-
-class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
-public:
-    ServerConnection(std::shared_ptr<HttpServer::Shared> shared, tcp::socket socket)
-        : m_shared(std::move(shared))
-        , m_socket(std::move(socket))
-        , m_timer(m_shared->loop)
+    bool isLimit(CloseCause cause)
     {
-        detail::setPeerOptions(m_socket, peerTimeoutMs);
+        return cause == CloseCause::ResponseTimeout || cause == CloseCause::ConnectionBound
+            || cause == CloseCause::MemoryBound;
     }
 
-    void start()
+    CloseCause timeoutOf(ConnectionState state)
     {
-        startTimeout(m_shared->limits.idleTimeout);
-        read();
+        if (state == ConnectionState::Reading)
+            return CloseCause::RequestTimeout;
+        if (state == ConnectionState::Writing)
+            return CloseCause::ResponseTimeout;
+        return state == ConnectionState::Lingering ? CloseCause::Answered : CloseCause::IdleTimeout;
     }
 
-    void close()
-    {
-        if (m_closed)
-            return;
-        m_closed = true;
-        setBusy(false);
-        m_timer.cancel();
-        boost::system::error_code ignored;
-        m_socket.close(ignored);
-        m_shared->connections.erase(shared_from_this());
-    }
+} // namespace
 
-    bool busy() const { return m_busy; }
+const char* nameOf(CloseCause cause)
+{
+    static constexpr std::array<const char*, closeCauses> names { "client", "answered", "idle-timeout",
+        "request-timeout", "response-timeout", "connection-bound", "memory-bound", "shutdown" };
+    return names[static_cast<std::size_t>(cause)];
+}
 
-private:
-    void setBusy(bool busy)
-    {
-        if (busy == m_busy)
-            return;
-        m_busy = busy;
-        m_shared->inProgress += busy ? 1 : -1;
-    }
+const char* nameOf(RefusalCause cause)
+{
+    static constexpr std::array<const char*, refusalCauses> names { "header-bytes", "header-fields",
+        "body-bytes", "chunk-bytes", "malformed", "memory" };
+    return names[static_cast<std::size_t>(cause)];
+}
 
-    void startTimeout(Duration bound)
-    {
-        m_timer.expires_after(bound);
-        m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& failed) {
-            if (!failed && !self->m_handling)
-                self->close();
-        });
-    }
+HttpServer::Shared::Shared(asio::io_context& usedLoop, RequestHandler usedHandler,
+    const ListenerBounds& bounds, LimitReached usedLimitReached)
+    : loop(usedLoop)
+    , acceptor(usedLoop)
+    , acceptTimer(usedLoop)
+    , closeTimer(usedLoop)
+    , handler(std::move(usedHandler))
+    , limitReached(std::move(usedLimitReached))
+    , memory(bounds.memoryBytes)
+    , table(bounds.maxConnections)
+{
+}
 
-    void read()
-    {
-        m_socket.async_read_some(asio::buffer(m_chunk),
-            [self = shared_from_this()](const boost::system::error_code& failed, std::size_t size) {
-                if (self->m_closed)
-                    return;
-                if (failed)
-                    return self->close();
-                if (!self->m_busy) {
-                    self->setBusy(true);
-                    self->startTimeout(self->m_shared->limits.headerTimeout);
-                }
-                self->m_in.append(self->m_chunk.data(), size);
-                self->parse(size);
-            });
+void HttpServer::Shared::add(tcp::socket socket)
+{
+    if (table.isFull()) {
+        auto* victim = table.victimForConnection(bootClockNow(), memory.clients());
+        if (!victim)
+            return countClose(CloseCause::ConnectionBound);
+        static_cast<ServerConnection*>(victim)->close(CloseCause::ConnectionBound);
     }
+    auto connection = std::make_shared<ServerConnection>(shared_from_this(), std::move(socket));
+    connections.insert(connection);
+    connection->start(clientIdOf(peer.address()));
+}
 
-    void parse(std::size_t added)
-    {
-        const auto& limits = m_shared->limits;
-        if (m_framing.headBytes == 0) {
-            m_framing.headBytes = detail::headSize(m_in, m_in.size() - added);
-            if (m_framing.headBytes == 0)
-                return m_in.size() > limits.maxHeaderBytes ? refuse(431) : read();
-            if (m_framing.headBytes > limits.maxHeaderBytes)
-                return refuse(431);
-            auto head = detail::parseRequestHead(m_in, m_framing);
-            if (!head)
-                return refuse(400);
-            m_request = std::move(*head);
-        }
-        if (m_framing.chunked) {
-            const auto used = detail::decodeChunkedBody(m_in, m_framing.headBytes, m_request.body);
-            if (!used)
-                return refuse(400);
-            if (m_in.size() > m_framing.headBytes + limits.maxBodyBytes)
-                return refuse(413);
-            return *used == 0 ? read() : handle(*used);
-        }
-        if (m_framing.bodyBytes > limits.maxBodyBytes)
-            return refuse(413);
-        const auto requestBytes = m_framing.headBytes + m_framing.bodyBytes;
-        if (m_in.size() < requestBytes)
-            return read();
-        m_request.body = m_in.substr(m_framing.headBytes, m_framing.bodyBytes);
-        handle(requestBytes);
-    }
+void HttpServer::Shared::closeAll()
+{
+    closeTimer.cancel();
+    const auto all = connections;
+    for (const auto& connection : all)
+        connection->close(CloseCause::Shutdown);
+}
 
-    void refuse(int status)
-    {
-        m_closeAfter = true;
-        write({ status, {}, {} });
-    }
+ConnectionTimeouts HttpServer::Shared::timeouts() const
+{
+    ConnectionTimeouts out;
+    out.request = limits.headerTimeout;
+    out.idle = limits.idleTimeout;
+    out.response = limits.responseTimeout;
+    return out;
+}
 
-    void handle(std::size_t used)
-    {
-        m_timer.cancel();
-        m_in.erase(0, used);
-        m_framing = {};
-        m_closeAfter = m_request.header("Connection") == "close";
-        m_handling = true;
-        auto request = std::move(m_request);
-        m_request = {};
-        try {
-            m_shared->handler(request, [self = shared_from_this()](const HttpResponse& response) {
-                if (self->m_handling)
-                    self->write(response);
-            });
-        } catch (...) {
-            if (m_handling)
-                write({ 500, {}, {} });
-            throw; // runLoop() reports it.
-        }
-    }
+// One timer for all connections: it is set again only for a deadline before its own, not for each request.
+void HttpServer::Shared::closeAt(TimePoint deadline)
+{
+    if (closesAt && *closesAt <= deadline)
+        return;
+    closesAt = deadline;
+    closeTimer.expires_after(std::max(Duration(1), deadline - bootClockNow()));
+    closeTimer.async_wait([shared = shared_from_this()](const boost::system::error_code& failed) {
+        if (!failed)
+            shared->closeExpired();
+    });
+}
 
-    void write(const HttpResponse& response)
-    {
-        m_handling = false;
-        if (m_closed)
-            return;
-        const auto close = m_closeAfter || m_shared->draining;
-        m_out = detail::encode(response, close);
-        asio::async_write(m_socket, asio::buffer(m_out),
-            [self = shared_from_this(), close](const boost::system::error_code& failed, std::size_t) {
-                if (self->m_closed)
-                    return;
-                if (failed || close) {
-                    boost::system::error_code ignored;
-                    self->m_socket.shutdown(tcp::socket::shutdown_send, ignored);
-                    return self->close();
-                }
-                self->next();
-            });
-    }
+void HttpServer::Shared::closeExpired()
+{
+    closesAt.reset();
+    const auto now = bootClockNow();
+    while (auto* entry = table.expired(now, timeouts()))
+        static_cast<ServerConnection*>(entry)->close(timeoutOf(entry->state));
+    if (const auto deadline = table.earliestDeadline(timeouts()))
+        closeAt(*deadline);
+}
 
-    void next()
-    {
-        m_out.clear();
-        setBusy(!m_in.empty());
-        startTimeout(m_busy ? m_shared->limits.headerTimeout : m_shared->limits.idleTimeout);
-        m_busy ? parse(m_in.size()) : read();
-    }
+void HttpServer::Shared::countClose(CloseCause cause)
+{
+    ++counters.closed[static_cast<std::size_t>(cause)];
+    if (limitReached && isLimit(cause))
+        limitReached(nameOf(cause));
+}
 
-    const std::shared_ptr<HttpServer::Shared> m_shared;
-    tcp::socket m_socket;
-    asio::steady_timer m_timer;
-    std::array<char, readBytes> m_chunk {};
-    std::string m_in;
-    std::string m_out;
-    detail::Framing m_framing;
-    HttpRequest m_request;
-    bool m_busy = false; ///< A request was received at least in part, and its response is not yet written.
-    bool m_handling = false; ///< The handler has not responded yet.
-    bool m_closeAfter = false;
-    bool m_closed = false;
-};
+void HttpServer::Shared::countRefusal(RefusalCause cause)
+{
+    ++counters.refused[static_cast<std::size_t>(cause)];
+    if (limitReached && cause != RefusalCause::Malformed)
+        limitReached(nameOf(cause));
+}
 
-HttpServer::HttpServer(asio::io_context& loop, RequestHandler handler)
-    : m_shared(std::make_shared<Shared>(loop))
+HttpServer::HttpServer(
+    asio::io_context& loop, RequestHandler handler, ListenerBounds bounds, LimitReached limitReached)
+    : m_shared(std::make_shared<Shared>(loop, std::move(handler), bounds, std::move(limitReached)))
 {
-    m_shared->handler = std::move(handler);
 }
 
 HttpServer::~HttpServer()
 {
     stopAccepting();
-    const auto connections = m_shared->connections;
-    for (const auto& connection : connections)
-        connection->close();
+    m_shared->closeAll();
 }
 
 Result<bool> HttpServer::listen(const std::string& endpoint)
@@ -234,6 +162,10 @@
     acceptor.open(local->protocol(), failed);
     if (!failed)
         acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
+    if (!failed)
+        acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), failed);
+    if (!failed)
+        acceptor.set_option(asio::socket_base::send_buffer_size(sendBufferBytes), failed);
     if (!failed)
         acceptor.bind(*local, failed);
     if (!failed)
@@ -264,19 +196,28 @@
 
 std::size_t HttpServer::inProgress() const
 {
-    return m_shared->inProgress;
+    const auto& table = m_shared->table;
+    return table.count(ConnectionState::Reading) + table.count(ConnectionState::Deciding)
+        + table.count(ConnectionState::Writing);
+}
+
+ServerFigures HttpServer::figures() const
+{
+    auto out = m_shared->counters;
+    out.heldBytes = m_shared->memory.held();
+    for (std::size_t i = 0; i < connectionStates; ++i)
+        out.connections[i] = m_shared->table.count(static_cast<ConnectionState>(i));
+    return out;
 }
 
 void HttpServer::accept()
 {
-    m_shared->acceptor.async_accept(
+    m_shared->acceptor.async_accept(m_shared->peer,
         [this, shared = m_shared](const boost::system::error_code& failed, tcp::socket socket) {
             if (!shared->accepting)
                 return;
             if (!failed) {
-                auto connection = std::make_shared<ServerConnection>(shared, std::move(socket));
-                shared->connections.insert(connection);
-                connection->start();
+                shared->add(std::move(socket));
                 return accept();
             }
             shared->acceptTimer.expires_after(acceptPause);
