--- a/packages/net/include/jujubereach/net/connection-table.h
+++ b/packages/net/include/jujubereach/net/connection-table.h
@@ -19,9 +19,10 @@
     Reading, ///< A request has arrived in part.
     Deciding, ///< The handler has not responded yet; never closed to gain capacity.
     Writing, ///< The client has not taken the whole response yet.
+    Pipelined, ///< Has sent further requests before the last response; they wait for other connections' turn.
     Lingering, ///< Was refused; what it still sends is discarded, so that it can read the answer.
 };
-constexpr std::size_t connectionStates = 6;
+constexpr std::size_t connectionStates = 7;
 const char* nameOf(ConnectionState state);
 
 struct ConnectionTimeouts {
--- a/packages/net/src/connection-table.cpp
+++ b/packages/net/src/connection-table.cpp
@@ -17,7 +17,7 @@
 const char* nameOf(ConnectionState state)
 {
     static constexpr std::array<const char*, connectionStates> names { "unused", "idle", "reading",
-        "deciding", "writing", "lingering" };
+        "deciding", "writing", "pipelined", "lingering" };
     return names[static_cast<std::size_t>(state)];
 }
 
@@ -98,7 +98,8 @@
     // Connections that are opened at a high rate and send nothing must not displace the idle ones of callers.
     if (count(Unused) > m_size / 2)
         return first(Unused, clients);
-    for (const auto state : { Idle, Unused, Reading, Writing }) {
+    // Ordinary callers wait for a response before their next request.
+    for (const auto state : { Pipelined, Idle, Unused, Reading, Writing }) {
         if (auto* entry = first(state, clients))
             return entry;
     }
--- a/packages/net/src/http-server.cpp
+++ b/packages/net/src/http-server.cpp
@@ -197,8 +197,8 @@
 std::size_t HttpServer::inProgress() const
 {
     const auto& table = m_shared->table;
-    return table.count(ConnectionState::Reading) + table.count(ConnectionState::Deciding)
-        + table.count(ConnectionState::Writing);
+    return table.count(ConnectionState::Reading) + table.count(ConnectionState::Pipelined)
+        + table.count(ConnectionState::Deciding) + table.count(ConnectionState::Writing);
 }
 
 ServerFigures HttpServer::figures() const
--- a/packages/net/src/server-connection.cpp
+++ b/packages/net/src/server-connection.cpp
@@ -76,6 +76,12 @@
 // Waits for readiness rather than for bytes, so that waiting connections need no buffer.
 void ServerConnection::awaitBytes()
 {
+    if (std::exchange(m_mayHaveMore, false)) {
+        return asio::post(m_shared->loop, [self = shared_from_this()] {
+            if (!self->m_closed)
+                self->receive();
+        });
+    }
     m_socket.async_wait(
         tcp::socket::wait_read, [self = shared_from_this()](const boost::system::error_code& failed) {
             if (self->m_closed)
@@ -92,14 +98,13 @@
         return awaitBytes();
     if (size <= 0)
         return close(CloseCause::Client);
+    m_mayHaveMore = static_cast<std::size_t>(size) == buffer.size();
     const std::string_view bytes(buffer.data(), static_cast<std::size_t>(size));
     if (state == ConnectionState::Lingering)
         return discard(bytes.size());
     const auto now = bootClockNow();
-    if (state != ConnectionState::Reading) {
-        m_shared->table.enter(*this, ConnectionState::Reading, now);
-        m_shared->closeAt(now + m_shared->limits.headerTimeout);
-    }
+    if (state != ConnectionState::Reading)
+        beginRequest(now);
     m_shared->table.progress(*this, bytes.size(), now);
     if (m_framing.headBytes > 0)
         return takeBody(bytes, 0);
@@ -225,7 +230,8 @@
 {
     if (!hold(requestBytes() + m_in.capacity() + decidedBodies * m_request.body.capacity() + decidedBytes))
         return refuseForMemory();
-    m_shared->table.enter(*this, ConnectionState::Deciding, bootClockNow());
+    m_mayHaveMore = false;
+    m_shared->table.enter(*this, ConnectionState::Deciding, progressAt); // The time is of no use there.
     m_closeAfter = m_request.header("Connection") == "close";
     m_handling = true;
     try {
@@ -269,38 +275,45 @@
     m_closeAfter = m_closeAfter || m_shared->draining;
     m_out = detail::encode(response, m_closeAfter);
     m_sent = 0;
-    m_shared->table.enter(*this, ConnectionState::Writing, bootClockNow());
     send();
 }
 
+// A connection is in state Writing only if the kernel does not take the whole response at once.
 void ServerConnection::send()
 {
+    std::size_t sent = 0;
     while (m_sent < m_out.size()) {
         const auto size = ::send(m_socket.native_handle(), m_out.data() + m_sent, m_out.size() - m_sent,
             MSG_DONTWAIT | MSG_NOSIGNAL);
-        if (size < 0 && errno == EINTR)
-            continue;
-        if (size < 0 && errno != EAGAIN)
+        if (size < 0 && errno == EAGAIN)
+            return awaitSpace(sent);
+        if (size < 0 && errno != EINTR)
             return close(CloseCause::Client);
-        if (size >= 0) {
-            m_sent += static_cast<std::size_t>(size);
-            m_shared->table.progress(*this, static_cast<std::size_t>(size), bootClockNow());
-            continue;
-        }
-        mustHold(connectionBytes + m_in.capacity() + m_out.capacity());
-        if (m_closed)
-            return;
-        m_shared->closeAt(progressAt + m_shared->limits.responseTimeout);
-        return m_socket.async_wait(
-            tcp::socket::wait_write, [self = shared_from_this()](const boost::system::error_code& failed) {
-                if (self->m_closed)
-                    return;
-                failed ? self->close(CloseCause::Client) : self->send();
-            });
+        sent += size > 0 ? static_cast<std::size_t>(size) : 0;
+        m_sent += size > 0 ? static_cast<std::size_t>(size) : 0;
     }
     onWritten();
 }
 
+void ServerConnection::awaitSpace(std::size_t sent)
+{
+    const auto now = bootClockNow();
+    if (state != ConnectionState::Writing)
+        m_shared->table.enter(*this, ConnectionState::Writing, now);
+    else
+        m_shared->table.progress(*this, sent, now);
+    mustHold(connectionBytes + m_in.capacity() + m_out.capacity());
+    if (m_closed)
+        return;
+    m_shared->closeAt(progressAt + m_shared->limits.responseTimeout);
+    m_socket.async_wait(
+        tcp::socket::wait_write, [self = shared_from_this()](const boost::system::error_code& failed) {
+            if (self->m_closed)
+                return;
+            failed ? self->close(CloseCause::Client) : self->send();
+        });
+}
+
 void ServerConnection::onWritten()
 {
     if (!m_closeAfter)
@@ -345,15 +358,22 @@
         m_shared->closeAt(now + m_shared->limits.idleTimeout);
         return awaitBytes();
     }
-    m_shared->table.enter(*this, ConnectionState::Reading, now);
-    m_shared->closeAt(now + m_shared->limits.headerTimeout);
+    m_shared->table.enter(*this, ConnectionState::Pipelined, now);
     // Other connections are served between the pipelined requests of one.
     asio::post(m_shared->loop, [self = shared_from_this()] {
-        if (!self->m_closed)
-            self->takeHead(self->m_in.size());
+        if (self->m_closed)
+            return;
+        self->beginRequest(bootClockNow());
+        self->takeHead(self->m_in.size());
     });
 }
 
+void ServerConnection::beginRequest(TimePoint now)
+{
+    m_shared->table.enter(*this, ConnectionState::Reading, now);
+    m_shared->closeAt(now + m_shared->limits.headerTimeout);
+}
+
 // Returns false if the memory is not available, also by closing connections that make no progress.
 bool ServerConnection::hold(std::size_t bytes)
 {
--- a/packages/net/src/server-connection.h
+++ b/packages/net/src/server-connection.h
@@ -59,6 +59,7 @@
 private:
     void awaitBytes();
     void receive();
+    void beginRequest(TimePoint now);
     void takeHead(std::size_t added);
     bool checkHeadSize(std::size_t added);
     bool beginBody();
@@ -71,6 +72,7 @@
     void refuseForMemory();
     void write(const HttpResponse& response);
     void send();
+    void awaitSpace(std::size_t sent);
     void onWritten();
     void linger();
     void discard(std::size_t size);
@@ -93,6 +95,7 @@
     detail::Framing m_framing; ///< `headBytes` is 0 until the head is complete.
     detail::ChunkDecoder m_decoder;
     HttpRequest m_request;
+    bool m_mayHaveMore = false; ///< The last read filled the buffer.
     bool m_large = false; ///< The body is above `MemoryShare::largeBody`.
     bool m_handling = false; ///< The handler has not responded yet.
     bool m_closeAfter = false;
--- a/packages/net/test/client-limits-test.cpp
+++ b/packages/net/test/client-limits-test.cpp
@@ -109,12 +109,13 @@
         const auto& deciding = all.add(Deciding, 0);
         const auto& slow = all.add(Reading, 100);
         const auto& unread = all.add(Writing, 50);
+        const auto& pipelined = all.add(Pipelined, 900);
         const auto& idle = all.add(Idle, 0);
         const auto& unused = all.add(Unused, 0);
         const auto& reading = all.add(Reading, 900);
         const auto& refused = all.add(Lingering, 900);
         CPPUNIT_ASSERT(all.table.victimForMemory(at(1000)) == &unread);
-        for (const auto* expected : { &refused, &slow, &unread, &unused, &idle, &reading })
+        for (const auto* expected : { &refused, &slow, &unread, &unused, &pipelined, &idle, &reading })
             CPPUNIT_ASSERT(all.closeOne(1000) == expected);
         CPPUNIT_ASSERT(!all.closeOne(1000)); // Never one that is being decided.
         CPPUNIT_ASSERT(!all.table.victimForMemory(at(1000)));
