Learn the speed of workers and place gangs by it

Three quarters of the urgent gangs of the two new deployments have a slow member and run at its speed. The owner knew nothing of the speed of workers.

WorkerSpeeds estimates it from the percentages that polls report, relative to the other tasks of the step. Placement tries members of at least one of several speeds and weighs the slowest.

The state is not stored yet, and ColdLeftMs is not decoded yet.

--- a/packages/fleet/include/jujubereach/fleet/placement.h
+++ b/packages/fleet/include/jujubereach/fleet/placement.h
@@ -30,6 +30,9 @@
     Resources free;
     double rackOrder = 0; ///< Position of its rack among all racks, from 0 to 1.
     double failurePenalty = 0; ///< Grows with consecutive task failures.
+    double speed = 1; ///< Relative to the mean of its service; 1 if unknown.
+    /// One standard deviation below `speed`: about the slowest of five workers of which as much is known.
+    double cautiousSpeed = 1;
     bool reservedForUrgent = false; ///< Only urgent and overdue steps may start here.
     /// Other steps start here only if they are expected to end before `reservedUntil`. Urgent steps may
     /// ignore the reservation unless `reservationBindsUrgent` is set.
@@ -60,7 +63,8 @@
     bool isolated = false;
     bool anyRack = false; ///< Ignore the preferred rack and the one-rack rule of gangs.
     const Step* step = nullptr; ///< The step to place, for its reservation; may be null.
-    TimePoint expectedEnd; ///< Expected end of the tasks if they start now.
+    TimePoint expectedEnd; ///< Expected end of the tasks if they start now on workers of speed 1.
+    Duration expectedTime { 0 }; ///< Expected run time of a task on a worker of speed 1.
     const std::map<WorkerId, int>* onWorker = nullptr; ///< Active tasks of the step on each worker.
     const std::set<WorkerId>* avoid = nullptr; ///< Workers to exclude, such as those where the task failed.
     const std::set<WorkerId>* allowed = nullptr; ///< Workers approved by the advisory service; null for all.
--- a/packages/fleet/include/jujubereach/fleet/reserve.h
+++ b/packages/fleet/include/jujubereach/fleet/reserve.h
@@ -22,7 +22,7 @@
 /// The largest share of a service's processors, memory or accelerators that `resources` take.
 double shareOf(const Resources& resources, const ServiceId& service, const std::vector<WorkerView>& views);
 
-/// Marks the first racks of a service, up to about the given share of its capacity.
+/// Marks the first racks of a service, up to about the given share of its capacity, except for slow workers.
 void reserveRacks(const ServiceId& service, double share, std::vector<WorkerView>& views);
 
 } // namespace jujubereach::fleet
--- a/packages/fleet/include/jujubereach/fleet/worker-calls.h
+++ b/packages/fleet/include/jujubereach/fleet/worker-calls.h
@@ -20,6 +20,7 @@
     std::vector<std::string> labels;
     Resources capacity;
     Duration leavesIn { 0 }; ///< Of a draining worker: the least time until it leaves; 0 if not stated.
+    Duration coldFor { 0 }; ///< Time for which it still runs more slowly, after its start.
 };
 
 using WorkerTime = Number<struct WorkerTimeTag>; ///< Milliseconds on the worker's own clock.
--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -159,6 +159,10 @@
 
 void Owner::Impl::checkProgress(Worker& worker, ActiveRun& run, const RunningTask& seen)
 {
+    auto* job = findJob(run.task.job);
+    auto* step = job ? job->findStep(run.task) : nullptr;
+    if (step)
+        measureRate(worker, run, *step, seen.percent);
     if (run.basePercent < 0) {
         run.basePercent = seen.percent;
         run.baseAt = now();
@@ -168,8 +172,6 @@
         run.progressAt = now();
         return;
     }
-    auto* job = findJob(run.task.job);
-    auto* step = job ? job->findStep(run.task) : nullptr;
     if (!step || step->spec->longRunning || seen.percent >= 100)
         return;
     // A single per cent of a very long task may take longer than `stallBound`.
@@ -179,6 +181,7 @@
     if (step->spec->gang && step->active < step->spec->count)
         return; // The member is waiting for the rest of its gang.
     worker.health.taskStalled(now());
+    discardRate(run);
     m_hooks.log("stalled",
         { { "task", toString(run.task) }, { "worker", worker.id().str() }, { "percent", seen.percent } });
     stop(worker, run.task, "it stands still");
@@ -203,6 +206,9 @@
     countEnd(end, job, thrownAway);
     const auto cores = current ? coreSeconds(found->second.resources, Duration(1000)) : 0;
     const auto stopping = current && found->second.phase == RunPhase::Stopping;
+    const auto speed = current && step ? speedOfRun(worker, *step) : 1;
+    if (current && step && !stopping && end.kind == EndKind::Done)
+        measureEnd(worker, found->second, *step);
     if (current)
         release(worker, end.task);
     if (job)
@@ -226,8 +232,8 @@
             if (current && !stopping && step->shared(end.task.index).checkpoint.empty()
                 && step->spec->estimate.count() > 0) {
                 auto& history = m_history[job->record.route];
-                const auto factor
-                    = static_cast<double>(ranFor.count()) / static_cast<double>(step->spec->estimate.count());
+                const auto factor = speed * static_cast<double>(ranFor.count())
+                    / static_cast<double>(step->spec->estimate.count());
                 ++history.timed;
                 history.timeFactor += (factor - history.timeFactor) / std::min(history.timed + 1, 30);
             }
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -6,6 +6,7 @@
 #include "jujubereach/fleet/placement.h"
 #include "jujubereach/fleet/reservation.h"
 #include "jujubereach/fleet/reserve.h"
+#include "jujubereach/fleet/worker-speed.h"
 #include "worker.h"
 
 #include <deque>
@@ -117,7 +118,7 @@
     void logRestart(const Worker& worker, std::int64_t newIncarnation, const char* shownBy) const;
     void stop(Worker& worker, const TaskId& task, const char* why);
     void stopDoomedRuns(Worker& worker);
-    TimePoint expectedEnd(const Job& job, const StepSpec& step, const ActiveRun& run) const;
+    TimePoint expectedEnd(const Job& job, const Step& step, const Worker& worker, const ActiveRun& run);
     void markSuperseded(const char* by);
 
     // owner-ends.cpp: transitions of runs and of their jobs.
@@ -220,7 +221,7 @@
     void reserveFor(const ReadyStep& ready, const PlaceRequest& request, Pass& pass);
     /// Whether urgent steps must respect its reservation.
     bool bindsUrgent(const ReadyStep& ready, Pass& pass) const;
-    std::vector<std::vector<ExpectedEnd>> expectedEnds() const;
+    std::vector<std::vector<ExpectedEnd>> expectedEnds();
 
     // owner-zones.cpp: availability zones that operators have closed.
     void setClosedZones(std::set<ZoneId> zones);
@@ -256,6 +257,24 @@
     void dropExpiredPlans();
     std::map<WorkerId, Resources> reservedByPlans() const;
 
+    // owner-speed.cpp: speed of workers.
+    static std::int64_t incarnationOf(const Worker& worker);
+    static bool isDelayed(const Worker& worker, TimePoint now, const OrderAnswer& answer);
+    bool showsSpeed(const Worker& worker, const Step& step, const ActiveRun& run) const;
+    void measureRate(Worker& worker, ActiveRun& run, const Step& step, int percent);
+    void measureEnd(const Worker& worker, const ActiveRun& run, const Step& step);
+    void observeRate(const Worker& worker, const TaskId& task, int percent, Duration time);
+    void discardRate(ActiveRun& run);
+    void refitSpeeds();
+    double speedOf(const Worker& worker) const; ///< 1 if unknown.
+    double cautiousSpeedOf(const Worker& worker) const; ///< Less one standard deviation.
+    /// Of the worker, or of the slowest worker of a gang.
+    double speedOfRun(const Worker& worker, const Step& step);
+    /// `expectedTime` on workers of this speed.
+    Duration expectedTimeAt(double speed, const Job& job, const StepSpec& step) const;
+    void logGangSpeed(
+        const ReadyStep& ready, const Placement& placement, const std::vector<WorkerView>& fleet) const;
+
     // owner-metrics.cpp: metrics.
     void countStart(const Job& job);
     void countEnd(const EndedTask& end, const Job* job, double thrownAway);
@@ -304,6 +323,9 @@
     std::map<TaskId, PreemptionPlan> m_plans;
     std::map<RouteId, QueueHistory> m_history;
     std::map<ServiceId, UrgentReserve> m_reserves;
+    WorkerSpeeds m_speeds;
+    std::map<ServiceId, bool> m_speedsDiffer; ///< As last logged.
+    TimePoint m_speedsFittedAt;
 
     /// Until the recovery grace period is over. No other roster is stored before, for a successor.
     bool m_rosterUnreadable = false;
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -201,6 +201,7 @@
         return;
     worker->pollInFlight = false;
     const auto incarnation = worker->incarnation;
+    worker->listLate = isDelayed(*worker, now(), answer);
     if (!processAnswer(*worker, poll.at, answer))
         return;
     if (answer.fate != OrderFate::Done)
@@ -387,11 +388,12 @@
 }
 
 // Predicts by the progress that the last poll reported, or by learned run times.
-TimePoint Owner::Impl::expectedEnd(const Job& job, const StepSpec& step, const ActiveRun& run) const
+TimePoint Owner::Impl::expectedEnd(
+    const Job& job, const Step& step, const Worker& worker, const ActiveRun& run)
 {
     const auto progress = run.percent - run.basePercent;
     if (run.basePercent < 0 || progress < minMeasuredPercent)
-        return run.runningSince + expectedTime(job, step);
+        return run.runningSince + expectedTimeAt(speedOfRun(worker, step), job, *step.spec);
     const auto elapsed = static_cast<double>((run.progressAt - run.baseAt).count());
     return run.progressAt + Duration(static_cast<std::int64_t>(elapsed * (100 - run.percent) / progress));
 }
@@ -406,7 +408,7 @@
         const auto* step = job ? job->findStep(task) : nullptr;
         if (!step || step->spec->longRunning || run.phase != RunPhase::Running)
             continue;
-        if (leavesSoon || expectedEnd(*job, *step->spec, run) > worker.leavesAt)
+        if (leavesSoon || expectedEnd(*job, *step, worker, run) > worker.leavesAt)
             stopWhole(task, "its worker leaves");
     }
 }
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -222,6 +222,8 @@
             view.free -= plans->second;
         view.failurePenalty
             = worker.health.consecutiveFailures + (worker.health.hasCompletedTask ? 0 : unprovenPenalty);
+        view.speed = speedOf(worker);
+        view.cautiousSpeed = cautiousSpeedOf(worker);
         view.reservedForUrgent = false;
         view.reservedBy = nullptr;
         view.latencySensitive = worker.latencySensitiveRuns > 0;
@@ -240,6 +242,7 @@
     m_nextPass = begun + minPassInterval;
     if (!mayStart())
         return;
+    refitSpeeds();
     refreshFleet();
     Pass pass { m_fleet };
     pass.isolatedViews = static_cast<std::size_t>(
@@ -320,7 +323,8 @@
     request.count = static_cast<int>(ready.tasks.size());
     request.onWorker = &step.onWorker;
     request.step = &step;
-    request.expectedEnd = now() + expectedTime(*ready.job, *step.spec);
+    request.expectedTime = expectedTime(*ready.job, *step.spec);
+    request.expectedEnd = now() + request.expectedTime;
     request.isolated = ready.isolated;
     request.overdue = isOverdue(ready, pass) && needsReservation(request, pass.fleet);
     request.costlyToStop = terms.priority > 0 && !step.spec->checkpointing;
@@ -490,6 +494,7 @@
     auto& step = ready.step();
     const auto gap = ready.job->recovered ? runGapAfterTakeover : 1;
     const auto gangRun = Run { step.shared(0).lastRun.value + gap };
+    logGangSpeed(ready, placement, fleet);
     for (std::size_t i = 0; i < placement.size(); ++i) {
         const auto index = ready.tasks[i];
         begin(*ready.job, { ready.job->id(), ready.occurrence, ready.index, index },
--- a/packages/fleet/src/owner-reserve.cpp
+++ b/packages/fleet/src/owner-reserve.cpp
@@ -64,10 +64,13 @@
 }
 
 // Expected ends of all runs by worker, from learned run times where known; runs without one come last.
-std::vector<std::vector<ExpectedEnd>> Owner::Impl::expectedEnds() const
+//
+// Where workers differ, the rate of a run is a better prediction than the run times of others.
+std::vector<std::vector<ExpectedEnd>> Owner::Impl::expectedEnds()
 {
     std::vector<std::vector<ExpectedEnd>> out(m_usable.size());
     for (std::size_t i = 0; i < m_usable.size(); ++i) {
+        const auto differ = m_settings.features.workerSpeed && m_speeds.differ(m_usable[i]->report.service);
         for (const auto& [task, run] : m_usable[i]->runs) {
             const auto job = m_jobs.find(task.job);
             const auto* spec = job == m_jobs.end() ? nullptr : job->second.specOf(task);
@@ -75,9 +78,13 @@
                 out[i].push_back({ TimePoint::max(), run.resources });
                 continue;
             }
-            const auto end = run.phase == RunPhase::Stopping
+            auto end = run.phase == RunPhase::Stopping
                 ? now()
                 : std::max(now(), run.runningSince + expectedTime(job->second, *spec));
+            const auto* step
+                = run.phase != RunPhase::Stopping && differ ? job->second.findStep(task) : nullptr;
+            if (step)
+                end = std::max(now(), expectedEnd(job->second, *step, *m_usable[i], run));
             out[i].push_back({ end, run.resources });
         }
     }
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -161,6 +161,7 @@
         || known.capacity != report.capacity;
     const auto wasDraining = worker.report.draining && known.incarnation == report.incarnation;
     worker.report = report;
+    worker.coldUntil = now() + report.coldFor;
     worker.listed = true;
     if (restarted) {
         loseRuns(worker, "its worker has restarted");
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -16,6 +16,17 @@
     constexpr double balanceWeight = 0.5;
     // Half an empty worker: separates cheap from costly tasks without stranding capacity.
     constexpr double rackOrderWeight = 0.5;
+    // For each task of an urgent step, by the relative change of its run time. A slow worker (0.8) costs as
+    // much as a whole empty worker left over: an urgent gang that ends late is worth nothing.
+    constexpr double urgentTimeWeight = 4;
+    // Of other work, by the relative speed: below the difference between an empty and a half-used worker.
+    constexpr double keepFastFreeWeight = 0.5;
+    // For each task of a gang, by the share of its workers' speed that waits for the slowest member.
+    constexpr double unequalSpeedWeight = 1;
+    // Below the cost of preempting one task, so that only equal choices differ.
+    constexpr double preemptionTimeWeight = 0.5;
+    // Least speeds tried for the members of a gang; narrower classes are within the error of the estimates.
+    constexpr double speedClasses[] = { 1.1, 1, 0.9, 0.8, 0 };
     constexpr double infeasible = std::numeric_limits<double>::infinity();
 
     bool hasLabel(const WorkerView& view, const std::string& label)
@@ -47,6 +58,19 @@
         return request.priority <= urgentPriority || request.overdue;
     }
 
+    TimePoint expectedEndOn(const PlaceRequest& request, const WorkerView& view)
+    {
+        if (view.speed == 1)
+            return request.expectedEnd;
+        const auto more = static_cast<double>(request.expectedTime.count()) * (1 / view.speed - 1);
+        return request.expectedEnd + Duration(static_cast<std::int64_t>(more));
+    }
+
+    bool isUrgent(const PlaceRequest& request)
+    {
+        return request.priority <= urgentPriority;
+    }
+
     bool isAllowed(const PlaceRequest& request, const WorkerView& view)
     {
         if (view.isolated || (request.isolated && !view.idle))
@@ -57,7 +81,7 @@
             return false;
         const auto overridesReservation = request.priority <= urgentPriority && !view.reservationBindsUrgent;
         if (view.reservedBy && view.reservedBy != request.step && !overridesReservation
-            && request.expectedEnd > view.reservedUntil)
+            && expectedEndOn(request, view) > view.reservedUntil)
             return false;
         // A best-effort task disturbs a latency-sensitive one to an extent that is not known in advance.
         if (request.spec->bestEffort && view.latencySensitive)
@@ -65,6 +89,14 @@
         return !(request.spec->tailTarget.count() > 0 && view.bestEffort);
     }
 
+    // Urgent tasks prefer fast workers, other work leaves these free. Gangs are compared as a whole.
+    double speedCost(const PlaceRequest& request, const WorkerView& view)
+    {
+        if (!isUrgent(request))
+            return keepFastFreeWeight * (view.cautiousSpeed - 1);
+        return request.spec->gang ? 0 : urgentTimeWeight * (1 / view.cautiousSpeed - 1);
+    }
+
     double fitCost(const PlaceRequest& request, const WorkerView& view)
     {
         const auto& need = request.spec->resources;
@@ -74,7 +106,7 @@
         const auto accLeft = share(view.free.accelerators - need.accelerators, view.capacity.accelerators);
         const auto side = request.costlyToStop ? 1 - view.rackOrder : view.rackOrder;
         return accLeft + rackOrderWeight * side + balanceWeight * std::abs(cpuLeft - accLeft)
-            + failurePenaltyWeight * view.failurePenalty;
+            + failurePenaltyWeight * view.failurePenalty + speedCost(request, view);
     }
 
     bool isOnWantedRack(const PlaceRequest& request, const WorkerView& view)
@@ -200,26 +232,94 @@
         return request.spec->gang && request.spec->sameRack && !request.anyRack;
     }
 
+    // A gang runs at the speed of its slowest member.
+    double gangSpeedCost(
+        const PlaceRequest& request, const std::vector<WorkerView>& views, const Placement& placement)
+    {
+        auto slowest = infeasible;
+        double sum = 0;
+        for (const auto i : placement) {
+            slowest = std::min(slowest, views[i].cautiousSpeed);
+            sum += views[i].cautiousSpeed;
+        }
+        const auto count = static_cast<double>(placement.size());
+        return isUrgent(request) ? urgentTimeWeight * count * (1 / slowest - 1)
+                                 : unequalSpeedWeight * (sum / slowest - count);
+    }
+
+    // A placement of a whole gang, with its cost. The resources are not subtracted from the views.
+    struct GangChoice {
+        Placement placement;
+        double cost = infeasible;
+    };
+
+    GangChoice placeGang(
+        const PlaceRequest& request, std::vector<WorkerView>& views, const std::vector<std::size_t>& members)
+    {
+        GangChoice choice;
+        if (!mayFitGang(request, views, members))
+            return choice;
+        double total = 0;
+        auto placement = placeAmong(request, views, members, total);
+        releasePlacement(request, views, placement);
+        if (static_cast<int>(placement.size()) == request.count)
+            choice = { std::move(placement), total };
+        return choice;
+    }
+
+    bool speedsDiffer(const std::vector<WorkerView>& views, const std::vector<std::size_t>& members)
+    {
+        return std::any_of(
+            members.begin(), members.end(), [&](std::size_t i) { return views[i].cautiousSpeed != 1; });
+    }
+
+    // Tries members of at least one of several speeds, fastest first. An urgent gang takes the fastest
+    // members that have room for it.
+    GangChoice placeGangBySpeed(const PlaceRequest& request, std::vector<WorkerView>& views,
+        const std::vector<std::size_t>& members, double mostCost)
+    {
+        GangChoice best;
+        if (!speedsDiffer(views, members))
+            return placeGang(request, views, members);
+        std::vector<std::size_t> fast;
+        for (const auto least : speedClasses) {
+            const auto before = fast.size();
+            fast.clear();
+            double fastest = 0;
+            for (const auto i : members) {
+                if (views[i].cautiousSpeed >= least)
+                    fast.push_back(i);
+                fastest = std::max(fastest, views[i].cautiousSpeed);
+            }
+            if (fast.size() == before)
+                continue;
+            if (isUrgent(request) && urgentTimeWeight * request.count * (1 / fastest - 1) >= mostCost)
+                break; // Even without a cost of fit.
+            auto choice = placeGang(request, views, fast);
+            if (choice.cost == infeasible)
+                continue;
+            choice.cost += gangSpeedCost(request, views, choice.placement);
+            if (choice.cost < best.cost)
+                best = std::move(choice);
+            if (isUrgent(request))
+                break;
+        }
+        return best;
+    }
+
     // Places the gang on the rack with the lowest total cost.
     Placement placeOnOneRack(
         const PlaceRequest& request, std::vector<WorkerView>& views, const std::vector<std::size_t>& among)
     {
-        Placement best;
-        auto bestTotal = infeasible;
+        GangChoice best;
         eachRack(views, among, [&](const std::vector<std::size_t>& members) {
-            if (!mayFitGang(request, views, members))
-                return;
-            double total = 0;
-            auto placement = placeAmong(request, views, members, total);
-            releasePlacement(request, views, placement);
-            if (static_cast<int>(placement.size()) == request.count && total < bestTotal) {
-                bestTotal = total;
-                best = std::move(placement);
-            }
+            auto choice = placeGangBySpeed(request, views, members, best.cost);
+            if (choice.cost < best.cost)
+                best = std::move(choice);
         });
-        for (const auto i : best)
+        for (const auto i : best.placement)
             views[i].free -= request.spec->resources;
-        return best;
+        return std::move(best.placement);
     }
 
     // Greedy search for the preemption with the least loss among a set of workers.
@@ -318,6 +418,7 @@
         Choice cheapestOn(std::size_t i) const
         {
             Choice choice { i, m_views[i].failurePenalty * failurePenaltyWeight, {} };
+            choice.cost += preemptionTimeWeight * (1 / m_views[i].cautiousSpeed - 1);
             auto free = m_free.at(i);
             if (free.canFit(m_request.spec->resources))
                 return choice;
@@ -383,13 +484,13 @@
     Placement placement;
     if (needsOneRack(request))
         placement = placeOnOneRack(request, views, among);
-    else {
+    else if (request.spec->gang) {
+        placement = placeGangBySpeed(request, views, among, infeasible).placement;
+        for (const auto i : placement)
+            views[i].free -= request.spec->resources;
+    } else {
         double total = 0;
         placement = placeAmong(request, views, among, total);
-        if (request.spec->gang && static_cast<int>(placement.size()) < request.count) {
-            releasePlacement(request, views, placement);
-            placement.clear();
-        }
     }
     markPlaced(request, views, placement);
     return placement;
--- a/packages/fleet/src/reserve.cpp
+++ b/packages/fleet/src/reserve.cpp
@@ -36,12 +36,25 @@
     return largestShare(resources, sumOf(service, views, &WorkerView::capacity));
 }
 
+namespace {
+
+    // Workers that are slower are of less use to urgent gangs. Those of which nothing is known are below it
+    // too, so that other work runs there and shows their speed.
+    constexpr double minReservedSpeed = 0.9;
+
+    bool isReservable(const ServiceId& service, const WorkerView& view)
+    {
+        return view.service == service && view.cautiousSpeed >= minReservedSpeed;
+    }
+
+} // namespace
+
 void reserveRacks(const ServiceId& service, double share, std::vector<WorkerView>& views)
 {
     const auto whole = sumOf(service, views, &WorkerView::capacity);
     std::map<double, Resources> racks;
     for (const auto& view : views) {
-        if (view.service == service)
+        if (isReservable(service, view))
             racks[view.rackOrder] += view.capacity;
     }
     auto last = -1.0;
@@ -57,7 +70,7 @@
     }
     for (auto& view : views)
         view.reservedForUrgent
-            = view.reservedForUrgent || (view.service == service && view.rackOrder <= last);
+            = view.reservedForUrgent || (isReservable(service, view) && view.rackOrder <= last);
 }
 
 } // namespace jujubereach::fleet
--- a/packages/fleet/src/worker.h
+++ b/packages/fleet/src/worker.h
@@ -13,6 +13,14 @@
     Stopping,
 };
 
+/// What the lists have shown of the rate of a run.
+struct RateMeasurement {
+    int basePercent = -1; ///< At `baseAt`; negative before the first list.
+    TimePoint baseAt;
+    TimePoint listedAt; ///< When the last list arrived.
+    int usedPercent = 0; ///< Part of the run in the last observation of its rate; 0 for none.
+};
+
 /// A run that a worker executes or may execute.
 struct ActiveRun {
     TaskId task;
@@ -48,6 +56,7 @@
     TimePoint progressAt; ///< When `percent` last changed.
     int basePercent = -1; ///< Progress at `baseAt`, from which its speed is measured; negative if unknown.
     TimePoint baseAt;
+    RateMeasurement rate;
 
     /// Whether it is executed by the known incarnation of the worker or by a later one.
     bool isUndecided() const { return startAnsweredAt != TimePoint {} && incarnation == 0; }
@@ -133,6 +142,11 @@
     /// Starts that a later incarnation may still execute, even if this one has ended or stopped them.
     std::map<TaskId, UnansweredStart> unansweredStarts;
     TimePoint leavesAt; ///< Of a draining worker: the earliest time at which it leaves.
+    TimePoint coldUntil; ///< Runs more slowly before, after its start.
+    bool listLate = false; ///< The last list was delayed, so its percentages are old.
+    double speed = 1; ///< Of `speedIncarnation`, relative to the mean of the service.
+    double speedDeviation = 0; ///< Standard deviation of log(`speed`).
+    std::int64_t speedIncarnation = 0;
     WorkerHealth health;
     /// Runs whose lease has expired while the worker was silent; it may have crashed under them.
     std::vector<ActiveRun> expiredRuns;
