--- a/packages/fleet/include/jujubereach/fleet/owner.h
+++ b/packages/fleet/include/jujubereach/fleet/owner.h
@@ -153,6 +153,8 @@
     void restoreJob(JobRecord record, std::optional<ProgressRecord> progress, Revision progressRevision);
     /// Without a roster, the stored one cannot be read: any worker may run anything.
     void restoreRoster(const std::optional<std::vector<RosterRow>>& roster, Revision revision);
+    /// The speeds of workers that a previous owner has stored. Optional, before or after `recovered`.
+    void restoreSpeeds(const std::string& value);
     void recovered();
 
     /// Changes in the store: a job was accepted or cancelled, a worker entry was written or removed. A record
--- a/packages/fleet/include/jujubereach/fleet/records.h
+++ b/packages/fleet/include/jujubereach/fleet/records.h
@@ -88,6 +88,7 @@
     constexpr auto progressPrefix = "run/";
     constexpr auto owner = "owner/0";
     constexpr auto roster = "fleet/roster";
+    constexpr auto speeds = "fleet/speeds";
     constexpr auto summary = "fleet/summary";
     std::string job(const JobId& id);
     std::string progress(const JobId& id);
--- a/packages/fleet/include/jujubereach/fleet/worker-speed.h
+++ b/packages/fleet/include/jujubereach/fleet/worker-speed.h
@@ -25,6 +25,7 @@
 /// A rate is measured over at least this part of a run, between two lists at least this time apart.
 constexpr int minObservedPercent = 10;
 constexpr Duration minObservedTime { 400 };
+constexpr std::size_t maxSpeedStateBytes = 64 * 1024;
 
 /// Statistics of the residuals log(rate) - a(step) of one worker.
 struct SpeedEvidence {
@@ -55,6 +56,15 @@
     /// Whether speeds differ by more than chance.
     bool differ(const ServiceId& service) const;
 
+    /// Whether the speed of a worker differs notably from the one in the last state.
+    bool stateChanged() const;
+    /// State for a successor: rows of the workers observed recently, those with the most evidence first, in
+    /// at most `maxSpeedStateBytes`.
+    std::string encodeState(TimePoint now);
+    /// Adds the rows for which there is less evidence here. Returns false, and changes nothing, if the value
+    /// is malformed.
+    bool restoreState(const std::string& value, TimePoint now);
+
     /// Ratio of the variance between workers to that within workers; 0 before it can be estimated.
     double varianceRatio(const ServiceId& service) const;
     std::size_t workers() const { return m_workers.size(); }
@@ -68,6 +78,7 @@
         SpeedEvidence closed; ///< From steps that are closed.
         SpeedEvidence all; ///< With the open steps, as of the last fit.
         double logSpeed = 0;
+        double storedLogSpeed = 0; ///< `logSpeed` in the last state.
         double share = 0; ///< Scratch value of a fit: weight of the worker in the step at hand.
         TimePoint observedAt;
     };
@@ -88,11 +99,22 @@
         bool differs = false;
     };
 
+    struct StoredRow {
+        WorkerId worker;
+        ServiceId service;
+        std::int64_t incarnation = 0;
+        double mean = 0;
+        double weight = 0;
+        double noise = 0; ///< Of the service.
+    };
+
+    static std::vector<StoredRow> decodeState(const std::string& value); ///< Throws if it is malformed.
     Row* rowOf(const RateObservation& observation);
     const Row* findRow(const WorkerId& worker, std::int64_t incarnation) const;
     void dropRuns(const Row& row);
     void evictWorkers();
     void closeSteps(TimePoint now);
+    void restoreRow(const StoredRow& stored, TimePoint now);
     static void addResiduals(const OpenStep& step, SpeedEvidence Row::*to);
     void estimateVariances();
 
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -91,6 +91,7 @@
     void giveUpOwnership(const char* why);
     void acknowledgeSavedEnds(Worker& worker);
     void saveSummary(StoreWrite& write);
+    void saveSpeedsIfDue();
     void saveRoster(StoreWrite& write, SavedParts& parts);
     bool shouldBeOpenInRoster(const Worker& worker) const; ///< The state that should be stored.
     bool belongsInRoster(const Worker& worker) const; ///< Whether a row should be stored.
@@ -266,6 +267,7 @@
     void observeRate(const Worker& worker, const TaskId& task, int percent, Duration time);
     void discardRate(ActiveRun& run);
     void refitSpeeds();
+    void restoreSpeeds(const std::string& value);
     double speedOf(const Worker& worker) const; ///< 1 if unknown.
     double cautiousSpeedOf(const Worker& worker) const; ///< Less one standard deviation.
     /// Of the worker, or of the slowest worker of a gang.
@@ -326,6 +328,8 @@
     WorkerSpeeds m_speeds;
     std::map<ServiceId, bool> m_speedsDiffer; ///< As last logged.
     TimePoint m_speedsFittedAt;
+    TimePoint m_nextSpeedsSave;
+    bool m_speedsUnsaved = false; ///< The last write of them has failed.
 
     /// Until the recovery grace period is over. No other roster is stored before, for a successor.
     bool m_rosterUnreadable = false;
--- a/packages/fleet/src/owner-speed.cpp
+++ b/packages/fleet/src/owner-speed.cpp
@@ -13,6 +13,7 @@
     constexpr Duration maxListDelay { 200 };
     // An end is reported at once. If no list has arrived for longer than a poll takes, its time is not known.
     constexpr Duration maxListAge { 2000 };
+    constexpr Duration speedsSaveInterval { 5000 };
     constexpr double slowBelow = 0.9;
     constexpr double fastAbove = 1.1;
 
@@ -122,6 +123,37 @@
     }
 }
 
+void Owner::Impl::restoreSpeeds(const std::string& value)
+{
+    if (!m_settings.features.workerSpeed)
+        return;
+    const auto readable = m_speeds.restoreState(value, now());
+    m_hooks.log("speeds-restored",
+        { { "readable", readable }, { "workers", m_speeds.workers() }, { "bytes", value.size() } });
+}
+
+// A write of its own: a value of this size must not make the write of job progress fail or wait. It is not
+// repeated before the next interval.
+void Owner::Impl::saveSpeedsIfDue()
+{
+    if (now() < m_nextSpeedsSave || !m_settings.features.workerSpeed || m_superseded || m_saveFailures > 0)
+        return;
+    m_nextSpeedsSave = now() + speedsSaveInterval;
+    if (!m_speeds.stateChanged() && !m_speedsUnsaved)
+        return;
+    StoreWrite write;
+    write.expected.push_back({ keys::owner, m_ownerKey });
+    write.puts.push_back({ keys::speeds, m_speeds.encodeState(now()), {} });
+    const auto bytes = write.puts.back().value.size();
+    m_speedsUnsaved = true;
+    m_hooks.write(std::move(write), [this, self = m_self, bytes](const StoreAnswer& answer) {
+        if (!*self)
+            return;
+        m_speedsUnsaved = answer.fate != StoreFate::Done;
+        m_hooks.log("speeds-saved", { { "fate", nameOf(answer.fate) }, { "bytes", bytes } });
+    });
+}
+
 double Owner::Impl::speedOf(const Worker& worker) const
 {
     return m_settings.features.workerSpeed && worker.speedIncarnation == incarnationOf(worker) ? worker.speed
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -205,6 +205,7 @@
     if ((m_passDue && now() >= m_nextPass) || now() >= m_nextRetryPass)
         pass();
     saveIfDue();
+    saveSpeedsIfDue();
     const auto next = m_passDue ? std::min(m_nextSweep, m_nextPass) : m_nextSweep;
     m_hooks.wakeIn(std::max(Duration(1), next - now()));
 }
@@ -474,6 +475,11 @@
     m_impl->restoreRoster(roster, revision);
 }
 
+void Owner::restoreSpeeds(const std::string& value)
+{
+    m_impl->restoreSpeeds(value);
+}
+
 void Owner::recovered()
 {
     m_impl->receiveUpdate([impl = m_impl.get()] { impl->recovered(); });
--- a/packages/fleet/src/worker-speed.cpp
+++ b/packages/fleet/src/worker-speed.cpp
@@ -1,5 +1,7 @@
 #include "jujubereach/fleet/worker-speed.h"
 
+#include <boost/json.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -25,6 +27,13 @@
     constexpr double differsAbove = 4;
     constexpr double differsNoLongerBelow = 2;
 
+    constexpr double notableChange = 0.05; // About the error of a well known speed.
+    constexpr Duration maxRowAge { 600'000 }; // The worker has left, most likely.
+    // Units of stored numbers.
+    constexpr double meanUnits = 1000;
+    constexpr double weightUnits = 10;
+    constexpr double noiseUnits = 1e6;
+
     double clamped(double residual)
     {
         return std::clamp(residual, -maxResidual, maxResidual);
@@ -246,6 +255,93 @@
     }
 }
 
+bool WorkerSpeeds::stateChanged() const
+{
+    return std::any_of(m_workers.begin(), m_workers.end(), [](const auto& entry) {
+        return std::abs(entry.second.logSpeed - entry.second.storedLogSpeed) > notableChange;
+    });
+}
+
+// An array of two arrays: services as [id, noise] and workers as [id, index of the service, incarnation,
+// mean, weight].
+std::string WorkerSpeeds::encodeState(TimePoint now)
+{
+    boost::json::array services;
+    std::map<ServiceId, std::size_t> indices;
+    for (const auto& [id, service] : m_services) {
+        indices[id] = services.size();
+        services.push_back(boost::json::array { id.str(), std::llround(service.noise * noiseUnits) });
+    }
+    std::vector<std::pair<double, const WorkerId*>> order;
+    for (auto& [id, row] : m_workers) {
+        row.storedLogSpeed = row.logSpeed;
+        if (row.all.weight > 0 && now - row.observedAt < maxRowAge && indices.contains(row.service))
+            order.emplace_back(-row.all.weight, &id);
+    }
+    std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
+        return std::tie(a.first, *a.second) < std::tie(b.first, *b.second);
+    });
+    auto out = '[' + boost::json::serialize(services) + ",[";
+    const auto begin = out.size();
+    for (const auto& [weight, id] : order) {
+        const auto& row = m_workers.at(*id);
+        const auto text
+            = boost::json::serialize(boost::json::array { id->str(), indices.at(row.service), row.incarnation,
+                std::llround(row.all.mean() * meanUnits), std::llround(row.all.weight * weightUnits) });
+        constexpr std::size_t punctuation = 3;
+        if (out.size() + text.size() + punctuation > maxSpeedStateBytes)
+            break;
+        out += (out.size() > begin ? "," : "") + text;
+    }
+    return out + "]]";
+}
+
+std::vector<WorkerSpeeds::StoredRow> WorkerSpeeds::decodeState(const std::string& value)
+{
+    const auto parsed = boost::json::parse(value);
+    const auto& services = parsed.as_array().at(0).as_array();
+    std::vector<StoredRow> rows;
+    for (const auto& item : parsed.as_array().at(1).as_array()) {
+        const auto& in = item.as_array();
+        const auto& service = services.at(in.at(1).to_number<std::size_t>()).as_array();
+        StoredRow row { WorkerId(std::string(in.at(0).as_string())),
+            ServiceId(std::string(service.at(0).as_string())), in.at(2).to_number<std::int64_t>(),
+            clamped(in.at(3).to_number<double>() / meanUnits),
+            std::clamp(in.at(4).to_number<double>() / weightUnits, 0.0, maxWeight),
+            std::clamp(service.at(1).to_number<double>() / noiseUnits, 0.0, 1.0) };
+        rows.push_back(std::move(row));
+    }
+    return rows;
+}
+
+bool WorkerSpeeds::restoreState(const std::string& value, TimePoint now)
+{
+    if (value.size() > maxSpeedStateBytes)
+        return false;
+    try {
+        for (const auto& stored : decodeState(value))
+            restoreRow(stored, now);
+    } catch (const std::exception&) {
+        return false; // The caller logs it.
+    }
+    m_changed = true;
+    return true;
+}
+
+void WorkerSpeeds::restoreRow(const StoredRow& stored, TimePoint now)
+{
+    RateObservation observation;
+    observation.worker = stored.worker;
+    observation.incarnation = stored.incarnation;
+    observation.service = stored.service;
+    auto* row = rowOf(observation);
+    if (!row || row->closed.weight >= stored.weight)
+        return;
+    row->observedAt = now;
+    row->closed = { stored.weight, stored.weight * stored.mean,
+        stored.weight * stored.mean * stored.mean + std::max(0.0, stored.weight - 1) * stored.noise };
+}
+
 double WorkerSpeeds::speedOf(const WorkerId& worker, std::int64_t incarnation) const
 {
     const auto* row = findRow(worker, incarnation);
--- a/packages/fleet/test/fake-fleet.h
+++ b/packages/fleet/test/fake-fleet.h
@@ -219,6 +219,8 @@
         const auto roster = store.find(keys::roster);
         if (roster != store.end())
             owner->restoreRoster(decodeRoster(roster->second.first), roster->second.second);
+        if (const auto speeds = store.find(keys::speeds); speeds != store.end())
+            owner->restoreSpeeds(speeds->second.first);
         for (const auto& [id, worker] : workers) {
             if (!unlisted.contains(id))
                 owner->workerReported(worker.report);
--- a/packages/fleet/test/worker-speed-test.cpp
+++ b/packages/fleet/test/worker-speed-test.cpp
@@ -69,6 +69,8 @@
         }
         fleet.workTime = [this](const TaskId& task) { return timeOf(task); };
         fleet.logHook = [this](const std::string& event, const boost::json::object& fields) {
+            if (event == "worker-speeds")
+                speedsDiffer = fields.at("differ").as_bool();
             if (event == "start")
                 started(fields);
             else if (event == "end" || event == "run-lost")
@@ -93,6 +95,7 @@
     std::map<WorkerId, double> speeds;
     std::map<WorkerId, std::int64_t> free; ///< Accelerators.
     std::vector<std::string> starts; ///< Task and worker.
+    bool speedsDiffer = false; ///< As the owner has logged.
     int avoidable = 0; ///< Urgent gangs that could have been placed without a slow member.
     int slowed = 0; ///< Those of them that have one.
 
@@ -182,7 +185,9 @@
     CPPUNIT_TEST(equalWorkersAreNotTakenForUnequal);
     CPPUNIT_TEST(aStepOnOneWorkerShowsNothing);
     CPPUNIT_TEST(aRestartedWorkerIsUnknown);
+    CPPUNIT_TEST(theStateIsBoundedAndRestoredOnce);
     CPPUNIT_TEST(urgentGangsAvoidSlowWorkers);
+    CPPUNIT_TEST(aSuccessorKnowsTheSpeeds);
     CPPUNIT_TEST(equalWorkersChangeNoDecision);
     CPPUNIT_TEST_SUITE_END();
 
@@ -240,6 +245,53 @@
         CPPUNIT_ASSERT_EQUAL(1.0, load.speeds.speedOf(workerNamed(0), 1));
     }
 
+    // Guards against a state that the store refuses or a successor cannot use, and evidence that counts
+    // twice.
+    void theStateIsBoundedAndRestoredOnce()
+    {
+        Load load;
+        load.run(700, 4000, [](int i) { return speedOfKind(i); });
+        CPPUNIT_ASSERT(load.speeds.stateChanged());
+        const auto state = load.speeds.encodeState(load.now);
+        CPPUNIT_ASSERT(!load.speeds.stateChanged());
+        CPPUNIT_ASSERT(state.size() <= maxSpeedStateBytes && state.size() > maxSpeedStateBytes - 100);
+        WorkerSpeeds successor;
+        for (const auto* malformed : { "", "[]", "[[],[[\"w\",0,1,0,0]]]", "[[[\"s\",1]],[[1,2]]]" })
+            CPPUNIT_ASSERT(!successor.restoreState(malformed, load.now));
+        CPPUNIT_ASSERT(successor.restoreState(state, load.now) && successor.restoreState(state, load.now));
+        CPPUNIT_ASSERT(successor.refit(load.now) && successor.differ(service));
+        int misjudged = 0;
+        for (int i = 0; i < 4000; ++i) {
+            const auto speed = successor.speedOf(workerNamed(i), 1);
+            misjudged
+                += speed != 1 && std::abs(std::log(speed / load.speeds.speedOf(workerNamed(i), 1))) > 0.05;
+        }
+        CPPUNIT_ASSERT_EQUAL(0, misjudged);
+    }
+
+    // Guards against a takeover that forgets the speeds, and against a store that is down or a value that is
+    // unreadable and stops the owner.
+    void aSuccessorKnowsTheSpeeds()
+    {
+        MixedLoad load(true, true, 4);
+        load.run(2); // Until the roster is stored.
+        load.fleet.storeDown = true;
+        load.run(10);
+        CPPUNIT_ASSERT(load.speedsDiffer && !load.fleet.store.contains(keys::speeds));
+        load.fleet.storeDown = false;
+        load.run(10);
+        CPPUNIT_ASSERT(load.fleet.store.contains(keys::speeds));
+        load.speedsDiffer = false;
+        load.fleet.takeOver();
+        load.run(1);
+        CPPUNIT_ASSERT(load.speedsDiffer);
+        load.fleet.store[keys::speeds].first = "?";
+        load.fleet.takeOver();
+        load.run(10);
+        CPPUNIT_ASSERT(load.fleet.store[keys::speeds].first != "?");
+        CPPUNIT_ASSERT_EQUAL(std::string(), load.fleet.firstViolation());
+    }
+
     static double slowedShare(bool feature)
     {
         double avoidable = 0;
