--- a/packages/fleet/src/owner-speed.cpp
+++ b/packages/fleet/src/owner-speed.cpp
@@ -63,8 +63,8 @@
     if (rate.basePercent < 0 || observed < rate.usedPercent + minObservedPercent
         || now() - rate.baseAt < minObservedTime)
         return;
+    observeRate(worker, run, observed, now() - rate.baseAt);
     rate.usedPercent = observed;
-    observeRate(worker, run.task, observed, now() - rate.baseAt);
 }
 
 void Owner::Impl::measureEnd(const Worker& worker, const ActiveRun& run, const Step& step)
@@ -78,20 +78,21 @@
     const auto observed = startKnown ? 100 : 100 - rate.basePercent;
     if ((!startKnown && rate.basePercent < 0) || now() - from < minObservedTime)
         return;
-    observeRate(worker, run.task, observed, now() - from);
+    observeRate(worker, run, observed, now() - from);
 }
 
-void Owner::Impl::observeRate(const Worker& worker, const TaskId& task, int percent, Duration time)
+void Owner::Impl::observeRate(const Worker& worker, const ActiveRun& run, int percent, Duration time)
 {
     RateObservation observation;
     observation.worker = worker.id();
     observation.incarnation = incarnationOf(worker);
     observation.service = worker.report.service;
-    observation.task = task;
+    observation.task = run.task;
     observation.rate = percent * 1000.0 / static_cast<double>(time.count());
     observation.observedPercent = percent;
     m_speeds.observe(observation, now());
-    count("jujubereach_speed_observations_total", { { "service", worker.report.service.str() } });
+    if (run.rate.usedPercent == 0)
+        count("jujubereach_speed_observed_runs_total", { { "service", worker.report.service.str() } });
 }
 
 void Owner::Impl::discardRate(ActiveRun& run)
--- a/packages/fleet/src/worker-speed.cpp
+++ b/packages/fleet/src/worker-speed.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-    constexpr Duration fitInterval { 250 }; // Lists with new rates of one run are 500 ms apart.
+    constexpr Duration fitInterval { 500 }; // A run shows a new rate no sooner.
     // Longer than the time between two observations of a run of a few minutes.
     constexpr Duration stepTimeout { 30'000 };
     constexpr std::size_t maxWorkers = 12'000;
--- a/packages/fleet/test/worker-speed-test.cpp
+++ b/packages/fleet/test/worker-speed-test.cpp
@@ -3,6 +3,7 @@
 #include "jujubereach/fleet/worker-speed.h"
 
 #include <cmath>
+#include <numeric>
 #include <random>
 
 using namespace jujubereach;
@@ -59,9 +60,8 @@
         : m_random(seed)
     {
         fleet.settings.features.workerSpeed = feature;
-        std::vector<int> kinds;
-        for (int i = 0; i < workers; ++i)
-            kinds.push_back(i);
+        std::vector<int> kinds(workers);
+        std::iota(kinds.begin(), kinds.end(), 0);
         std::shuffle(kinds.begin(), kinds.end(), m_random);
         for (int i = 0; i < workers; ++i) {
             fleet.addWorker(workerNamed(i).str(), "r" + std::to_string(i / 8));
@@ -111,7 +111,7 @@
             return;
         const auto name = std::to_string(priority) + "-" + std::to_string(m_jobs++);
         const int each = accelerators[m_random() % accelerators.size()];
-        auto job = FakeFleet::job(name, tasks, { each * 1000, 1000, each }, priority);
+        auto job = FakeFleet::job(name, tasks, { 1000L * each, 1000, each }, priority);
         auto& step = job.spec.steps[0];
         step.gang = step.sameRack = priority < 2;
         m_works[name] = { milliseconds * (0.7 + 0.6 * m_unit(m_random)), each };
