Wait for runs that end soon instead of preempting them

Cause: urgent steps that did not fit stopped the runs with the least work lost, also where these were about to end by themselves and where no stop could make the step in time. The stopped runs do not checkpoint and run again from their start.

Change: module preemption-cost decides from the candidates, the expected ends and the step's deadlines whether to stop, wait or give up. Plans may hold capacity of runs that end by themselves; they are dropped when such a run lasts longer than expected. The loss of a checkpointing gang counts from its last checkpoint. With the feature switched off the search and its costs are as before.

In preemption-cost-test a gang that arrives 0.4 s before the end of 8 bulk runs stops none of them, with the switch off all 8. Metrics, log lines: preempt-wait and jujubereach_preemptions_total.

--- a/packages/fleet/include/jujubereach/fleet/placement.h
+++ b/packages/fleet/include/jujubereach/fleet/placement.h
@@ -19,6 +19,9 @@
     double rank = 0; ///< Rank of its occurrence in the queue.
     double loss = 0; ///< Core-seconds of work lost by stopping it, or its whole gang.
     bool gang = false;
+    TimePoint endsAt = TimePoint::max(); ///< Expected end if it is not stopped.
+    TimePoint nextCheckpoint {}; ///< Expected next checkpoint, if a stop loses the work since the last one.
+    bool resumesAtOnce = false; ///< Saved by the stop, and would fit elsewhere now.
 };
 
 struct WorkerView {
@@ -53,6 +56,9 @@
     int priority = 0; ///< Only tasks with a larger number and a lower rank may be preempted:
     double rank = 0; ///< a task of higher rank would be placed first again.
     double maxLoss = 0; ///< Limit on the work lost by preemption, in core-seconds.
+    /// A preemption waits for runs that are expected to end by this time instead of stopping them; unset if
+    /// it waits for none.
+    TimePoint awaitUntil;
     /// Placed on the last racks, so that preemption for urgent gangs stays cheap on the first.
     bool costlyToStop = false;
     bool overdue = false; ///< Has waited long enough to use racks reserved for urgent work.
@@ -99,6 +105,11 @@
 struct Preemption {
     Placement placement;
     std::vector<TaskId> victims;
+    std::vector<TaskId> awaited; ///< Runs that end by themselves and whose capacity the placement uses.
+    TimePoint awaitedEnd; ///< Latest expected end of `awaited`; unset if there are none.
+    TimePoint checkpointsBy; ///< Latest next checkpoint of the victims; unset if they have none.
+    double loss = 0; ///< Core-seconds of work that the victims lose.
+    double lostUtility = 0; ///< The same, weighted by the ranks of the victims.
 };
 
 /// Finds a placement of all tasks that loses the least work to preemption. Empty if there is none.
--- a/packages/fleet/include/jujubereach/fleet/queue-order.h
+++ b/packages/fleet/include/jujubereach/fleet/queue-order.h
@@ -23,6 +23,17 @@
     double remainingWork = 0; ///< Of the occurrence, in core-seconds.
 };
 
+constexpr double lateShare = 0.35; ///< Utility left to a late result: 0.2 to 0.5 in the sheets.
+/// Positive, so that a job that is too late to be of use still runs, after everything else.
+constexpr double tooLateShare = 0.01;
+/// Multiple of the time in which a job should complete after which a result has almost no utility.
+constexpr double lateBound = 3;
+
+/// Share of its utility that a job has if it completes `finish` after its arrival; both in ms.
+double timeliness(double finish, double bound);
+/// Time after its arrival by which a job should complete, in ms.
+double completionBound(double stretch, Duration idealDuration, Duration objective);
+
 /// Returns the rank of a step; higher ranks are placed first. Guaranteed steps precede all others.
 double rankOf(const WaitingStep& step, QueueOrder order = QueueOrder::ByUtility);
 
--- a/packages/fleet/src/job.h
+++ b/packages/fleet/src/job.h
@@ -30,6 +30,8 @@
     std::vector<std::pair<int, WorkerId>> tasks; ///< Index and worker.
     Resources perTask; ///< Reserved on the worker of each task.
     TimePoint expires;
+    std::vector<TaskId> awaited; ///< Runs that end by themselves, whose capacity the plan uses.
+    TimePoint awaitUntil; ///< The plan is dropped if one of `awaited` is expected to end later.
 };
 
 /// Workers reserved for a step at the head of the queue.
@@ -78,6 +80,8 @@
     TimePoint waitingSince; ///< Unset while no task is waiting.
     TimePoint nextFeasibilityCheck; ///< Earliest next check whether the step would fit an empty fleet.
     TimePoint nextPreemption; ///< Earliest next search for tasks to preempt.
+    TimePoint awaitsSince; ///< When a plan for its waiting tasks first awaited ends; unset before.
+    const char* preemptionDecision = ""; ///< Reason of the last one, which is logged when it changes.
 
     bool finished() const { return done == spec->count; }
     /// The task that holds the shared state of a gang (task 0), or the task itself.
--- a/packages/fleet/src/owner-displace.cpp
+++ b/packages/fleet/src/owner-displace.cpp
@@ -14,16 +14,24 @@
     // Limit on the work lost, relative to the work of the urgent step.
     constexpr double maxPreemptionLossShare = 0.25;
 
-    Resources usedAfterStops(const Worker& worker)
+    // Awaited runs end without a stop.
+    Resources usedAfterEnds(const Worker& worker, const std::vector<TaskId>& awaited)
     {
         Resources sum;
         for (const auto& [task, run] : worker.runs) {
-            if (run.phase != RunPhase::Stopping)
+            if (run.phase != RunPhase::Stopping
+                && std::find(awaited.begin(), awaited.end(), task) == awaited.end())
                 sum += run.resources;
         }
         return sum;
     }
 
+    // The part of a wait that is logged, in ms; -1 if there is no bound.
+    std::int64_t timeLeft(TimePoint until, TimePoint now)
+    {
+        return until == TimePoint::max() ? -1 : (until - now).count();
+    }
+
 } // namespace
 
 void Owner::Impl::addPreemptionCandidates(std::vector<WorkerView>& fleet)
@@ -35,27 +43,137 @@
             const auto* step = job ? job->findStep(task) : nullptr;
             if (!step || active.phase == RunPhase::Stopping || step->spec->longRunning)
                 continue;
-            // The stop saves a checkpointing task, which then loses only the restore time. Gang members that
-            // wait for each other fall back further.
-            auto lostTime = now() - active.orderedAt;
-            if (step->spec->checkpointing)
-                lostTime = std::min(lostTime,
-                    step->spec->gang ? m_settings.checkpointInterval / 2 + m_settings.restoreTime
-                                     : m_settings.restoreTime);
-            const auto lost = coresOf(active.resources) * static_cast<double>(lostTime.count()) / 1000;
             const auto& occurrence = job->occurrences.at(task.occurrence);
             const auto [rank, isNew] = ranks.try_emplace(&occurrence, 0);
             if (isNew)
                 rank->second = rankInQueue(*job, occurrence, false);
-            view.preemptible.push_back({ task, active.resources, active.priority, rank->second,
-                step->spec->gang ? lost * step->spec->count : lost, step->spec->gang });
+            view.preemptible.push_back(candidateOf(*job, *step->spec, active, rank->second));
         }
     }
+    if (m_settings.features.preemptionCost)
+        markResumable(fleet);
+}
+
+PreemptionCandidate Owner::Impl::candidateOf(
+    const Job& job, const StepSpec& spec, const ActiveRun& run, double rank) const
+{
+    PreemptionCandidate out { run.task, run.resources, run.priority, rank, 0, spec.gang };
+    auto lost = now() - run.orderedAt;
+    if (m_settings.features.preemptionCost) {
+        lost = lostTime({ lost, !run.adopted, spec.checkpointing, spec.gang, m_settings.checkpointInterval,
+            m_settings.restoreTime });
+        out.endsAt = endUnlessStopped(job, spec, run);
+        out.resumesAtOnce = spec.checkpointing && !spec.gang; // See `markResumable`.
+        if (spec.checkpointing && spec.gang && !run.adopted)
+            out.nextCheckpoint
+                = now() + timeToCheckpoint(now() - run.orderedAt, m_settings.checkpointInterval);
+    } else if (spec.checkpointing) {
+        // The stop saves a checkpointing task, which then loses only the restore time. Gang members that
+        // wait for each other fall back further.
+        lost = std::min(lost,
+            spec.gang ? m_settings.checkpointInterval / 2 + m_settings.restoreTime : m_settings.restoreTime);
+    }
+    out.loss = coresOf(run.resources) * static_cast<double>(lost.count()) / 1000;
+    if (spec.gang)
+        out.loss *= spec.count;
+    return out;
+}
+
+// Keeps `resumesAtOnce` of the candidates that fit the largest free amounts outside reserved racks.
+void Owner::Impl::markResumable(std::vector<WorkerView>& fleet)
+{
+    std::map<ServiceId, Resources> largest;
+    for (const auto& view : fleet) {
+        auto& most = largest[view.service];
+        if (view.reservedForUrgent || view.reservedBy)
+            continue;
+        most = { std::max(most.milliCores, view.free.milliCores), std::max(most.memoryMb, view.free.memoryMb),
+            std::max(most.accelerators, view.free.accelerators) };
+    }
+    for (auto& view : fleet) {
+        const auto& most = largest[view.service];
+        for (auto& option : view.preemptible)
+            option.resumesAtOnce = option.resumesAtOnce && most.canFit(option.resources);
+    }
+}
+
+TimePoint Owner::Impl::endUnlessStopped(const Job& job, const StepSpec& spec, const ActiveRun& run) const
+{
+    return correctedEnd(expectedEnd(job, spec, run), expectedTime(job, spec), now());
+}
+
+UrgentNeed Owner::Impl::urgentNeedOf(const ReadyStep& ready) const
+{
+    const auto& job = *ready.job;
+    const auto& terms = termsOf(job);
+    UrgentNeed need;
+    need.now = now();
+    need.stopTime = timeOfStop(m_settings.stopTimeout);
+    need.guaranteed = ready.guaranteed;
+    need.awaitsSince = ready.step().awaitsSince;
+    Duration ideal { 0 };
+    double remainingWork = 0;
+    for (const auto& step : job.occurrences.at(ready.occurrence).steps) {
+        const auto time = expectedTime(job, *step.spec);
+        ideal += time;
+        remainingWork += workOf(job, *step.spec) * (step.spec->count - step.done);
+        if (!step.finished())
+            need.runTime += time;
+    }
+    const auto bound = completionBound(terms.stretch, ideal, terms.objective);
+    const auto finish = static_cast<double>((now() - job.arrived + ideal).count());
+    need.utility = ready.rank * std::max(remainingWork, 1.0) / timeliness(finish, bound);
+    if (ready.step().spec->longRunning)
+        return need; // It has no completion to be late with.
+    const auto arrived = job.spec().repeatCount > 0 ? ready.step().waitingSince : job.arrived;
+    need.inTimeBy = arrived + Duration(static_cast<std::int64_t>(bound));
+    need.usefulBy = arrived + Duration(static_cast<std::int64_t>(lateBound * bound));
+    return need;
+}
+
+PreemptionDecision Owner::Impl::decideFor(
+    const ReadyStep& ready, const PlaceRequest& request, Pass& pass) const
+{
+    if (!m_settings.features.preemptionCost) {
+        auto found = placeByPreemption(request, pass.fleet);
+        const auto outcome = found.placement.empty() ? PreemptionOutcome::GiveUp : PreemptionOutcome::Stop;
+        return { outcome, "", {}, std::move(found) };
+    }
+    const auto ends = [&]() -> const std::vector<std::vector<ExpectedEnd>>& {
+        if (!pass.ends)
+            pass.ends = expectedEnds();
+        return *pass.ends;
+    };
+    const auto& reservation = ready.step().reservation;
+    return decidePreemption(
+        request, pass.fleet, ends, urgentNeedOf(ready), reservation ? reservation->freeAt : TimePoint {});
+}
+
+// A decision to wait or to give up is repeated by every search; only a change is logged and counted.
+void Owner::Impl::logDecision(const ReadyStep& ready, const PreemptionDecision& decision)
+{
+    auto& step = ready.step();
+    const auto repeated = decision.outcome != PreemptionOutcome::Stop
+        && std::string_view(step.preemptionDecision) == decision.why;
+    step.preemptionDecision = decision.why;
+    if (!m_settings.features.preemptionCost || repeated)
+        return;
+    count("jujubereach_preemptions_total", { { "outcome", nameOf(decision.outcome) } });
+    if (decision.outcome == PreemptionOutcome::Stop)
+        return; // Logged as `displace`.
+    const auto need = urgentNeedOf(ready);
+    m_hooks.log("preempt-wait",
+        { { "id", ready.job->id().str() }, { "step", ready.index }, { "tasks", ready.tasks.size() },
+            { "outcome", nameOf(decision.outcome) }, { "why", decision.why },
+            { "capacityInMs", decision.until == TimePoint {} ? -1 : (decision.until - now()).count() },
+            { "stopMs", need.stopTime.count() }, { "runMs", need.runTime.count() },
+            { "deadlineInMs", timeLeft(need.inTimeBy, now()) },
+            { "waitedMs", (now() - step.waitingSince).count() },
+            { "awaited", decision.found.awaited.size() } });
 }
 
 bool Owner::Impl::preemptFor(const ReadyStep& ready, Pass& pass)
 {
-    auto& fleet = pass.fleet;
     auto& step = ready.step();
     auto request = requestFor(ready, pass);
     request.isolated = false; // Steps that must be isolated do not preempt.
@@ -75,31 +193,50 @@
         advised = advisedWorkers(step);
         request.allowed = &advised.ticketed;
     }
-    const auto found = placeByPreemption(request, fleet);
-    if (found.placement.empty())
+    const auto decision = decideFor(ready, request, pass);
+    logDecision(ready, decision);
+    if (decision.found.placement.empty())
         return false;
+    plan(ready, waiting, decision.found, pass);
+    return true;
+}
+
+void Owner::Impl::plan(
+    const ReadyStep& ready, const std::vector<int>& waiting, const Preemption& found, Pass& pass)
+{
+    auto& fleet = pass.fleet;
+    auto& step = ready.step();
     PreemptionPlan plan;
     plan.perTask = step.spec->resources;
     plan.expires = now() + planTimeout;
-    boost::json::array victims;
+    if (!found.awaited.empty()) {
+        plan.awaited = found.awaited;
+        plan.awaitUntil = awaitLimit(urgentNeedOf(ready));
+        if (step.awaitsSince == TimePoint {})
+            step.awaitsSince = now();
+    }
     for (std::size_t i = 0; i < found.placement.size(); ++i) {
         auto& view = fleet[found.placement[i]];
         view.free -= plan.perTask;
         view.idle = false;
         plan.tasks.emplace_back(waiting[i], view.id);
     }
-    const std::set<TaskId> gone(found.victims.begin(), found.victims.end());
+    // The views do not gain what the runs free: the rest of it is usable in the next pass.
+    std::set<TaskId> gone(found.victims.begin(), found.victims.end());
+    gone.insert(found.awaited.begin(), found.awaited.end());
     for (auto& view : fleet)
         std::erase_if(
             view.preemptible, [&](const PreemptionCandidate& option) { return gone.contains(option.task); });
+    boost::json::array victims;
     for (const auto& task : found.victims) {
         victims.push_back(boost::json::string(toString(task)));
         stopWhole(task, "more urgent work needs its room");
     }
-    m_hooks.log(
-        "displace", { { "id", ready.job->id().str() }, { "tasks", waiting.size() }, { "victims", victims } });
+    if (!victims.empty())
+        m_hooks.log("displace",
+            { { "id", ready.job->id().str() }, { "tasks", waiting.size() }, { "victims", victims },
+                { "lossCoreSeconds", found.loss }, { "awaited", found.awaited.size() } });
     m_plans[{ ready.job->id(), ready.occurrence, ready.index, 0 }] = std::move(plan);
-    return true;
 }
 
 // Stops all members of a gang together, so that each is saved.
@@ -118,6 +255,26 @@
     }
 }
 
+// A run that lasts longer than expected must not hold the plan: another search may stop it.
+bool Owner::Impl::endsInTime(const PreemptionPlan& plan)
+{
+    return std::all_of(plan.awaited.begin(), plan.awaited.end(), [&](const TaskId& task) {
+        const auto* job = findJob(task.job);
+        const auto* step = job ? findJob(task.job)->findStep(task) : nullptr;
+        const auto* worker
+            = step ? findWorker(step->tasks[static_cast<std::size_t>(task.index)].worker) : nullptr;
+        if (!worker || !worker->runs.contains(task))
+            return true;
+        return endUnlessStopped(*job, *step->spec, worker->runs.at(task)) <= plan.awaitUntil;
+    });
+}
+
+bool Owner::Impl::awaitsEnds(const ReadyStep& ready) const
+{
+    const auto plan = m_plans.find({ ready.job->id(), ready.occurrence, ready.index, 0 });
+    return plan != m_plans.end() && !plan->second.awaited.empty();
+}
+
 bool Owner::Impl::executePlan(Job& job, int occurrence, int stepIndex)
 {
     const auto found = m_plans.find({ job.id(), occurrence, stepIndex, 0 });
@@ -146,12 +303,12 @@
     for (const auto& [id, resources] : need) {
         auto* worker = findWorker(id);
         if (!worker || !acceptsTasks(*worker) || !isOpenInRoster(id)
-            || !worker->report.capacity.canFit(usedAfterStops(*worker) + resources)) {
+            || !worker->report.capacity.canFit(usedAfterEnds(*worker, found->second.awaited) + resources)) {
             m_plans.erase(found);
             return false;
         }
         if (!worker->freeResources().canFit(resources))
-            return true; // Preempted tasks are still stopping.
+            return true; // Preempted tasks are still stopping, or awaited ones running.
     }
     const auto tasks = std::move(found->second.tasks);
     m_plans.erase(found);
@@ -180,7 +337,8 @@
 
 void Owner::Impl::dropExpiredPlans()
 {
-    std::erase_if(m_plans, [this](const auto& plan) { return now() >= plan.second.expires; });
+    std::erase_if(m_plans,
+        [this](const auto& plan) { return now() >= plan.second.expires || !endsInTime(plan.second); });
 }
 
 std::map<WorkerId, Resources> Owner::Impl::reservedByPlans() const
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -4,6 +4,7 @@
 #include "job.h"
 #include "jujubereach/fleet/owner.h"
 #include "jujubereach/fleet/placement.h"
+#include "jujubereach/fleet/preemption-cost.h"
 #include "jujubereach/fleet/reservation.h"
 #include "jujubereach/fleet/reserve.h"
 #include "worker.h"
@@ -248,7 +249,19 @@
 
     // owner-displace.cpp: preemption for urgent steps.
     void addPreemptionCandidates(std::vector<WorkerView>& fleet);
+    PreemptionCandidate candidateOf(
+        const Job& job, const StepSpec& spec, const ActiveRun& run, double rank) const;
+    void markResumable(std::vector<WorkerView>& fleet);
+    /// Expected end of a run; a run that lasts longer than expected is taken to last a while longer.
+    TimePoint endUnlessStopped(const Job& job, const StepSpec& spec, const ActiveRun& run) const;
+    UrgentNeed urgentNeedOf(const ReadyStep& ready) const;
+    PreemptionDecision decideFor(const ReadyStep& ready, const PlaceRequest& request, Pass& pass) const;
+    void logDecision(const ReadyStep& ready, const PreemptionDecision& decision);
+    /// Returns whether a plan now holds capacity for the step.
     bool preemptFor(const ReadyStep& ready, Pass& pass);
+    void plan(const ReadyStep& ready, const std::vector<int>& waiting, const Preemption& found, Pass& pass);
+    bool endsInTime(const PreemptionPlan& plan);
+    bool awaitsEnds(const ReadyStep& ready) const; ///< Whether a plan for the step awaits runs that end.
     void stopWhole(const TaskId& task, const char* why);
     bool executePlan(Job& job, int occurrence, int stepIndex);
     void dropPlans(const Job& job);
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -17,6 +17,9 @@
     constexpr Duration preemptionInterval { 20 }; // Between searches, over all steps.
     // Steps may become placeable without an event: quarantines expire, racks are relaxed.
     constexpr Duration retryPassInterval { 500 };
+    constexpr Duration awaitCheckInterval {
+        100
+    }; // While a plan awaits runs that may last longer than expected.
     constexpr double unprovenPenalty = 0.02; // Breaks ties in favour of workers that have completed a task.
 
     // Workers whose entries expired in a store outage re-register within this time.
@@ -262,11 +265,14 @@
             m_passDue = true;
             break;
         }
-        if (executePlan(*ready.job, ready.occurrence, ready.index))
+        if (executePlan(*ready.job, ready.occurrence, ready.index)) {
+            if (awaitsEnds(ready))
+                m_nextRetryPass = std::min(m_nextRetryPass, begun + awaitCheckInterval);
             continue;
+        }
         const auto placed = placeReady(ready, pass);
         if (placed < ready.tasks.size())
-            m_nextRetryPass = begun + retryPassInterval;
+            m_nextRetryPass = std::min(m_nextRetryPass, begun + retryPassInterval);
         if (placed == ready.tasks.size() || !mayPreemptNow || !mayPreempt(ready)
             || pass.preemptionSearches >= maxPreemptionSearches)
             continue;
@@ -276,6 +282,8 @@
             addPreemptionCandidates(pass.fleet);
         if (!preemptFor(ready, pass))
             ready.step().nextPreemption = now() + searchInterval;
+        else if (awaitsEnds(ready))
+            m_nextRetryPass = std::min(m_nextRetryPass, begun + awaitCheckInterval);
     }
 }
 
@@ -522,6 +530,7 @@
     if (worker.runs.contains(id) || !task.isWaiting() || m_lateStarts.contains(id))
         return;
     task.worker = worker.id();
+    step.awaitsSince = {};
     task.lastRun = number;
     step.shared(id.index).lastRun = number;
     ++step.active;
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -238,13 +238,13 @@
                 m_free[i] = m_views[i].free;
             const auto nearest = cheapest(among);
             while (static_cast<int>(m_found.placement.size()) < m_request.count) {
-                if (!placeOne(nearest) || m_loss > maxLoss)
+                if (!placeOne(nearest) || m_found.loss > maxLoss)
                     return false;
             }
             return true;
         }
 
-        double loss() const { return m_loss; }
+        double loss() const { return m_found.loss; }
         Preemption take() { return std::move(m_found); }
 
     private:
@@ -290,9 +290,17 @@
                 return false;
             for (const auto* victim : best.victims) {
                 m_free[best.worker] += victim->resources;
-                m_loss += lossOf(*victim);
+                m_chosen.insert(victim->task);
+                if (isAwaited(*victim)) {
+                    m_found.awaited.push_back(victim->task);
+                    m_found.awaitedEnd = std::max(m_found.awaitedEnd, victim->endsAt);
+                    continue;
+                }
+                const auto loss = lossOf(*victim);
+                m_found.loss += loss;
+                m_found.lostUtility += loss * victim->rank;
                 m_found.victims.push_back(victim->task);
-                m_victims.insert(victim->task);
+                m_found.checkpointsBy = std::max(m_found.checkpointsBy, victim->nextCheckpoint);
                 m_gangs.insert(gangOf(*victim));
             }
             m_free[best.worker] -= m_request.spec->resources;
@@ -312,7 +320,26 @@
         // The loss of a gang is counted once for all its members.
         double lossOf(const PreemptionCandidate& victim) const
         {
-            return m_gangs.contains(gangOf(victim)) ? 0 : victim.loss;
+            return isAwaited(victim) || m_gangs.contains(gangOf(victim)) ? 0 : victim.loss;
+        }
+
+        bool isAwaited(const PreemptionCandidate& option) const
+        {
+            return option.endsAt <= m_request.awaitUntil;
+        }
+
+        bool isUsable(const PreemptionCandidate& option) const
+        {
+            if (m_chosen.contains(option.task))
+                return false;
+            return isAwaited(option)
+                || (option.priority > m_request.priority && option.rank <= m_request.rank);
+        }
+
+        // A victim that has to wait before it resumes costs more than one that resumes at once.
+        double costOf(const PreemptionCandidate& option) const
+        {
+            return lossOf(option) + (option.resumesAtOnce ? 0.5 : 1);
         }
 
         Choice cheapestOn(std::size_t i) const
@@ -325,12 +352,11 @@
             std::vector<std::pair<double, const PreemptionCandidate*>> options;
             auto most = free;
             for (const auto& option : m_views[i].preemptible) {
-                if (option.priority <= m_request.priority || option.rank > m_request.rank
-                    || m_victims.contains(option.task))
+                if (!isUsable(option))
                     continue;
                 most += option.resources;
                 options.emplace_back(
-                    (lossOf(option) + 1) / static_cast<double>(option.resources.accelerators + 1), &option);
+                    costOf(option) / static_cast<double>(option.resources.accelerators + 1), &option);
             }
             if (!most.canFit(m_request.spec->resources)) {
                 choice.cost = infeasible;
@@ -342,7 +368,7 @@
                     break;
                 free += option->resources;
                 choice.victims.push_back(option);
-                choice.cost += lossOf(*option) + 1;
+                choice.cost += costOf(*option);
             }
             if (!free.canFit(m_request.spec->resources))
                 choice.cost = infeasible;
@@ -352,11 +378,10 @@
         const PlaceRequest& m_request;
         const std::vector<WorkerView>& m_views;
         std::map<std::size_t, Resources> m_free;
-        std::set<TaskId> m_victims;
+        std::set<TaskId> m_chosen; ///< Victims and awaited runs.
         std::set<TaskId> m_gangs;
         Counts m_counts;
         Preemption m_found;
-        double m_loss = 0;
     };
 
 } // namespace
--- /dev/null
+++ b/packages/fleet/src/preemption-cost.cpp
@@ -0,0 +1,135 @@
+#include "jujubereach/fleet/preemption-cost.h"
+
+#include "jujubereach/fleet/queue-order.h"
+
+#include <algorithm>
+
+namespace jujubereach::fleet {
+
+namespace {
+
+    constexpr Duration reportTime { 400 }; // For the answer to a stop and the poll that reports the end.
+    // Guaranteed steps must start within 2.7 s; a stop and a second attempt need most of it.
+    constexpr Duration maxGuaranteedWait { 500 };
+    // Run times scatter by 0.15 to 0.3 within a step, so that a run that exceeds the expected time lasts
+    // about a fifth longer on average.
+    constexpr double overrunShare = 0.2;
+
+    TimePoint endIfStopped(const UrgentNeed& need)
+    {
+        return need.now + need.stopTime + need.runTime;
+    }
+
+    bool canBeInTime(const UrgentNeed& need)
+    {
+        return need.guaranteed || endIfStopped(need) <= need.inTimeBy;
+    }
+
+    // A step that will be late anyway loses nothing by waiting, as long as a stop ordered at the end of the
+    // wait would still be of use.
+    std::optional<TimePoint> usefulWait(const PlaceRequest& request, const std::vector<WorkerView>& views,
+        const std::vector<std::vector<ExpectedEnd>>& ends, const UrgentNeed& need, TimePoint reservedFrom)
+    {
+        auto freeAt = std::max(reservedFrom, need.now);
+        if (reservedFrom == TimePoint {}) {
+            const auto soonest = chooseReservation(request, views, ends, need.now);
+            if (soonest.views.empty())
+                return std::nullopt;
+            freeAt = soonest.freeAt;
+        }
+        const auto latest = need.usefulBy - need.stopTime - need.runTime;
+        return freeAt <= latest ? std::optional(freeAt) : std::nullopt;
+    }
+
+    // The step would otherwise wait until its result has the utility of the next stage.
+    double utilityOfStop(const UrgentNeed& need)
+    {
+        return need.utility * (canBeInTime(need) ? 1 - lateShare : lateShare - tooLateShare);
+    }
+
+    // Stopping the victims just after their next checkpoint loses less, if the step stays in time.
+    bool shouldAwaitCheckpoint(const UrgentNeed& need, const Preemption& found)
+    {
+        const auto wait = found.checkpointsBy - need.now;
+        return !need.guaranteed && canBeInTime(need) && found.checkpointsBy > need.now
+            && wait <= need.stopTime && endIfStopped(need) + wait <= need.inTimeBy;
+    }
+
+} // namespace
+
+Duration lostTime(const VictimRun& run)
+{
+    if (!run.checkpointing)
+        return run.elapsed;
+    auto sinceCheckpoint = Duration(0); // The stop itself saves a checkpoint.
+    if (run.gang && run.checkpointInterval.count() > 0)
+        sinceCheckpoint = run.startKnown ? run.elapsed % run.checkpointInterval : run.checkpointInterval / 2;
+    return std::min(run.elapsed, sinceCheckpoint + run.restoreTime);
+}
+
+Duration timeToCheckpoint(Duration elapsed, Duration interval)
+{
+    return interval.count() > 0 ? interval - elapsed % interval : Duration(0);
+}
+
+TimePoint correctedEnd(TimePoint expected, Duration runTime, TimePoint now)
+{
+    if (expected > now)
+        return expected;
+    return now + Duration(static_cast<std::int64_t>(overrunShare * static_cast<double>(runTime.count())));
+}
+
+Duration timeOfStop(Duration stopTimeout)
+{
+    return stopTimeout + reportTime;
+}
+
+// The wait leaves time for a stop that keeps the step in time if the runs last longer than expected.
+TimePoint awaitLimit(const UrgentNeed& need)
+{
+    const auto since = need.awaitsSince == TimePoint {} ? need.now : need.awaitsSince;
+    const auto limit = since + (need.guaranteed ? std::min(need.stopTime, maxGuaranteedWait) : need.stopTime);
+    if (limit <= need.now)
+        return {};
+    const auto inTime = canBeInTime(need) && !need.guaranteed;
+    return inTime && limit + need.stopTime + need.runTime > need.inTimeBy ? TimePoint {} : limit;
+}
+
+PreemptionDecision decidePreemption(PlaceRequest request, const std::vector<WorkerView>& views,
+    const std::function<const std::vector<std::vector<ExpectedEnd>>&()>& ends, const UrgentNeed& need,
+    TimePoint reservedFrom)
+{
+    if (!need.guaranteed && endIfStopped(need) > need.usefulBy)
+        return { PreemptionOutcome::GiveUp, "too late to be of use", {}, {} };
+    if (!canBeInTime(need)) {
+        if (const auto freeAt = usefulWait(request, views, ends(), need, reservedFrom))
+            return { PreemptionOutcome::Wait, "late with a stop as well", *freeAt, {} };
+    }
+    request.awaitUntil = awaitLimit(need);
+    auto found = placeByPreemption(request, views);
+    if (found.placement.empty())
+        return { PreemptionOutcome::GiveUp, "no victims", {}, {} };
+    if (found.victims.empty()) {
+        const auto until = std::max(found.awaitedEnd, need.now);
+        return { PreemptionOutcome::Wait, "runs end soon", until, std::move(found) };
+    }
+    if (!need.guaranteed && found.lostUtility > utilityOfStop(need))
+        return { PreemptionOutcome::GiveUp, "costs more than it gains", {}, {} };
+    if (shouldAwaitCheckpoint(need, found))
+        return { PreemptionOutcome::Wait, "a checkpoint is due", found.checkpointsBy, {} };
+    return { PreemptionOutcome::Stop, "", {}, std::move(found) };
+}
+
+const char* nameOf(PreemptionOutcome outcome)
+{
+    switch (outcome) {
+    case PreemptionOutcome::Stop:
+        return "stop";
+    case PreemptionOutcome::Wait:
+        return "wait";
+    default:
+        return "give-up";
+    }
+}
+
+} // namespace jujubereach::fleet
