--- a/packages/fleet/include/jujubereach/fleet/placement.h
+++ b/packages/fleet/include/jujubereach/fleet/placement.h
@@ -57,7 +57,7 @@
     double rank = 0; ///< a task of higher rank would be placed first again.
     double maxLoss = 0; ///< Limit on the work lost by preemption, in core-seconds.
     /// A preemption waits for runs that are expected to end by this time instead of stopping them; unset if
-    /// it waits for none.
+    /// it waits for none. They are runs that it may stop: a hold for others would keep urgent work waiting.
     TimePoint awaitUntil;
     /// Placed on the last racks, so that preemption for urgent gangs stays cheap on the first.
     bool costlyToStop = false;
--- a/packages/fleet/include/jujubereach/fleet/preemption-cost.h
+++ b/packages/fleet/include/jujubereach/fleet/preemption-cost.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include "jujubereach/fleet/placement.h"
-#include "jujubereach/fleet/reservation.h"
 
 namespace jujubereach::fleet {
 
@@ -59,12 +58,9 @@
 /// Latest expected end of runs for which the step may wait instead of stopping any; unset if it may not wait.
 TimePoint awaitLimit(const UrgentNeed& need);
 
-/// Decides for a step that does not fit now. `ends` is called only if the step cannot be in time.
-/// `request.awaitUntil` is set by this function. `reservedFrom` is when the workers reserved for the step are
-/// expected to be free; unset without a reservation.
-PreemptionDecision decidePreemption(PlaceRequest request, const std::vector<WorkerView>& views,
-    const std::function<const std::vector<std::vector<ExpectedEnd>>&()>& ends, const UrgentNeed& need,
-    TimePoint reservedFrom);
+/// Decides for a step that does not fit now. `request.awaitUntil` is set by this function.
+PreemptionDecision decidePreemption(
+    PlaceRequest request, const std::vector<WorkerView>& views, const UrgentNeed& need);
 
 const char* nameOf(PreemptionOutcome outcome);
 
--- a/packages/fleet/src/owner-displace.cpp
+++ b/packages/fleet/src/owner-displace.cpp
@@ -139,14 +139,7 @@
         const auto outcome = found.placement.empty() ? PreemptionOutcome::GiveUp : PreemptionOutcome::Stop;
         return { outcome, "", {}, std::move(found) };
     }
-    const auto ends = [&]() -> const std::vector<std::vector<ExpectedEnd>>& {
-        if (!pass.ends)
-            pass.ends = expectedEnds();
-        return *pass.ends;
-    };
-    const auto& reservation = ready.step().reservation;
-    return decidePreemption(
-        request, pass.fleet, ends, urgentNeedOf(ready), reservation ? reservation->freeAt : TimePoint {});
+    return decidePreemption(request, pass.fleet, urgentNeedOf(ready));
 }
 
 // A decision to wait or to give up is repeated by every search; only a change is logged and counted.
--- a/packages/fleet/src/pass.h
+++ b/packages/fleet/src/pass.h
@@ -28,7 +28,6 @@
     std::map<ServiceId, bool> halfIdle {}; ///< Cached by `isHalfIdle` for the whole pass.
     bool preemptible = false; ///< The views list their preemptible tasks.
     int preemptionSearches = 0; ///< Searches for tasks to preempt.
-    std::optional<std::vector<std::vector<ExpectedEnd>>> ends {}; ///< Cached by `decideFor`.
     int feasibilityChecks = 0; ///< Placements tried on an empty fleet.
     std::optional<std::set<WorkerId>> crashSites {}; ///< Workers whose address has seen a crash; cached.
     std::size_t isolatedViews = 0; ///< Number of workers with a run on probation.
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -332,8 +332,7 @@
         {
             if (m_chosen.contains(option.task))
                 return false;
-            return isAwaited(option)
-                || (option.priority > m_request.priority && option.rank <= m_request.rank);
+            return option.priority > m_request.priority && option.rank <= m_request.rank;
         }
 
         // A victim that has to wait before it resumes costs more than one that resumes at once.
@@ -472,6 +471,8 @@
     Preemption best;
     auto bestLoss = infeasible;
     forEachCandidateSet(request, views, [&](const std::vector<std::size_t>& members) {
+        if (bestLoss <= 0)
+            return; // No other set loses less.
         PreemptionSearch attempt(request, views);
         if (!attempt.run(members, std::min(bestLoss, request.maxLoss)) || attempt.loss() >= bestLoss)
             return;
--- a/packages/fleet/src/preemption-cost.cpp
+++ b/packages/fleet/src/preemption-cost.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr Duration reportTime { 400 }; // For the answer to a stop and the poll that reports the end.
+    constexpr Duration reportTime { 200 }; // For the answer to a stop and the poll that reports the end.
     // Guaranteed steps must start within 2.7 s; a stop and a second attempt need most of it.
     constexpr Duration maxGuaranteedWait { 500 };
     // Run times scatter by 0.15 to 0.3 within a step, so that a run that exceeds the expected time lasts
@@ -25,22 +25,6 @@
         return need.guaranteed || endIfStopped(need) <= need.inTimeBy;
     }
 
-    // A step that will be late anyway loses nothing by waiting, as long as a stop ordered at the end of the
-    // wait would still be of use.
-    std::optional<TimePoint> usefulWait(const PlaceRequest& request, const std::vector<WorkerView>& views,
-        const std::vector<std::vector<ExpectedEnd>>& ends, const UrgentNeed& need, TimePoint reservedFrom)
-    {
-        auto freeAt = std::max(reservedFrom, need.now);
-        if (reservedFrom == TimePoint {}) {
-            const auto soonest = chooseReservation(request, views, ends, need.now);
-            if (soonest.views.empty())
-                return std::nullopt;
-            freeAt = soonest.freeAt;
-        }
-        const auto latest = need.usefulBy - need.stopTime - need.runTime;
-        return freeAt <= latest ? std::optional(freeAt) : std::nullopt;
-    }
-
     // The step would otherwise wait until its result has the utility of the next stage.
     double utilityOfStop(const UrgentNeed& need)
     {
@@ -95,16 +79,11 @@
     return inTime && limit + need.stopTime + need.runTime > need.inTimeBy ? TimePoint {} : limit;
 }
 
-PreemptionDecision decidePreemption(PlaceRequest request, const std::vector<WorkerView>& views,
-    const std::function<const std::vector<std::vector<ExpectedEnd>>&()>& ends, const UrgentNeed& need,
-    TimePoint reservedFrom)
+PreemptionDecision decidePreemption(
+    PlaceRequest request, const std::vector<WorkerView>& views, const UrgentNeed& need)
 {
     if (!need.guaranteed && endIfStopped(need) > need.usefulBy)
         return { PreemptionOutcome::GiveUp, "too late to be of use", {}, {} };
-    if (!canBeInTime(need)) {
-        if (const auto freeAt = usefulWait(request, views, ends(), need, reservedFrom))
-            return { PreemptionOutcome::Wait, "late with a stop as well", *freeAt, {} };
-    }
     request.awaitUntil = awaitLimit(need);
     auto found = placeByPreemption(request, views);
     if (found.placement.empty())
