Divide scarce capacity between workspaces by fair shares

Cause: waiting steps were ordered by utility alone. A workspace that sent ten times the load of the others took ten times their chance of the next free capacity. The configuration had no weights.

Change: module workspace-shares multiplies the ranks of waiting steps by fair share over mean use of their workspace, from 1/4 to 4, while workspaces wait for each other. Preemption compares the ranks without the factor; guaranteed steps stay first. Tenants have a Weight.

--- a/packages/fleet/include/jujubereach/fleet/fleet-config.h
+++ b/packages/fleet/include/jujubereach/fleet/fleet-config.h
@@ -39,6 +39,7 @@
 struct Workspace {
     WorkspaceId id;
     std::int64_t guaranteedAccelerators = 0; ///< Always available to its jobs of priority 0.
+    double weight = 1; ///< Of its share of scarce capacity; positive.
 };
 
 struct CallerLimits {
--- a/packages/fleet/include/jujubereach/fleet/owner.h
+++ b/packages/fleet/include/jujubereach/fleet/owner.h
@@ -20,6 +20,7 @@
 struct Meter {
     std::function<void(const char* name, const metrics::Labels&, double amount)> add;
     std::function<void(const char* name, const metrics::Labels&, Duration)> observe;
+    std::function<void(const char* name, const metrics::Labels&, double value)> set;
 };
 
 /// Writes one structured log line without blocking.
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -7,6 +7,7 @@
 #include "jujubereach/fleet/preemption-cost.h"
 #include "jujubereach/fleet/reservation.h"
 #include "jujubereach/fleet/reserve.h"
+#include "jujubereach/fleet/workspace-shares.h"
 #include "worker.h"
 
 #include <deque>
@@ -48,6 +49,14 @@
     std::function<void()> apply;
 };
 
+/// Use of a service by workspace.
+struct ServiceShares {
+    WorkspaceShares shares;
+    Resources capacity; ///< Of the usable workers.
+    std::map<WorkspaceId, Resources> use;
+    std::map<WorkspaceId, TimePoint> loggedAt;
+};
+
 class Owner::Impl {
 public:
     struct ReadyStep;
@@ -247,6 +256,14 @@
     void dropTicket(const TaskId& task, const WorkerId& worker);
     void logMissingWorkers(const ReadyStep& ready, const PlaceRequest& request);
 
+    // owner-shares.cpp: fair shares of scarce capacity between workspaces.
+    void countUse();
+    double weightOf(const WorkspaceId& id) const;
+    void updateShares(const std::vector<ReadyStep>& waiting);
+    void orderByShares(std::vector<ReadyStep>& waiting);
+    void reportShares(
+        const ServiceId& id, ServiceShares& service, const std::vector<WorkspaceDemand>& demands);
+
     // owner-displace.cpp: preemption for urgent steps.
     void addPreemptionCandidates(std::vector<WorkerView>& fleet);
     PreemptionCandidate candidateOf(
@@ -317,6 +334,8 @@
     std::map<TaskId, PreemptionPlan> m_plans;
     std::map<RouteId, QueueHistory> m_history;
     std::map<ServiceId, UrgentReserve> m_reserves;
+    std::map<ServiceId, ServiceShares> m_shares; ///< A successor starts without it.
+    TimePoint m_nextShareUpdate;
 
     /// Until the recovery grace period is over. No other roster is stored before, for a successor.
     bool m_rosterUnreadable = false;
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -71,7 +71,7 @@
         step.waitingSince = {};
         return std::nullopt;
     }
-    ReadyStep ready { &job, occurrence.number, static_cast<int>(index), {}, 0, false };
+    ReadyStep ready { &job, occurrence.number, static_cast<int>(index), {} };
     for (int i = 0; i < step.spec->count; ++i) {
         const auto& task = step.tasks[static_cast<std::size_t>(i)];
         const auto saved = isCrashSaved(job, task);
@@ -247,7 +247,8 @@
     Pass pass { m_fleet };
     pass.isolatedViews = static_cast<std::size_t>(
         std::count_if(m_fleet.begin(), m_fleet.end(), [](const WorkerView& view) { return view.isolated; }));
-    const auto waiting = readySteps();
+    auto waiting = readySteps();
+    orderByShares(waiting);
     if (m_settings.order == QueueOrder::ByUtility) {
         reserveForUrgent(waiting);
         applyReservations(waiting, pass);
--- a/packages/fleet/src/pass.h
+++ b/packages/fleet/src/pass.h
@@ -15,6 +15,7 @@
     int index = 0; ///< Index of the step.
     std::vector<int> tasks; ///< Indices of the waiting tasks.
     double rank = 0;
+    double factor = 1; ///< Of its workspace, for its place in the queue.
     bool guaranteed = false;
     bool isolated = false; ///< The tasks start on workers that run nothing else.
     bool mayShare = false; ///< Of isolated tasks: if there is no such worker, they start on any.
