Reserve the result of fairShares before filling it

Cause: the lint reports a vector that grows in a loop.

Change: the capacity is reserved. Measured: lint passes on the file; the tests of packages/fleet, decode-test and users-test pass (30).

--- a/packages/fleet/src/workspace-shares.cpp
+++ b/packages/fleet/src/workspace-shares.cpp
@@ -53,6 +53,7 @@
             break;
     }
     std::vector<double> out;
+    out.reserve(demands.size());
     for (const auto& row : demands)
         out.push_back(level * row.weight);
     return out;
