Count preemption decisions by workspace and reason

Change: the metric has the labels workspace and reason too, which also tell operators which rule decided.

Measured: the tests of packages/fleet and packages/entry, decode-test and users-test pass (36); lint passes on the changed files.

--- a/packages/fleet/src/owner-displace.cpp
+++ b/packages/fleet/src/owner-displace.cpp
@@ -151,7 +151,9 @@
     step.preemptionDecision = decision.why;
     if (!m_settings.features.preemptionCost || repeated)
         return;
-    count("jujubereach_preemptions_total", { { "outcome", nameOf(decision.outcome) } });
+    count("jujubereach_preemptions_total",
+        { { "workspace", ready.job->record.workspace.str() }, { "outcome", nameOf(decision.outcome) },
+            { "reason", decision.why } });
     if (decision.outcome == PreemptionOutcome::Stop)
         return; // Logged as `displace`.
     const auto need = urgentNeedOf(ready);
--- a/packages/fleet/src/preemption-cost.cpp
+++ b/packages/fleet/src/preemption-cost.cpp
@@ -96,7 +96,7 @@
         return { PreemptionOutcome::GiveUp, "costs more than it gains", {}, {} };
     if (shouldAwaitCheckpoint(need, found))
         return { PreemptionOutcome::Wait, "a checkpoint is due", found.checkpointsBy, {} };
-    return { PreemptionOutcome::Stop, "", {}, std::move(found) };
+    return { PreemptionOutcome::Stop, "urgent", {}, std::move(found) };
 }
 
 const char* nameOf(PreemptionOutcome outcome)
--- a/packages/fleet/test/preemption-cost-test.cpp
+++ b/packages/fleet/test/preemption-cost-test.cpp
@@ -181,8 +181,8 @@
             CPPUNIT_ASSERT_EQUAL(2, startsOf(fleet, "urgent"));
             fleet.run(Duration(20'000));
             CPPUNIT_ASSERT_EQUAL(enabled ? 16 : 24, startsOf(fleet, "bulk"));
-            CPPUNIT_ASSERT_EQUAL(
-                enabled ? 1 : 0, static_cast<int>(fleet.counts["jujubereach_preemptions_total wait"]));
+            CPPUNIT_ASSERT_EQUAL(enabled ? 1 : 0,
+                static_cast<int>(fleet.counts["jujubereach_preemptions_total wait runs end soon w"]));
             CPPUNIT_ASSERT_EQUAL(std::string(), fleet.firstViolation());
         }
     }
@@ -195,8 +195,8 @@
         fill(fleet, Duration(700), Duration(4000), Duration(400));
         fleet.run(Duration(900));
         CPPUNIT_ASSERT_EQUAL(2, startsOf(fleet, "urgent"));
-        CPPUNIT_ASSERT_EQUAL(1.0, fleet.counts["jujubereach_preemptions_total wait"]);
-        CPPUNIT_ASSERT_EQUAL(1.0, fleet.counts["jujubereach_preemptions_total stop"]);
+        CPPUNIT_ASSERT_EQUAL(1.0, fleet.counts["jujubereach_preemptions_total wait runs end soon w"]);
+        CPPUNIT_ASSERT_EQUAL(1.0, fleet.counts["jujubereach_preemptions_total stop urgent w"]);
         CPPUNIT_ASSERT_EQUAL(std::string(), fleet.firstViolation());
     }
 
@@ -205,7 +205,7 @@
         FakeFleet fleet;
         fill(fleet, Duration(700), Duration(4000), Duration(400));
         fleet.run(Duration(750));
-        CPPUNIT_ASSERT_EQUAL(1.0, fleet.counts["jujubereach_preemptions_total wait"]);
+        CPPUNIT_ASSERT_EQUAL(1.0, fleet.counts["jujubereach_preemptions_total wait runs end soon w"]);
         CPPUNIT_ASSERT_EQUAL(2, startsOf(fleet, "urgent"));
         CPPUNIT_ASSERT_EQUAL(std::string(), fleet.firstViolation());
     }
