--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -4,9 +4,11 @@
 #include "job.h"
 #include "jujubereach/fleet/owner.h"
 #include "jujubereach/fleet/placement.h"
+#include "jujubereach/fleet/preemption-cost.h"
 #include "jujubereach/fleet/reservation.h"
 #include "jujubereach/fleet/reserve.h"
 #include "jujubereach/fleet/worker-speed.h"
+#include "jujubereach/fleet/workspace-shares.h"
 #include "worker.h"
 
 #include <deque>
@@ -48,6 +50,14 @@
     std::function<void()> apply;
 };
 
+/// Use of a service by workspace.
+struct ServiceShares {
+    WorkspaceShares shares;
+    Resources capacity; ///< Of the usable workers.
+    std::map<WorkspaceId, Resources> use;
+    std::map<WorkspaceId, TimePoint> loggedAt;
+};
+
 class Owner::Impl {
 public:
     struct ReadyStep;
@@ -248,9 +258,29 @@
     void dropTicket(const TaskId& task, const WorkerId& worker);
     void logMissingWorkers(const ReadyStep& ready, const PlaceRequest& request);
 
+    // owner-shares.cpp: fair shares of scarce capacity between workspaces.
+    void countUse();
+    double weightOf(const WorkspaceId& id) const;
+    void updateShares(const std::vector<ReadyStep>& waiting);
+    void orderByShares(std::vector<ReadyStep>& waiting);
+    void reportShares(
+        const ServiceId& id, ServiceShares& service, const std::vector<WorkspaceDemand>& demands);
+
     // owner-displace.cpp: preemption for urgent steps.
     void addPreemptionCandidates(std::vector<WorkerView>& fleet);
+    PreemptionCandidate candidateOf(
+        const Job& job, const StepSpec& spec, const ActiveRun& run, double rank) const;
+    void markResumable(std::vector<WorkerView>& fleet);
+    /// Expected end of a run; a run that lasts longer than expected is taken to last a while longer.
+    TimePoint endUnlessStopped(const Job& job, const StepSpec& spec, const ActiveRun& run) const;
+    UrgentNeed urgentNeedOf(const ReadyStep& ready) const;
+    PreemptionDecision decideFor(const ReadyStep& ready, const PlaceRequest& request, Pass& pass) const;
+    void logDecision(const ReadyStep& ready, const PreemptionDecision& decision);
+    /// Returns whether a plan now holds capacity for the step.
     bool preemptFor(const ReadyStep& ready, Pass& pass);
+    void plan(const ReadyStep& ready, const std::vector<int>& waiting, const Preemption& found, Pass& pass);
+    bool endsInTime(const PreemptionPlan& plan);
+    bool awaitsEnds(const ReadyStep& ready) const; ///< Whether a plan for the step awaits runs that end.
     void stopWhole(const TaskId& task, const char* why);
     bool executePlan(Job& job, int occurrence, int stepIndex);
     void dropPlans(const Job& job);
@@ -330,6 +360,8 @@
     TimePoint m_speedsFittedAt;
     TimePoint m_nextSpeedsSave;
     bool m_speedsUnsaved = false; ///< The last write of them has failed.
+    std::map<ServiceId, ServiceShares> m_shares; ///< A successor starts without it.
+    TimePoint m_nextShareUpdate;
 
     /// Until the recovery grace period is over. No other roster is stored before, for a successor.
     bool m_rosterUnreadable = false;
