--- a/packages/fleet/src/owner-displace.cpp
+++ b/packages/fleet/src/owner-displace.cpp
@@ -38,7 +38,8 @@
 {
     std::map<const Occurrence*, double> ranks; // Tasks of one occurrence share a rank.
     for (auto& view : fleet) {
-        for (const auto& [task, active] : findWorker(view.id)->runs) {
+        const auto& worker = *findWorker(view.id);
+        for (const auto& [task, active] : worker.runs) {
             auto* job = findJob(task.job);
             const auto* step = job ? job->findStep(task) : nullptr;
             if (!step || active.phase == RunPhase::Stopping || step->spec->longRunning)
@@ -47,7 +48,7 @@
             const auto [rank, isNew] = ranks.try_emplace(&occurrence, 0);
             if (isNew)
                 rank->second = rankInQueue(*job, occurrence, false);
-            view.preemptible.push_back(candidateOf(*job, *step->spec, active, rank->second));
+            view.preemptible.push_back(candidateOf(*job, *step, worker, active, rank->second));
         }
     }
     if (m_settings.features.preemptionCost)
@@ -55,14 +56,15 @@
 }
 
 PreemptionCandidate Owner::Impl::candidateOf(
-    const Job& job, const StepSpec& spec, const ActiveRun& run, double rank) const
+    const Job& job, const Step& step, const Worker& worker, const ActiveRun& run, double rank)
 {
+    const auto& spec = *step.spec;
     PreemptionCandidate out { run.task, run.resources, run.priority, rank, 0, spec.gang };
     auto lost = now() - run.orderedAt;
     if (m_settings.features.preemptionCost) {
         lost = lostTime({ lost, !run.adopted, spec.checkpointing, spec.gang, m_settings.checkpointInterval,
             m_settings.restoreTime });
-        out.endsAt = endUnlessStopped(job, spec, run);
+        out.endsAt = endUnlessStopped(job, step, worker, run);
         out.resumesAtOnce = spec.checkpointing && !spec.gang; // See `markResumable`.
         if (spec.checkpointing && spec.gang && !run.adopted)
             out.nextCheckpoint
@@ -97,9 +99,10 @@
     }
 }
 
-TimePoint Owner::Impl::endUnlessStopped(const Job& job, const StepSpec& spec, const ActiveRun& run) const
+TimePoint Owner::Impl::endUnlessStopped(
+    const Job& job, const Step& step, const Worker& worker, const ActiveRun& run)
 {
-    return correctedEnd(expectedEnd(job, spec, run), expectedTime(job, spec), now());
+    return correctedEnd(expectedEnd(job, step, worker, run), expectedTime(job, *step.spec), now());
 }
 
 UrgentNeed Owner::Impl::urgentNeedOf(const ReadyStep& ready) const
@@ -254,13 +257,13 @@
 bool Owner::Impl::endsInTime(const PreemptionPlan& plan)
 {
     return std::all_of(plan.awaited.begin(), plan.awaited.end(), [&](const TaskId& task) {
-        const auto* job = findJob(task.job);
-        const auto* step = job ? findJob(task.job)->findStep(task) : nullptr;
+        auto* job = findJob(task.job);
+        const auto* step = job ? job->findStep(task) : nullptr;
         const auto* worker
             = step ? findWorker(step->tasks[static_cast<std::size_t>(task.index)].worker) : nullptr;
         if (!worker || !worker->runs.contains(task))
             return true;
-        return endUnlessStopped(*job, *step->spec, worker->runs.at(task)) <= plan.awaitUntil;
+        return endUnlessStopped(*job, *step, *worker, worker->runs.at(task)) <= plan.awaitUntil;
     });
 }
 
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -269,10 +269,10 @@
     // owner-displace.cpp: preemption for urgent steps.
     void addPreemptionCandidates(std::vector<WorkerView>& fleet);
     PreemptionCandidate candidateOf(
-        const Job& job, const StepSpec& spec, const ActiveRun& run, double rank) const;
+        const Job& job, const Step& step, const Worker& worker, const ActiveRun& run, double rank);
     void markResumable(std::vector<WorkerView>& fleet);
     /// Expected end of a run; a run that lasts longer than expected is taken to last a while longer.
-    TimePoint endUnlessStopped(const Job& job, const StepSpec& spec, const ActiveRun& run) const;
+    TimePoint endUnlessStopped(const Job& job, const Step& step, const Worker& worker, const ActiveRun& run);
     UrgentNeed urgentNeedOf(const ReadyStep& ready) const;
     PreemptionDecision decideFor(const ReadyStep& ready, const PlaceRequest& request, Pass& pass) const;
     void logDecision(const ReadyStep& ready, const PreemptionDecision& decision);
