Let latency-sensitive and best-effort tasks share a worker

An urgent task with a tail target never started while a best-effort task ran on each worker (isAllowed excluded the pair in both directions, for preemption as well).

Processors of best-effort tasks do not count as used for other tasks. With the feature off or without the hook, decisions are as before.

--- a/packages/fleet/include/jujubereach/fleet/interference.h
+++ b/packages/fleet/include/jujubereach/fleet/interference.h
@@ -52,6 +52,8 @@
     const std::string& nameOf(TaskKind kind) const;
 
     void observe(const SlowdownObservation& observation, TimePoint now);
+    /// Discards the means of a worker, which may be another kind of machine now.
+    void forget(const WorkerId& place);
     /// Discards the evidence that `neighbour` slows `affected` down; it counts as harmless until new evidence.
     void clear(TaskKind affected, TaskKind neighbour);
 
--- a/packages/fleet/include/jujubereach/fleet/owner.h
+++ b/packages/fleet/include/jujubereach/fleet/owner.h
@@ -52,6 +52,9 @@
     Duration finishedJobRetention { 120'000 }; ///< Final states stay available for at least this time.
     Duration checkpointInterval { 2000 }; ///< Run time between two checkpoints of a task.
     Duration restoreTime { 250 }; ///< Time that a task restored from a checkpoint takes to make progress.
+    /// Longest time for which a tail latency may exceed its target beside best-effort tasks that cause it.
+    Duration interferenceBound { 4000 };
+    Duration paceDelay { 100 }; ///< From a pace call until it takes effect.
     QueueOrder order = QueueOrder::ByUtility;
     OwnerSwitches switches;
     OwnerFeatures features;
@@ -110,6 +113,7 @@
     std::size_t workers = 0;
     std::size_t usableWorkers = 0;
     std::size_t closedZones = 0;
+    std::size_t pacedTasks = 0; ///< Best-effort tasks below full pace.
     /// Guaranteed accelerators that the workers outside closed zones do not cover, even if they were idle.
     std::int64_t guaranteeShortfall = 0;
     std::uint64_t starts = 0;
--- a/packages/fleet/include/jujubereach/fleet/placement.h
+++ b/packages/fleet/include/jujubereach/fleet/placement.h
@@ -38,6 +38,9 @@
     TimePoint reservedUntil;
     bool latencySensitive = false; ///< Runs a task with a tail latency target.
     bool bestEffort = false; ///< Runs a best-effort task.
+    /// Its latency-sensitive tasks have headroom for one more best-effort task.
+    bool admitsBestEffort = false;
+    std::int64_t idleMilliCores = 0; ///< Needs of best-effort tasks; counted as used for these only.
     bool idle = true; ///< Runs nothing, and no preemption plan waits for it.
     bool isolated = false; ///< Runs a task that must not share the worker.
     std::vector<PreemptionCandidate> preemptible;
@@ -59,6 +62,9 @@
     /// The tasks must not share a worker with others; those of a gang may share one.
     bool isolated = false;
     bool anyRack = false; ///< Ignore the preferred rack and the one-rack rule of gangs.
+    bool mayShare = false; ///< Latency-sensitive and best-effort tasks may share a worker.
+    /// Added cost of each view for tasks that interfere; infinite to exclude it. Null if there are none.
+    const std::vector<double>* separation = nullptr;
     const Step* step = nullptr; ///< The step to place, for its reservation; may be null.
     TimePoint expectedEnd; ///< Expected end of the tasks if they start now.
     const std::map<WorkerId, int>* onWorker = nullptr; ///< Active tasks of the step on each worker.
@@ -113,6 +119,9 @@
 /// Whether the step could run on the worker if it were empty.
 bool couldRun(const PlaceRequest& request, const WorkerView& view);
 
+/// Whether one task of the request could start on the worker now.
+bool fitsNow(const PlaceRequest& request, const WorkerView& view);
+
 /// Calls `use` with each set of views that may hold the whole request: the candidates of each rack if the
 /// request needs a single rack, else all candidates once.
 void forEachCandidateSet(const PlaceRequest& request, const std::vector<WorkerView>& views,
--- a/packages/fleet/include/jujubereach/fleet/worker-calls.h
+++ b/packages/fleet/include/jujubereach/fleet/worker-calls.h
@@ -40,6 +40,14 @@
     Fence fence;
 };
 
+/// From about 100 ms after its arrival on, the run works at this share of its speed. Runs start at 100.
+struct PaceOrder {
+    TaskId task;
+    Run run;
+    int percent = 100;
+    Fence fence;
+};
+
 /// Polls a worker for its runs and ends, acknowledges ends and may renew the lease.
 struct HoldOrder {
     Fence fence;
@@ -97,6 +105,8 @@
     std::function<void(const WorkerReport&, StartOrder, Duration timeout, OrderDone)> start;
     std::function<void(const WorkerReport&, StopOrder, Duration timeout, OrderDone)> stop;
     std::function<void(const WorkerReport&, HoldOrder, Duration timeout, OrderDone)> hold;
+    /// Empty if workers cannot be paced: best-effort and latency-sensitive tasks then share no worker.
+    std::function<void(const WorkerReport&, PaceOrder, Duration timeout, OrderDone)> pace;
 };
 
 } // namespace jujubereach::fleet
--- a/packages/fleet/src/interference.cpp
+++ b/packages/fleet/src/interference.cpp
@@ -106,6 +106,13 @@
     m_pairs.erase({ affected, neighbour });
 }
 
+void InterferenceModel::forget(const WorkerId& place)
+{
+    auto found = m_places.lower_bound({ place, {} });
+    while (found != m_places.end() && found->first.first == place)
+        found = m_places.erase(found);
+}
+
 PairEffect InterferenceModel::effectOf(TaskKind affected, TaskKind neighbour, TimePoint now) const
 {
     const auto found = m_pairs.find({ affected, neighbour });
--- a/packages/fleet/src/owner-displace.cpp
+++ b/packages/fleet/src/owner-displace.cpp
@@ -79,7 +79,7 @@
     if (found.placement.empty())
         return false;
     PreemptionPlan plan;
-    plan.perTask = step.spec->resources;
+    plan.perTask = resourcesOf(*step.spec);
     plan.expires = now() + planTimeout;
     boost::json::array victims;
     for (std::size_t i = 0; i < found.placement.size(); ++i) {
--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -62,6 +62,8 @@
     if (known != worker.runs.end())
         release(worker, running.task);
     setRequirements(job, worker, run);
+    if (run.bestEffort)
+        run.pace = RunPace::unknown(); // The previous owner may have lowered it.
     if (job)
         job->begun = true;
     auto* task = step ? &step->tasks[static_cast<std::size_t>(running.task.index)] : nullptr;
@@ -107,13 +109,10 @@
 }
 
 // Sets resources, priority and class of a run from the specification of its step.
-void Owner::Impl::setRequirements(const Job* job, const Worker& worker, ActiveRun& run) const
+void Owner::Impl::setRequirements(const Job* job, const Worker& worker, ActiveRun& run)
 {
     if (const auto* spec = job ? job->specOf(run.task) : nullptr) {
-        run.resources = spec->resources;
-        run.latencySensitive = spec->tailTarget.count() > 0;
-        run.bestEffort = spec->bestEffort;
-        run.priority = termsOf(*job).priority;
+        setClass(*job, *spec, run);
         // Unknown job: assume that it uses the whole worker.
     } else
         run.resources = worker.report.capacity;
@@ -146,8 +145,11 @@
         run.callInFlight = false;
     }
     run.reported = true;
-    if (std::exchange(run.incarnation, worker.incarnation) != worker.incarnation && !worker.isDraining())
+    const auto incarnation = std::exchange(run.incarnation, worker.incarnation);
+    if (incarnation != worker.incarnation && !worker.isDraining())
         setIncarnation(run, worker, worker.incarnation);
+    if (incarnation != worker.incarnation && incarnation != 0)
+        run.pace = RunPace::unknown(); // A call may have set the pace in either incarnation.
     run.carriedOver = false;
     if (step && !seen.checkpoint.empty())
         step->shared(seen.task.index).checkpoint = seen.checkpoint;
@@ -320,6 +322,7 @@
         if (trackStarts && run.isUndecided())
             continue;
         run.incarnation = 0;
+        run.pace = RunPace::unknown();
         run.startAnsweredAt = {};
         if (!trackStarts || !mayCome)
             gone.push_back(task);
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -3,6 +3,7 @@
 
 #include "job.h"
 #include "jujubereach/fleet/owner.h"
+#include "jujubereach/fleet/pace.h"
 #include "jujubereach/fleet/placement.h"
 #include "jujubereach/fleet/reservation.h"
 #include "jujubereach/fleet/reserve.h"
@@ -137,7 +138,7 @@
     void retireFinishedOccurrences(Job& job);
     void finish(Job& job, JobState state, const char* why);
     void stopTasks(Job& job, const char* why);
-    void setRequirements(const Job* job, const Worker& worker, ActiveRun& run) const;
+    void setRequirements(const Job* job, const Worker& worker, ActiveRun& run);
     void markStarted(ActiveRun& run);
     void updateRun(Worker& worker, ActiveRun& run, Step* step, const RunningTask& seen);
     void checkProgress(Worker& worker, ActiveRun& run, const RunningTask& seen);
@@ -188,7 +189,7 @@
     std::vector<ReadyStep> readySteps();
     bool mayPreempt(const ReadyStep& ready) const;
     void reserveForUrgent(const std::vector<ReadyStep>& waiting);
-    PlaceRequest requestFor(const ReadyStep& ready, Pass& pass) const;
+    PlaceRequest requestFor(const ReadyStep& ready, Pass& pass);
     bool isOverdue(const ReadyStep& ready, Pass& pass) const;
     bool isHalfIdle(const ServiceId& service, Pass& pass) const;
     std::set<WorkerId> workersWithEarlierRuns(const ReadyStep& ready, const std::vector<WorkerView>& fleet);
@@ -256,6 +257,32 @@
     void dropExpiredPlans();
     std::map<WorkerId, Resources> reservedByPlans() const;
 
+    // owner-interference.cpp: tasks that slow each other down on one worker.
+    /// Whether latency-sensitive and best-effort tasks may share a worker.
+    bool mayPace() const { return m_settings.features.interference && m_hooks.workers.pace; }
+    TaskKind kindOf(const Job& job, const StepSpec& step, int stepIndex);
+    /// Resources that a run of the step takes from other tasks.
+    Resources resourcesOf(const StepSpec& step) const;
+    void setClass(const Job& job, const StepSpec& step, ActiveRun& run);
+    void recordTails(Worker& worker, const OrderAnswer& answer);
+    /// Whether its lists are needed as often as tails change.
+    bool awaitsTails(const Worker& worker) const;
+    void learnInterference(Worker& worker);
+    void decidePaces(Worker& worker, TimePoint sentAt);
+    void applyPace(Worker& worker, const PaceDecision& decision, const ActiveRun* worst, TimePoint sentAt);
+    bool mayStopPaced(const Worker& worker, const TaskId& task, PaceReason reason);
+    int unavailableTasks(const Step& step, TaskId task);
+    std::vector<PacedTask> pacedTasks(Worker& worker, bool underPressure);
+    bool needsPaceCall(const ActiveRun& run) const;
+    void sendDuePaces(Worker& worker);
+    void paceCall(Worker& worker, ActiveRun& run);
+    void paceAnswered(const WorkerId& id, const PaceOrder& order, std::int64_t incarnation, TimePoint sentAt,
+        const OrderAnswer& answer);
+    bool admitsBestEffort(const Worker& worker) const;
+    void refreshKnownPairs();
+    const std::vector<double>* separationFor(const ReadyStep& ready, Pass& pass);
+    void logKeptApart(const ReadyStep& ready, const PlaceRequest& request, const Placement& placement);
+
     // owner-metrics.cpp: metrics.
     void countStart(const Job& job);
     void countEnd(const EndedTask& end, const Job* job, double thrownAway);
@@ -335,6 +362,11 @@
     std::map<std::string, TimePoint> m_crashSites; ///< Last crash by address of the worker.
     std::unordered_map<JobId, int> m_runsOf; ///< Number of runs on all workers by job; entries are positive.
 
+    InterferenceModel m_interference;
+    PaceController m_pace;
+    KnownPairs m_knownPairs; ///< As of the last refresh.
+    TimePoint m_nextPairRefresh;
+
     std::multiset<TimePoint> m_adviceCalls; ///< When the calls without an answer were sent.
     TimePoint m_nextSweep; ///< Next periodic check of all workers and jobs.
     TimePoint m_nextPreemption; ///< Rate limit: a search visits all runs of the fleet.
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -37,6 +37,8 @@
         else if (run.phase == RunPhase::Stopping && !run.confirmed)
             stopCall(worker, run);
     }
+    if (worker.bestEffortRuns > 0 && worker.missedPolls == 0)
+        sendDuePaces(worker);
     if (needsPoll(worker) && !worker.pollInFlight && worker.nextPoll <= time)
         poll(worker);
 }
@@ -75,7 +77,7 @@
     }
     const auto atOnce = std::exchange(worker.listDue, false) || withheld || awaitsList(worker);
     if (worker.fenced && worker.missedPolls == 0 && !worker.runs.empty() && !atOnce)
-        order.wait = pollWait;
+        order.wait = awaitsTails(worker) ? tailWindow : pollWait;
     worker.pollInFlight = true;
     worker.pollWaits = order.wait.count() > 0;
     m_hooks.workers.hold(worker.report, order, order.wait + pollSlack,
@@ -178,6 +180,7 @@
         return false;
     }
     worker.fenced = true;
+    m_interference.forget(worker.id()); // It may be another kind of machine.
     if (worker.firstIncarnation == 0)
         worker.firstIncarnation = worker.incarnation;
     else
@@ -224,6 +227,8 @@
         adopt(*worker, running, poll.at);
     if (answer.listsComplete && answer.ended.size() < maxListedEnds)
         loseAbsentRuns(*worker, poll.at, answer);
+    recordTails(*worker, answer);
+    decidePaces(*worker, poll.at);
     acknowledgeSavedEnds(*worker);
     if (!worker->ends.empty())
         worker->nextPoll = now() + maxAcknowledgeDelay;
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -226,6 +226,8 @@
         view.reservedBy = nullptr;
         view.latencySensitive = worker.latencySensitiveRuns > 0;
         view.bestEffort = worker.bestEffortRuns > 0;
+        view.admitsBestEffort = view.latencySensitive && admitsBestEffort(worker);
+        view.idleMilliCores = worker.idleMilliCores;
         view.idle = worker.runs.empty() && plans == reserved.end();
         view.isolated = worker.isIsolated(now());
         view.preemptible.clear();
@@ -241,6 +243,7 @@
     if (!mayStart())
         return;
     refreshFleet();
+    refreshKnownPairs();
     Pass pass { m_fleet };
     pass.isolatedViews = static_cast<std::size_t>(
         std::count_if(m_fleet.begin(), m_fleet.end(), [](const WorkerView& view) { return view.isolated; }));
@@ -308,7 +311,7 @@
     }
 }
 
-PlaceRequest Owner::Impl::requestFor(const ReadyStep& ready, Pass& pass) const
+PlaceRequest Owner::Impl::requestFor(const ReadyStep& ready, Pass& pass)
 {
     const auto& step = ready.step();
     const auto& terms = termsOf(*ready.job);
@@ -324,6 +327,8 @@
     request.isolated = ready.isolated;
     request.overdue = isOverdue(ready, pass) && needsReservation(request, pass.fleet);
     request.costlyToStop = terms.priority > 0 && !step.spec->checkpointing;
+    request.mayShare = mayPace();
+    request.separation = separationFor(ready, pass);
     return request;
 }
 
@@ -476,6 +481,8 @@
     if (ready.isolated)
         pass.isolatedViews += placement.size();
     startPlaced(ready, placement, pass.fleet);
+    if (request.separation && !placement.empty())
+        logKeptApart(ready, request, placement);
     request.count -= static_cast<int>(placement.size());
     if (request.allowed && request.count > 0) {
         request.allowed = nullptr;
@@ -529,10 +536,7 @@
     ActiveRun run;
     run.task = id;
     run.run = number;
-    run.resources = step.spec->resources;
-    run.priority = termsOf(job).priority;
-    run.latencySensitive = step.spec->tailTarget.count() > 0;
-    run.bestEffort = step.spec->bestEffort;
+    setClass(job, *step.spec, run);
     run.orderedAt = now();
     run.runningSince = now();
     run.progressAt = now();
@@ -543,6 +547,8 @@
     if (const auto advice = step.advice.workers.find(worker.id()); advice != step.advice.workers.end())
         run.ticket = advice->second.ticket;
     addRun(worker, run);
+    if (run.bestEffort)
+        worker.bestEffortStartedAt = now();
     m_hooks.log("start",
         { { "task", toString(id) }, { "run", number.value }, { "worker", worker.id().str() },
             { "rack", worker.report.rack }, { "priority", run.priority },
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -30,6 +30,7 @@
     , m_config(std::make_shared<FleetConfig>())
     , m_tookOverAt(m_hooks.clock())
     , m_self(std::make_shared<Impl*>(this))
+    , m_pace(settings.interferenceBound)
 {
 }
 
@@ -221,6 +222,7 @@
         if (gone) {
             m_rosterDue = m_rosterDue || m_roster.contains(i->first);
             m_byRackStale = true;
+            m_pace.forget(i->first);
             i = m_workers.erase(i);
         } else
             ++i;
@@ -412,6 +414,8 @@
         figures.activeTasks += worker.runs.size();
         figures.usableWorkers += worker.listed && worker.fenced && worker.isReportCurrent()
             && !worker.report.draining && !isInClosedZone(worker);
+        for (const auto& [task, run] : worker.runs)
+            figures.pacedTasks += run.bestEffort && run.pace.percent < fullPace;
     }
     for (const auto& id : m_open) {
         for (const auto& [number, occurrence] : m_jobs.at(id).occurrences) {
@@ -441,6 +445,7 @@
 void Owner::setSettings(const OwnerSettings& settings)
 {
     m_impl->m_settings = settings;
+    m_impl->m_pace.setBound(settings.interferenceBound);
 }
 
 void Owner::setClosedZones(std::set<ZoneId> zones)
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <functional>
 #include <limits>
+#include <utility>
 
 namespace jujubereach::fleet {
 
@@ -16,6 +17,8 @@
     constexpr double balanceWeight = 0.5;
     // Half an empty worker: separates cheap from costly tasks without stranding capacity.
     constexpr double rackOrderWeight = 0.5;
+    // Exceeds all other costs together: a worker of the other class is chosen only if there is no other.
+    constexpr double sharingCost = 1000;
     constexpr double infeasible = std::numeric_limits<double>::infinity();
 
     bool hasLabel(const WorkerView& view, const std::string& label)
@@ -59,22 +62,67 @@
         if (view.reservedBy && view.reservedBy != request.step && !overridesReservation
             && request.expectedEnd > view.reservedUntil)
             return false;
-        // A best-effort task disturbs a latency-sensitive one to an extent that is not known in advance.
+        // A best-effort task disturbs a latency-sensitive one to an extent that is not known in advance. It is
+        // paced if it does.
         if (request.spec->bestEffort && view.latencySensitive)
-            return false;
-        return !(request.spec->tailTarget.count() > 0 && view.bestEffort);
+            return request.mayShare && view.admitsBestEffort;
+        return request.mayShare || request.spec->tailTarget.count() == 0 || !view.bestEffort;
+    }
+
+    bool isShared(const PlaceRequest& request, const WorkerView& view)
+    {
+        return request.mayShare
+            && ((request.spec->bestEffort && view.latencySensitive)
+                || (request.spec->tailTarget.count() > 0 && view.bestEffort));
+    }
+
+    // Other tasks may use the processors that a best-effort task uses while they are idle.
+    bool usesIdleCores(const PlaceRequest& request)
+    {
+        return request.mayShare && request.spec->bestEffort;
+    }
+
+    Resources freeFor(const PlaceRequest& request, const WorkerView& view)
+    {
+        auto free = view.free;
+        if (usesIdleCores(request))
+            free.milliCores -= view.idleMilliCores;
+        return free;
+    }
+
+    void take(const PlaceRequest& request, WorkerView& view)
+    {
+        auto taken = request.spec->resources;
+        if (usesIdleCores(request))
+            view.idleMilliCores += std::exchange(taken.milliCores, 0);
+        view.free -= taken;
+    }
+
+    void giveBack(const PlaceRequest& request, WorkerView& view)
+    {
+        auto taken = request.spec->resources;
+        if (usesIdleCores(request))
+            view.idleMilliCores -= std::exchange(taken.milliCores, 0);
+        view.free += taken;
     }
 
     double fitCost(const PlaceRequest& request, const WorkerView& view)
     {
         const auto& need = request.spec->resources;
-        if (!view.free.canFit(need))
+        const auto free = freeFor(request, view);
+        if (!free.canFit(need))
             return infeasible;
-        const auto cpuLeft = share(view.free.milliCores - need.milliCores, view.capacity.milliCores);
-        const auto accLeft = share(view.free.accelerators - need.accelerators, view.capacity.accelerators);
+        const auto cpuLeft = share(free.milliCores - need.milliCores, view.capacity.milliCores);
+        const auto accLeft = share(free.accelerators - need.accelerators, view.capacity.accelerators);
         const auto side = request.costlyToStop ? 1 - view.rackOrder : view.rackOrder;
         return accLeft + rackOrderWeight * side + balanceWeight * std::abs(cpuLeft - accLeft)
-            + failurePenaltyWeight * view.failurePenalty;
+            + failurePenaltyWeight * view.failurePenalty + (isShared(request, view) ? sharingCost : 0);
+    }
+
+    double costOn(const PlaceRequest& request, const std::vector<WorkerView>& views, std::size_t i)
+    {
+        const auto cost = fitCost(request, views[i]);
+        return request.separation ? cost + (*request.separation)[i] : cost;
     }
 
     bool isOnWantedRack(const PlaceRequest& request, const WorkerView& view)
@@ -87,6 +135,8 @@
     {
         if (request.isolated && !request.spec->gang && counts.placed.contains(i))
             return false;
+        if (request.spec->bestEffort && views[i].latencySensitive && counts.placed.contains(i))
+            return false; // The next one starts once the effect of this one is known.
         return request.spec->maxPerWorker == 0 || counts.on(request, views, i) < request.spec->maxPerWorker;
     }
 
@@ -99,7 +149,7 @@
         Counts counts;
         std::vector<std::pair<double, std::size_t>> fits;
         const auto add = [&](std::size_t i) {
-            const auto value = fitCost(request, views[i]);
+            const auto value = costOn(request, views, i);
             if (value != infeasible && isWithinSpread(request, views, counts, i))
                 fits.emplace_back(value, i);
         };
@@ -111,7 +161,7 @@
             const auto [value, chosen] = fits.back();
             fits.pop_back();
             total += value;
-            views[chosen].free -= request.spec->resources;
+            take(request, views[chosen]);
             ++counts.placed[chosen];
             placement.push_back(chosen);
             const auto before = fits.size();
@@ -126,7 +176,7 @@
         const PlaceRequest& request, std::vector<WorkerView>& views, const Placement& placement)
     {
         for (const auto i : placement)
-            views[i].free += request.spec->resources;
+            giveBack(request, views[i]);
     }
 
     std::vector<std::size_t> candidates(const PlaceRequest& request, const std::vector<WorkerView>& views)
@@ -192,6 +242,12 @@
         for (const auto i : placement) {
             views[i].idle = false;
             views[i].isolated = request.isolated;
+            if (!request.mayShare)
+                continue;
+            views[i].bestEffort = views[i].bestEffort || request.spec->bestEffort;
+            views[i].latencySensitive = views[i].latencySensitive || request.spec->tailTarget.count() > 0;
+            if (views[i].latencySensitive)
+                views[i].admitsBestEffort = false;
         }
     }
 
@@ -218,7 +274,7 @@
             }
         });
         for (const auto i : best)
-            views[i].free -= request.spec->resources;
+            take(request, views[i]);
         return best;
     }
 
@@ -235,7 +291,7 @@
         bool run(const std::vector<std::size_t>& among, double maxLoss)
         {
             for (const auto i : among)
-                m_free[i] = m_views[i].free;
+                m_free[i] = freeFor(m_request, m_views[i]);
             const auto nearest = cheapest(among);
             while (static_cast<int>(m_found.placement.size()) < m_request.count) {
                 if (!placeOne(nearest) || m_loss > maxLoss)
@@ -367,6 +423,12 @@
         && hasLabel(view, request.spec->label) && (!request.allowed || request.allowed->contains(view.id));
 }
 
+bool fitsNow(const PlaceRequest& request, const WorkerView& view)
+{
+    return couldRun(request, view) && isAllowed(request, view) && isOnWantedRack(request, view)
+        && fitCost(request, view) != infeasible;
+}
+
 void forEachCandidateSet(const PlaceRequest& request, const std::vector<WorkerView>& views,
     const std::function<void(const std::vector<std::size_t>&)>& use)
 {
@@ -426,11 +488,13 @@
     auto emptied = views;
     for (auto& view : emptied) {
         view.free = view.capacity;
+        view.idleMilliCores = 0;
         view.idle = true;
         view.isolated = view.reservedForUrgent = false;
     }
     auto least = request;
     least.count = request.spec->gang ? request.count : 1;
+    least.separation = nullptr;
     return !place(least, emptied).empty();
 }
 
--- a/packages/fleet/src/worker.cpp
+++ b/packages/fleet/src/worker.cpp
@@ -92,6 +92,7 @@
         urgent += run.resources;
     latencySensitiveRuns += run.latencySensitive;
     bestEffortRuns += run.bestEffort;
+    idleMilliCores += run.idleMilliCores;
     isolatedRuns += run.isolated;
     const auto task = run.task;
     runs.emplace(task, std::move(run));
@@ -108,6 +109,7 @@
         urgent -= run.resources;
     latencySensitiveRuns -= run.latencySensitive;
     bestEffortRuns -= run.bestEffort;
+    idleMilliCores -= run.idleMilliCores;
     isolatedRuns -= run.isolated;
     runs.erase(found);
 }
--- a/packages/fleet/src/worker.h
+++ b/packages/fleet/src/worker.h
@@ -1,6 +1,8 @@
 // In-memory state of workers: their runs, leases and health.
 #pragma once
 
+#include "jujubereach/fleet/interference.h"
+#include "jujubereach/fleet/pace.h"
 #include "jujubereach/fleet/worker-calls.h"
 
 #include <map>
@@ -13,6 +15,20 @@
     Stopping,
 };
 
+/// The pace at which a best-effort run works.
+struct RunPace {
+    int percent = fullPace; ///< Decided last.
+    bool known = true; ///< False if an earlier owner, or a call to an earlier incarnation, may have set another.
+    bool confirmed = true; ///< The worker has confirmed `percent`.
+    bool callInFlight = false;
+    TimePoint settledAt; ///< When a confirmed pace takes effect.
+    TimePoint nextCall;
+    TimePoint repeatUntil; ///< A call without an answer may be executed until then.
+
+    static RunPace unknown() { return { fullPace, false, false, false, {}, {}, {} }; }
+    bool isLowered() const { return !known || percent < fullPace; }
+};
+
 /// A run that a worker executes or may execute.
 struct ActiveRun {
     TaskId task;
@@ -22,6 +38,13 @@
     int priority = 0;
     bool latencySensitive = false; ///< Has a tail latency target.
     bool bestEffort = false;
+    TaskKind kind; ///< 0 unless interference is learned.
+    /// Processor need of a best-effort run that is not part of `resources`, as other tasks may use it.
+    std::int64_t idleMilliCores = 0;
+    Duration tailTarget { 0 };
+    Duration tail { 0 }; ///< Last reported tail latency.
+    TimePoint tailAt; ///< When it was reported; unset before.
+    RunPace pace;
     bool orphaned = false; ///< Not the current run of any task; only to be stopped.
     bool adopted = false; ///< Found on the worker: its start time is not known.
     bool reported = false; ///< This incarnation has confirmed its start or listed it.
@@ -110,6 +133,9 @@
     Resources urgent; ///< The part of `used` taken by urgent tasks.
     int latencySensitiveRuns = 0;
     int bestEffortRuns = 0;
+    std::int64_t idleMilliCores = 0; ///< Of best-effort runs; not part of `used`.
+    TimePoint bestEffortStartedAt; ///< The last start of a best-effort run.
+    TimePoint observedAt; ///< The last list from which interference was learned.
     int isolatedRuns = 0;
 
     WorkerTime clock; ///< Worker's clock, read at `clockAt` or earlier.
--- a/packages/fleet/test/fake-fleet.h
+++ b/packages/fleet/test/fake-fleet.h
@@ -20,6 +20,7 @@
         Resources resources;
         std::string checkpoint;
         Duration remainingWork { -1 }; ///< Work left when its stop began; negative before that.
+        int pace = 100;
     };
 
     WorkerReport report;
@@ -210,6 +211,14 @@
             workerCall(term, to.id, timeout, std::move(done),
                 [this, order](FakeWorker& worker) { return stop(worker, order); });
         };
+        hooks.workers.pace = [this, term = m_term](
+                                 const WorkerReport& to, PaceOrder order, Duration timeout, OrderDone done) {
+            ++paceCalls;
+            workerCall(term, to.id, timeout, std::move(done),
+                [this, order](FakeWorker& worker) { return pace(worker, order); });
+        };
+        if (!pacesTasks)
+            hooks.workers.pace = nullptr;
         hooks.workers.hold = [this, term = m_term](const WorkerReport& to, HoldOrder order, Duration timeout,
                                  OrderDone done) { holdCall(term, to.id, timeout, std::move(done), order); };
         owner = std::make_unique<Owner>(settings, std::move(hooks), fence, ownerRevision);
@@ -388,6 +397,11 @@
     bool ownershipLost = false;
     std::int64_t wallClockJump = 0;
     Duration entryDelay { 0 }; ///< From a change of a worker's capacity until the owner is told.
+    bool pacesTasks = true; ///< Workers can pace tasks.
+    bool refusesPaces = false; ///< They refuse all calls for it.
+    int paceCalls = 0;
+    /// The tail latency of a latency-sensitive task in ms.
+    std::function<double(const FakeWorker&, const TaskId&)> tailOf = [](const FakeWorker&, const TaskId&) { return 0; };
     Duration stopTime { 0 }; ///< From a stop until the task has ended.
     std::function<Duration(const TaskId&)> workTime = [](const TaskId&) { return Duration(2000); };
     std::function<EndKind(const TaskId&, Run, const WorkerId&)> outcome
@@ -693,9 +707,9 @@
             observed.violations.push_back("a start of " + name + " after it was done");
         if (observed.crashes[order.task] >= 3 && ++observed.startsAfterThirdCrash[order.task] >= 3)
             observed.violations.push_back(name + " started three times after three crashes");
-        Resources used = resourcesOf(order.task);
+        Resources used = takenBy(order.task);
         for (const auto& [task, live] : worker.live)
-            used += live.resources;
+            used += takenBy(task);
         if (!fits(worker, used, sentAt))
             observed.violations.push_back("no capacity for " + name);
         checkKind(worker, order.task);
@@ -742,6 +756,16 @@
         return spec ? spec->resources : Resources {};
     }
 
+    /// Best-effort tasks take no processors from others.
+    Resources takenBy(const TaskId& task) const
+    {
+        auto resources = resourcesOf(task);
+        const auto* spec = specOf(task);
+        if (spec && spec->bestEffort)
+            resources.milliCores = 0;
+        return resources;
+    }
+
     bool isCheckpointing(const TaskId& task) const
     {
         const auto* spec = specOf(task);
@@ -766,6 +790,23 @@
         return base(worker, OrderFate::Done);
     }
 
+    OrderAnswer pace(FakeWorker& worker, const PaceOrder& order)
+    {
+        if (isFenced(worker, order.fence))
+            return base(worker, OrderFate::Fenced);
+        const auto found = worker.live.find(order.task);
+        if (refusesPaces || found == worker.live.end() || found->second.run != order.run)
+            return base(worker, refusesPaces ? OrderFate::Refused : OrderFate::Old);
+        if (order.percent < 0 || order.percent > 100)
+            observed.violations.push_back("a pace out of range for " + toString(order.task));
+        after(settings.paceDelay, [this, id = worker.id(), order] {
+            const auto live = workers.at(id).live.find(order.task);
+            if (live != workers.at(id).live.end() && live->second.run == order.run)
+                live->second.pace = order.percent;
+        });
+        return base(worker, OrderFate::Done);
+    }
+
     OrderAnswer hold(FakeWorker& worker, const HoldOrder& order)
     {
         if (isFenced(worker, order.fence))
@@ -784,7 +825,8 @@
         for (const auto& ended : worker.ended)
             result.ended.push_back(ended.entry);
         for (const auto& [task, live] : worker.live)
-            result.running.push_back({ task, live.run, live.checkpoint, percentOf(task, live), 0 });
+            result.running.push_back({ task, live.run, live.checkpoint, percentOf(task, live),
+                static_cast<int>(tailOf(worker, task)) });
         if (worker.listsUnreadable) {
             result.running.clear();
             result.ended.clear();
