Test shared workers with the owner; wait before refilling a worker

A best-effort task that was stopped because its worker confirmed no pace started there again within 2 ms, as the tail was below its target for the moment without it. None starts there for 10 s now.

--- a/packages/fleet/include/jujubereach/fleet/interference.h
+++ b/packages/fleet/include/jujubereach/fleet/interference.h
@@ -1,8 +1,8 @@
 // Learns which kinds of tasks slow each other down on one worker.
 //
-// Model: log(slowdown of a task) = mean of its kind on this worker + sum over the neighbours of (effect of the
-// neighbour's kind) x (pace of the neighbour) + noise. Only changes on the same worker are evidence, so that a
-// slow worker, on which the task is slow whatever runs beside it, is not attributed to a neighbour.
+// Model: log(slowdown of a task) = mean of its kind on this worker + sum over the neighbours of (effect of
+// the neighbour's kind) x (pace of the neighbour) + noise. Only changes on the same worker are evidence, so
+// that a slow worker, on which the task is slow whatever runs beside it, is not attributed to a neighbour.
 #pragma once
 
 #include "jujubereach/base/id.h"
@@ -54,7 +54,8 @@
     void observe(const SlowdownObservation& observation, TimePoint now);
     /// Discards the means of a worker, which may be another kind of machine now.
     void forget(const WorkerId& place);
-    /// Discards the evidence that `neighbour` slows `affected` down; it counts as harmless until new evidence.
+    /// Discards the evidence that `neighbour` slows `affected` down; it counts as harmless until new
+    /// evidence.
     void clear(TaskKind affected, TaskKind neighbour);
 
     PairEffect effectOf(TaskKind affected, TaskKind neighbour, TimePoint now) const;
--- a/packages/fleet/include/jujubereach/fleet/pace.h
+++ b/packages/fleet/include/jujubereach/fleet/pace.h
@@ -53,7 +53,10 @@
 class PaceController {
 public:
     /// `bound` is the longest time for which a tail may exceed its target beside a task that causes it.
-    explicit PaceController(Duration bound) : m_bound(bound) { }
+    explicit PaceController(Duration bound)
+        : m_bound(bound)
+    {
+    }
     void setBound(Duration bound) { m_bound = bound; }
 
     /// Decides after a list of the worker. Returns the tasks whose pace changes or that should stop.
@@ -65,8 +68,8 @@
     struct State {
         TimePoint overSince; ///< While a tail exceeds its target: since when; unset otherwise.
         TimePoint changedAt; ///< The last change of a pace.
-        /// The neighbours are not the cause of a tail over its target, as a test at pace 0 has shown. The test
-        /// is repeated after this time: a neighbour may become the cause meanwhile.
+        /// The neighbours are not the cause of a tail over its target, as a test at pace 0 has shown. The
+        /// test is repeated after this time: a neighbour may become the cause meanwhile.
         TimePoint clearedUntil;
         bool wasCleared = false; ///< A test at pace 0 has shown that before, and the tail is still over.
     };
--- a/packages/fleet/src/interference.cpp
+++ b/packages/fleet/src/interference.cpp
@@ -8,7 +8,8 @@
 namespace {
 
     constexpr double halfLifeMs = 10'000;
-    constexpr double priorWeight = 0.1; // Prior of an effect: 0, with the evidence of a tenth of a measurement.
+    constexpr double priorWeight
+        = 0.1; // Prior of an effect: 0, with the evidence of a tenth of a measurement.
     // Tails of half a second of requests scatter by about this much (logarithm), and count as this many
     // measurements until residuals show the actual scatter.
     constexpr double priorNoise = 0.15;
@@ -79,7 +80,8 @@
             learn({ observation.affected, mean.kind }, x, y - (explained - own), before * share, now);
         mean.amount += share * x;
     }
-    std::erase_if(place.amounts, [](const Neighbour& mean) { return std::abs(mean.amount) < forgottenWeight; });
+    std::erase_if(
+        place.amounts, [](const Neighbour& mean) { return std::abs(mean.amount) < forgottenWeight; });
     place.mean += share * y;
     place.weight = before + observation.weight;
     place.at = now;
--- a/packages/fleet/src/owner-interference.cpp
+++ b/packages/fleet/src/owner-interference.cpp
@@ -15,6 +15,8 @@
     constexpr Duration paceRepeatInterval { 500 };
     constexpr Duration maxTailAge { 2500 }; // The longest time between two polls of a worker that answers.
     constexpr Duration bestEffortStartInterval { 1000 }; // By then a tail shows the effect of the last one.
+    // Before another one starts where one was stopped for a tail: as long as one stays at pace 0.
+    constexpr Duration bestEffortReturnDelay { 10'000 };
     constexpr Duration minObservationInterval { 400 }; // Lists in quick succession repeat the same tails.
     constexpr double unsettledWeight = 0.25; // Of a tail that a change of pace has affected in part.
     constexpr Duration pairRefreshInterval { 200 }; // Evidence changes with lists, at most this often.
@@ -41,7 +43,7 @@
         std::map<TaskKind, double> amounts;
         for (const auto& [task, run] : worker.runs) {
             if (&run != &affected && run.phase != RunPhase::Ordered && run.kind != TaskKind {})
-                amounts[run.kind] += run.bestEffort ? run.pace.percent / static_cast<double>(fullPace) : 1;
+                amounts[run.kind] += run.bestEffort ? run.pace.working / static_cast<double>(fullPace) : 1;
         }
         std::vector<Neighbour> out;
         for (const auto& [kind, amount] : amounts)
@@ -113,9 +115,9 @@
     for (const auto& [task, run] : worker.runs) {
         if (!run.latencySensitive || run.tailAt != now() || run.tail.count() == 0)
             continue;
-        m_interference.observe({ run.kind, worker.id(), neighboursOf(worker, run),
-                                   std::log(static_cast<double>(run.tail.count())),
-                                   isSettled ? 1 : unsettledWeight },
+        m_interference.observe(
+            { run.kind, worker.id(), neighboursOf(worker, run),
+                std::log(static_cast<double>(run.tail.count())), isSettled ? 1 : unsettledWeight },
             now());
     }
 }
@@ -199,8 +201,10 @@
         line["deviation"] = effect.deviation;
     }
     m_hooks.log("pace", std::move(line));
-    if (decision.stop)
+    if (decision.stop) {
+        worker.bestEffortStoppedAt = now();
         return stopWhole(decision.task, "it slows a neighbour down");
+    }
     run.pace.percent = decision.percent;
     run.pace.known = true;
     run.pace.confirmed = false;
@@ -274,6 +278,7 @@
     if (answer.fate == OrderFate::Done) {
         if (pace.percent == order.percent && !pace.confirmed) {
             pace.confirmed = true;
+            pace.working = order.percent;
             pace.settledAt = now() + m_settings.paceDelay;
         }
         pace.nextCall = pace.confirmed ? now() + paceRepeatInterval : now();
@@ -289,7 +294,9 @@
 
 bool Owner::Impl::admitsBestEffort(const Worker& worker) const
 {
-    if (!mayPace() || now() - worker.bestEffortStartedAt < bestEffortStartInterval)
+    const auto hasStopped = worker.bestEffortStoppedAt != TimePoint {}
+        && now() - worker.bestEffortStoppedAt < bestEffortReturnDelay;
+    if (!mayPace() || hasStopped || now() - worker.bestEffortStartedAt < bestEffortStartInterval)
         return false;
     return std::all_of(worker.runs.begin(), worker.runs.end(), [this](const auto& entry) {
         const auto& run = entry.second;
@@ -298,7 +305,7 @@
         if (!run.latencySensitive)
             return true;
         return run.phase == RunPhase::Running && run.tailAt != TimePoint {}
-            && now() - run.tailAt <= maxTailAge
+        && now() - run.tailAt <= maxTailAge
             && pressureOf({ run.kind, run.tail, run.tailTarget }) < headroomShare;
     });
 }
@@ -314,7 +321,8 @@
     m_knownPairs = m_interference.knownPairs(now());
 }
 
-// Costs by what runs there; best-effort tasks that are not urgent stay away from tasks they are known to slow.
+// Costs by what runs there; best-effort tasks that are not urgent stay away from tasks they are known to
+// slow.
 const std::vector<double>* Owner::Impl::separationFor(const ReadyStep& ready, Pass& pass)
 {
     if (m_knownPairs.empty())
@@ -343,8 +351,8 @@
 {
     const auto& costs = *request.separation;
     const auto avoided = std::count_if(costs.begin(), costs.end(), [](double cost) { return cost > 0; });
-    const auto beside = std::count_if(
-        placement.begin(), placement.end(), [&](std::size_t i) { return costs[i] > 0; });
+    const auto beside
+        = std::count_if(placement.begin(), placement.end(), [&](std::size_t i) { return costs[i] > 0; });
     if (avoided == 0)
         return;
     const auto kind = kindOf(*ready.job, *request.spec, ready.index);
--- a/packages/fleet/src/pace.cpp
+++ b/packages/fleet/src/pace.cpp
@@ -18,7 +18,7 @@
     // its target and a lost call: 1/2 bound + 500 ms until the next list + 800 ms until the call is repeated.
     constexpr double allAtZeroShare = 0.375;
     constexpr double clearedShare = 0.5; // The test at pace 0 and a list must fit into the rest.
-    constexpr double stopShare = 0.75; // The worker has confirmed no pace until then.
+    constexpr double stopShare = 0.7; // The worker has confirmed no pace until then.
 
     Duration partOf(Duration bound, double share)
     {
@@ -41,8 +41,8 @@
     }
 
     // The task that is known to slow the affected kind down most at its present pace; null if none is known.
-    const PacedTask* largestSource(TaskKind affected, const std::vector<PacedTask>& tasks,
-        const InterferenceModel& model, TimePoint now)
+    const PacedTask* largestSource(
+        TaskKind affected, const std::vector<PacedTask>& tasks, const InterferenceModel& model, TimePoint now)
     {
         const PacedTask* largest = nullptr;
         auto most = 0.0;
@@ -108,8 +108,8 @@
         state.wasCleared = false;
     } else if (state.overSince == TimePoint {})
         state.overSince = now;
-    const auto isUnknown = std::any_of(
-        tasks.begin(), tasks.end(), [](const PacedTask& task) { return !task.known; });
+    const auto isUnknown
+        = std::any_of(tasks.begin(), tasks.end(), [](const PacedTask& task) { return !task.known; });
     if (!isUnknown && now - state.changedAt < minChangeInterval)
         return out;
     if (pressure > pressureShare)
@@ -130,8 +130,8 @@
     const auto atZero = std::all_of(tasks.begin(), tasks.end(), [now](const PacedTask& task) {
         return !canLower(task) && (task.percent > 0 || (task.settledAt && now - *task.settledAt >= testTime));
     });
-    const auto anyAtZero = std::any_of(
-        tasks.begin(), tasks.end(), [](const PacedTask& task) { return task.percent == 0; });
+    const auto anyAtZero
+        = std::any_of(tasks.begin(), tasks.end(), [](const PacedTask& task) { return task.percent == 0; });
     if (isOver && atZero && anyAtZero)
         return restore(state, worst, tasks, model, now);
     const auto atOnce = overFor >= partOf(m_bound, allAtZeroShare) || state.wasCleared;
@@ -185,7 +185,8 @@
             next = &task;
     }
     for (const auto& task : tasks) {
-        if (!isLowered(task) || (task.known && pressureOf(worst) >= largeHeadroomShare && task.kind != next->kind))
+        if (!isLowered(task)
+            || (task.known && pressureOf(worst) >= largeHeadroomShare && task.kind != next->kind))
             continue;
         const auto percent = task.known ? std::min(fullPace, task.percent + raiseStep) : fullPace;
         out.push_back({ task.task, percent, false, PaceReason::Headroom });
@@ -202,7 +203,8 @@
     std::vector<PaceDecision> out;
     std::set<TaskKind> lowered;
     const PacedTask* source = nullptr;
-    const auto effectOf = [&](const PacedTask& task) { return model.effectOf(worst.kind, task.kind, now).mean; };
+    const auto effectOf
+        = [&](const PacedTask& task) { return model.effectOf(worst.kind, task.kind, now).mean; };
     for (const auto& task : tasks) {
         if (isLowered(task))
             lowered.insert(task.kind);
@@ -216,7 +218,8 @@
     if (pressureOf(worst) < (headroomShare + pressureShare) / 2)
         return raise(state, worst, tasks, model, now);
     if (source)
-        out.push_back({ source->task, std::max(0, source->percent - raiseStep), false, PaceReason::Exchange });
+        out.push_back(
+            { source->task, std::max(0, source->percent - raiseStep), false, PaceReason::Exchange });
     state.changedAt = now;
     return out;
 }
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -62,8 +62,8 @@
         if (view.reservedBy && view.reservedBy != request.step && !overridesReservation
             && request.expectedEnd > view.reservedUntil)
             return false;
-        // A best-effort task disturbs a latency-sensitive one to an extent that is not known in advance. It is
-        // paced if it does.
+        // A best-effort task disturbs a latency-sensitive one to an extent that is not known in advance. It
+        // is paced if it does.
         if (request.spec->bestEffort && view.latencySensitive)
             return request.mayShare && view.admitsBestEffort;
         return request.mayShare || request.spec->tailTarget.count() == 0 || !view.bestEffort;
--- a/packages/fleet/src/worker.h
+++ b/packages/fleet/src/worker.h
@@ -18,14 +18,16 @@
 /// The pace at which a best-effort run works.
 struct RunPace {
     int percent = fullPace; ///< Decided last.
-    bool known = true; ///< False if an earlier owner, or a call to an earlier incarnation, may have set another.
+    int working = fullPace; ///< Confirmed last.
+    bool known
+        = true; ///< False if an earlier owner, or a call to an earlier incarnation, may have set another.
     bool confirmed = true; ///< The worker has confirmed `percent`.
     bool callInFlight = false;
     TimePoint settledAt; ///< When a confirmed pace takes effect.
     TimePoint nextCall;
     TimePoint repeatUntil; ///< A call without an answer may be executed until then.
 
-    static RunPace unknown() { return { fullPace, false, false, false, {}, {}, {} }; }
+    static RunPace unknown() { return { fullPace, fullPace, false, false, false, {}, {}, {} }; }
     bool isLowered() const { return !known || percent < fullPace; }
 };
 
@@ -135,6 +137,7 @@
     int bestEffortRuns = 0;
     std::int64_t idleMilliCores = 0; ///< Of best-effort runs; not part of `used`.
     TimePoint bestEffortStartedAt; ///< The last start of a best-effort run.
+    TimePoint bestEffortStoppedAt; ///< The last stop of one that slowed a neighbour down.
     TimePoint observedAt; ///< The last list from which interference was learned.
     int isolatedRuns = 0;
 
--- a/packages/fleet/test/fake-fleet.h
+++ b/packages/fleet/test/fake-fleet.h
@@ -214,6 +214,8 @@
         hooks.workers.pace = [this, term = m_term](
                                  const WorkerReport& to, PaceOrder order, Duration timeout, OrderDone done) {
             ++paceCalls;
+            if (losesPaces)
+                return after(timeout, [this, term, done] { answerOrder(term, done, {}); });
             workerCall(term, to.id, timeout, std::move(done),
                 [this, order](FakeWorker& worker) { return pace(worker, order); });
         };
@@ -399,9 +401,11 @@
     Duration entryDelay { 0 }; ///< From a change of a worker's capacity until the owner is told.
     bool pacesTasks = true; ///< Workers can pace tasks.
     bool refusesPaces = false; ///< They refuse all calls for it.
+    bool losesPaces = false; ///< Calls for it do not arrive.
     int paceCalls = 0;
     /// The tail latency of a latency-sensitive task in ms.
-    std::function<double(const FakeWorker&, const TaskId&)> tailOf = [](const FakeWorker&, const TaskId&) { return 0; };
+    std::function<double(const FakeWorker&, const TaskId&)> tailOf
+        = [](const FakeWorker&, const TaskId&) { return 0; };
     Duration stopTime { 0 }; ///< From a stop until the task has ended.
     std::function<Duration(const TaskId&)> workTime = [](const TaskId&) { return Duration(2000); };
     std::function<EndKind(const TaskId&, Run, const WorkerId&)> outcome
@@ -505,6 +509,12 @@
             callOwner([&] { done(result); });
     }
 
+    void answerOrder(int term, const OrderDone& done, const OrderAnswer& result)
+    {
+        if (isAlive(term))
+            callOwner([&] { done(result); });
+    }
+
     StoreAnswer apply(const StoreWrite& write)
     {
         StoreAnswer result;
--- /dev/null
+++ b/packages/fleet/test/interference-test.cpp
@@ -0,0 +1,347 @@
+// Latency-sensitive and best-effort tasks on the same workers, with the owner and fake workers: starts in
+// both directions, paces that keep tails below their targets, and failures while tasks are paced.
+#include "fake-fleet.h"
+
+using namespace jujubereach;
+using namespace jujubereach::fleet;
+
+namespace {
+
+constexpr Duration target { 100 };
+
+/// Workers whose tails depend on load, speed and the best-effort tasks beside.
+class Shared {
+public:
+    explicit Shared(int workers)
+    {
+        for (int i = 0; i < workers; ++i)
+            fleet.addWorker("w" + std::to_string(i));
+        fleet.workTime = [](const TaskId&) { return Duration(3'600'000); };
+        fleet.tailOf
+            = [this](const FakeWorker& worker, const TaskId& task) { return tail(worker, task, true); };
+        fleet.takeOver();
+        fleet.run(Duration(500));
+    }
+
+    static JobRecord filler(const std::string& id, int count, const std::string& image, int priority = 2)
+    {
+        auto record = FakeFleet::job(id, count, { 8000, 1000, 0 }, priority);
+        auto& step = record.spec.steps[0];
+        step.bestEffort = step.longRunning = true;
+        step.image = image;
+        step.maxPerWorker = 1;
+        step.maxUnavailable = count;
+        return record;
+    }
+
+    static JobRecord server(const std::string& id, int count = 1)
+    {
+        auto record = FakeFleet::job(id, count, { 4000, 1000, 0 }, 0);
+        auto& step = record.spec.steps[0];
+        step.longRunning = true;
+        step.tailTarget = target;
+        step.image = "server";
+        step.maxPerWorker = 1;
+        return record;
+    }
+
+    /// Checks the bound on the time over the target every 100 ms.
+    void run(Duration time)
+    {
+        for (Duration passed { 0 }; passed < time; passed += Duration(100)) {
+            fleet.run(Duration(100));
+            for (const auto& [id, worker] : fleet.workers) {
+                for (const auto& [task, live] : worker.live) {
+                    const auto isOver = tail(worker, task, true) > static_cast<double>(target.count())
+                        && tail(worker, task, false) <= static_cast<double>(target.count());
+                    auto& over = m_over[task];
+                    over = isOver ? over + Duration(100) : Duration(0);
+                    longestOver = std::max(longestOver, over);
+                }
+            }
+        }
+    }
+
+    int paceOf(const std::string& job, int index = 0) const
+    {
+        for (const auto& [id, worker] : fleet.workers) {
+            const auto found = worker.live.find({ JobId(job), 0, 0, index });
+            if (found != worker.live.end())
+                return found->second.pace;
+        }
+        return -1;
+    }
+
+    WorkerId workerOf(const std::string& job, int index = 0) const
+    {
+        for (const auto& [id, worker] : fleet.workers) {
+            if (worker.live.contains({ JobId(job), 0, 0, index }))
+                return id;
+        }
+        return {};
+    }
+
+    bool logged(const std::string& text) const
+    {
+        return std::any_of(fleet.log.begin(), fleet.log.end(),
+            [&](const std::string& line) { return line.find(text) != std::string::npos; });
+    }
+
+    FakeFleet fleet;
+    double load = 50; ///< Tail without neighbours, on a worker of normal speed.
+    std::map<std::string, double> harm; ///< Factor on the tail beside a task of the job at full pace.
+    std::map<WorkerId, double> slowness;
+    Duration longestOver { 0 };
+
+private:
+    double tail(const FakeWorker& worker, const TaskId& task, bool withFillers) const
+    {
+        if (task.job.str()[0] != 's')
+            return 0;
+        auto tail = load;
+        if (const auto found = slowness.find(worker.id()); found != slowness.end())
+            tail *= found->second;
+        for (const auto& [other, live] : worker.live) {
+            const auto found = harm.find(other.job.str());
+            if (withFillers && found != harm.end())
+                tail *= 1 + (found->second - 1) * live.pace / 100;
+        }
+        return tail;
+    }
+
+    std::map<TaskId, Duration> m_over;
+};
+
+} // namespace
+
+class InterferenceTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(InterferenceTest);
+    CPPUNIT_TEST(anUrgentServerStartsAmongFillers);
+    CPPUNIT_TEST(withoutTheFeatureTheClassesStayApart);
+    CPPUNIT_TEST(fillersTakeNoProcessorsFromServers);
+    CPPUNIT_TEST(aFillerStartsOnlyWithHeadroom);
+    CPPUNIT_TEST(pacesOnlyTheInterferingImage);
+    CPPUNIT_TEST(aSlowWorkerDoesNotStopItsFillers);
+    CPPUNIT_TEST(keepsKnownPairsApart);
+    CPPUNIT_TEST(aSuccessorSetsThePaceAnew);
+    CPPUNIT_TEST(repeatsCallsWithoutAnAnswer);
+    CPPUNIT_TEST(stopsFillersOfWorkersThatCannotPace);
+    CPPUNIT_TEST(aRestartedWorkerIsLearnedAnew);
+    CPPUNIT_TEST(holdsUnderChangingInterferenceAndTakeovers);
+    CPPUNIT_TEST_SUITE_END();
+
+    // The case of review/10: the server waited for ever, as the exclusion held for preemption as well.
+    void anUrgentServerStartsAmongFillers()
+    {
+        Shared shared(6);
+        shared.fleet.submit(Shared::filler("f", 6, "batch"));
+        shared.run(Duration(2000));
+        shared.fleet.submit(Shared::server("s"));
+        shared.run(Duration(2000));
+        CPPUNIT_ASSERT(!shared.workerOf("s").empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(7), shared.fleet.liveRuns());
+        CPPUNIT_ASSERT_EQUAL(0, shared.fleet.paceCalls);
+        CPPUNIT_ASSERT_EQUAL(std::string(), shared.fleet.firstViolation());
+    }
+
+    void withoutTheFeatureTheClassesStayApart()
+    {
+        Shared shared(2);
+        shared.fleet.settings.features.interference = false;
+        shared.fleet.takeOver();
+        shared.fleet.submit(Shared::filler("f", 2, "batch"));
+        shared.run(Duration(2000));
+        shared.fleet.submit(Shared::server("s"));
+        shared.harm["f"] = 3;
+        shared.run(Duration(5000));
+        CPPUNIT_ASSERT(shared.workerOf("s").empty());
+        CPPUNIT_ASSERT_EQUAL(0, shared.fleet.paceCalls);
+    }
+
+    // Fillers on all processors of the fleet would make the server wait for one of them to be stopped.
+    void fillersTakeNoProcessorsFromServers()
+    {
+        Shared shared(2);
+        for (int i = 0; i < 8; ++i)
+            shared.fleet.submit(Shared::filler("f" + std::to_string(i), 2, "batch"));
+        shared.run(Duration(2000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(16), shared.fleet.liveRuns());
+        shared.fleet.submit(Shared::filler("g", 1, "batch"));
+        shared.fleet.submit(Shared::server("s", 2));
+        shared.run(Duration(2000));
+        CPPUNIT_ASSERT(!shared.workerOf("s", 0).empty() && !shared.workerOf("s", 1).empty());
+        CPPUNIT_ASSERT(shared.workerOf("g").empty()); // No idle processors are left for it.
+        CPPUNIT_ASSERT_EQUAL(std::string(), shared.fleet.firstViolation());
+    }
+
+    // Started together beside a server, several fillers would exceed its target before any tail shows it.
+    void aFillerStartsOnlyWithHeadroom()
+    {
+        Shared shared(1);
+        shared.load = 75;
+        shared.fleet.submit(Shared::server("s"));
+        shared.run(Duration(1000));
+        for (const auto* id : { "f1", "f2", "f3" })
+            shared.fleet.submit(Shared::filler(id, 1, "batch"));
+        shared.run(Duration(3000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), shared.fleet.liveRuns());
+        shared.load = 50;
+        auto seen = shared.fleet.liveRuns();
+        for (int i = 0; i < 8; ++i) {
+            shared.run(Duration(900));
+            CPPUNIT_ASSERT(shared.fleet.liveRuns() <= seen + 1);
+            seen = shared.fleet.liveRuns();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), seen);
+    }
+
+    void pacesOnlyTheInterferingImage()
+    {
+        Shared shared(1);
+        shared.harm["loud"] = 3;
+        shared.fleet.submit(Shared::filler("loud", 1, "loud"));
+        shared.fleet.submit(Shared::filler("quiet", 1, "quiet"));
+        shared.run(Duration(500));
+        shared.fleet.submit(Shared::server("s"));
+        shared.run(Duration(40'000));
+        CPPUNIT_ASSERT(shared.longestOver < shared.fleet.settings.interferenceBound);
+        CPPUNIT_ASSERT(shared.paceOf("loud") < 80);
+        CPPUNIT_ASSERT_EQUAL(100, shared.paceOf("quiet"));
+        CPPUNIT_ASSERT(shared.logged("pace ") && shared.logged(R"("reason":"pressure")"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), shared.fleet.owner->figures().pacedTasks);
+        CPPUNIT_ASSERT(shared.fleet.counts["jujubereach_tail_over_target_total"] >= 1);
+    }
+
+    // On the slow worker the server is over its target with and without its neighbour.
+    void aSlowWorkerDoesNotStopItsFillers()
+    {
+        Shared shared(2);
+        shared.slowness[WorkerId("w0")] = 2.5;
+        shared.fleet.submit(Shared::filler("f", 2, "batch"));
+        shared.run(Duration(500));
+        shared.fleet.submit(Shared::server("s", 2));
+        shared.run(Duration(20'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), shared.fleet.liveRuns());
+        CPPUNIT_ASSERT(shared.logged("not-the-cause"));
+        CPPUNIT_ASSERT(!shared.logged("kept-apart"));
+    }
+
+    // The interfering image is learned on one worker; a third server then has the choice between both
+    // fillers.
+    void keepsKnownPairsApart()
+    {
+        Shared shared(3);
+        shared.harm["loud"] = shared.harm["other"] = 3;
+        shared.fleet.submit(Shared::filler("loud", 1, "loud"));
+        shared.run(Duration(1000));
+        shared.fleet.submit(Shared::filler("other", 1, "loud"));
+        shared.fleet.submit(Shared::filler("quiet", 1, "quiet"));
+        shared.run(Duration(1000));
+        shared.fleet.submit(Shared::server("s", 3));
+        shared.run(Duration(6000));
+        shared.fleet.cancel("s");
+        shared.run(Duration(1000));
+        shared.fleet.log.clear();
+        shared.fleet.submit(Shared::server("s2"));
+        shared.run(Duration(1000));
+        CPPUNIT_ASSERT(shared.workerOf("s2") != shared.workerOf("loud"));
+        CPPUNIT_ASSERT(shared.workerOf("s2") != shared.workerOf("other"));
+        CPPUNIT_ASSERT(shared.logged("kept-apart"));
+    }
+
+    // Without a call by the successor, a filler that the previous owner has paced would stay so for ever.
+    void aSuccessorSetsThePaceAnew()
+    {
+        Shared shared(1);
+        shared.harm["f"] = 3;
+        shared.fleet.submit(Shared::filler("f", 1, "batch"));
+        shared.fleet.submit(Shared::server("s"));
+        shared.run(Duration(4000));
+        CPPUNIT_ASSERT(shared.paceOf("f") < 100);
+        shared.harm.clear();
+        shared.fleet.takeOver();
+        shared.run(Duration(1500));
+        CPPUNIT_ASSERT_EQUAL(100, shared.paceOf("f"));
+        shared.harm["f"] = 3;
+        shared.run(Duration(4000));
+        const auto paced = shared.paceOf("f");
+        CPPUNIT_ASSERT(paced < 100);
+        shared.fleet.takeOver(); // While it is paced, and the tail is below the target for that reason.
+        shared.run(Duration(10'000));
+        CPPUNIT_ASSERT(shared.longestOver < shared.fleet.settings.interferenceBound);
+        CPPUNIT_ASSERT_EQUAL(std::string(), shared.fleet.firstViolation());
+    }
+
+    // A lost call may be executed up to 12 s later, after a call with another pace.
+    void repeatsCallsWithoutAnAnswer()
+    {
+        Shared shared(1);
+        shared.fleet.submit(Shared::filler("f", 1, "batch"));
+        shared.fleet.submit(Shared::server("s"));
+        shared.run(Duration(2000));
+        shared.harm["f"] = 3;
+        shared.fleet.losesPaces = true;
+        shared.run(Duration(1000));
+        CPPUNIT_ASSERT(shared.fleet.paceCalls > 0);
+        shared.fleet.losesPaces = false;
+        shared.harm.clear();
+        shared.run(Duration(8000));
+        CPPUNIT_ASSERT_EQUAL(100, shared.paceOf("f"));
+        shared.fleet.workers.at(WorkerId("w0")).live.at({ JobId("f"), 0, 0, 0 }).pace = 0; // The late call.
+        shared.run(Duration(1000));
+        CPPUNIT_ASSERT_EQUAL(100, shared.paceOf("f"));
+        shared.run(Duration(12'000));
+        const auto calls = shared.fleet.paceCalls;
+        shared.run(Duration(5000));
+        CPPUNIT_ASSERT_EQUAL(calls, shared.fleet.paceCalls);
+    }
+
+    void stopsFillersOfWorkersThatCannotPace()
+    {
+        Shared shared(1);
+        shared.fleet.refusesPaces = true;
+        shared.fleet.submit(Shared::filler("f", 1, "batch"));
+        shared.fleet.submit(Shared::server("s"));
+        shared.run(Duration(2000));
+        shared.harm["f"] = 3;
+        shared.run(Duration(5000));
+        CPPUNIT_ASSERT(shared.longestOver < shared.fleet.settings.interferenceBound);
+        CPPUNIT_ASSERT(shared.logged("cannot-pace"));
+    }
+
+    // The means of the former machine would make the neighbour of the slower one look harmful.
+    void aRestartedWorkerIsLearnedAnew()
+    {
+        Shared shared(1);
+        shared.fleet.submit(Shared::server("s"));
+        shared.run(Duration(5000));
+        shared.fleet.restartWorker("w0");
+        shared.slowness[WorkerId("w0")] = 1.3;
+        shared.fleet.report(WorkerId("w0"));
+        shared.fleet.submit(Shared::filler("f", 1, "batch"));
+        shared.run(Duration(30'000));
+        CPPUNIT_ASSERT_EQUAL(100, shared.paceOf("f"));
+        CPPUNIT_ASSERT(!shared.workerOf("s").empty() && !shared.logged("kept-apart"));
+    }
+
+    void holdsUnderChangingInterferenceAndTakeovers()
+    {
+        Shared shared(4);
+        shared.fleet.submit(Shared::filler("f", 4, "batch"));
+        shared.fleet.submit(Shared::filler("g", 4, "index"));
+        shared.fleet.submit(Shared::server("s", 4));
+        for (int second = 0; second < 120; second += 2) {
+            shared.harm["f"] = second % 6 == 0 ? 3 : 1;
+            shared.harm["g"] = second % 10 == 0 ? 2.5 : 1;
+            shared.load = second % 14 == 0 ? 90 : 45;
+            if (second % 22 == 0)
+                shared.fleet.takeOver();
+            shared.run(Duration(2000));
+        }
+        CPPUNIT_ASSERT(shared.longestOver < shared.fleet.settings.interferenceBound);
+        CPPUNIT_ASSERT(!shared.workerOf("s", 0).empty() && !shared.workerOf("s", 3).empty());
+        CPPUNIT_ASSERT_EQUAL(std::string(), shared.fleet.firstViolation());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(InterferenceTest);
--- a/packages/fleet/test/pace-test.cpp
+++ b/packages/fleet/test/pace-test.cpp
@@ -1,5 +1,6 @@
-// Plays workers with latency-sensitive and best-effort tasks on plain data: what the model learns of them, and
-// whether a tail is brought below its target within the bound without slowing harmless neighbours for long.
+// Plays workers with latency-sensitive and best-effort tasks on plain data: what the model learns of them,
+// and whether a tail is brought below its target within the bound without slowing harmless neighbours for
+// long.
 #include "jujubereach/fleet/pace.h"
 
 #include "jujubereach/base/random.h"
@@ -157,7 +158,8 @@
         CPPUNIT_ASSERT(model.knownPairs(now).empty());
     }
 
-    // Residuals of the speed model have no place; one kind that comes and goes explains them, another does not.
+    // Residuals of the speed model have no place; one kind that comes and goes explains them, another does
+    // not.
     void aWorkerWideResidualIsAttributedToNoKind()
     {
         InterferenceModel model;
@@ -192,8 +194,8 @@
         CPPUNIT_ASSERT_EQUAL(100, bench.fillers[0].state.percent);
     }
 
-    // The tail is over its target with and without the neighbour. At pace 0 for good, the neighbour would lose
-    // its whole work for nothing.
+    // The tail is over its target with and without the neighbour. At pace 0 for good, the neighbour would
+    // lose its whole work for nothing.
     void aLoadPeakDoesNotKeepNeighboursPaced()
     {
         Bench bench({ filler("quiet", 1), filler("calm", 1) }, 140);
