Pace tasks in the users' stand-in worker; back off after refusals

The stand-in answers POST /v1/pace and reports tails that its best-effort tasks raise, so that hosts can be tested against the protocol. A refused pace call is repeated after 200 ms and half as often with each further refusal (a worker that does not know the call would get five a second for each task).

--- a/packages/fleet/src/owner-interference.cpp
+++ b/packages/fleet/src/owner-interference.cpp
@@ -10,7 +10,8 @@
 namespace {
 
     constexpr Duration paceTimeout { 800 }; // As for starts and stops.
-    constexpr Duration paceRetryDelay { 200 };
+    constexpr Duration paceRetryDelay { 200 }; // After the first refusal; doubled by each further one.
+    constexpr int maxPaceDoublings = 4;
     // While a call without an answer may still be executed, the current pace is repeated at this interval.
     constexpr Duration paceRepeatInterval { 500 };
     constexpr Duration maxTailAge { 2500 }; // The longest time between two polls of a worker that answers.
@@ -46,6 +47,7 @@
                 amounts[run.kind] += run.bestEffort ? run.pace.working / static_cast<double>(fullPace) : 1;
         }
         std::vector<Neighbour> out;
+        out.reserve(amounts.size());
         for (const auto& [kind, amount] : amounts)
             out.push_back({ kind, amount });
         return out;
@@ -276,6 +278,7 @@
     auto& pace = found->second.pace;
     pace.callInFlight = false;
     if (answer.fate == OrderFate::Done) {
+        pace.refusals = 0;
         if (pace.percent == order.percent && !pace.confirmed) {
             pace.confirmed = true;
             pace.working = order.percent;
@@ -284,9 +287,11 @@
         pace.nextCall = pace.confirmed ? now() + paceRepeatInterval : now();
         return;
     }
+    pace.nextCall = now();
     if (answer.fate == OrderFate::Unknown)
         pace.repeatUntil = sentAt + maxOrderDelay;
-    pace.nextCall = answer.fate == OrderFate::Unknown ? now() : now() + paceRetryDelay;
+    else
+        pace.nextCall += paceRetryDelay * (1 << std::min(pace.refusals++, maxPaceDoublings));
     m_hooks.log("pace-refused",
         { { "task", toString(order.task) }, { "worker", id.str() }, { "percent", order.percent },
             { "fate", nameOf(answer.fate) } });
@@ -333,14 +338,15 @@
     if (partners == m_knownPairs.end() || pass.fleet.size() != m_usable.size())
         return nullptr;
     const auto excludes = spec.bestEffort && termsOf(*ready.job).priority > urgentPriority;
-    const auto [costs, isNew] = pass.separations.try_emplace({ kind, excludes }, m_usable.size(), 0);
+    const auto [costs, isNew] = pass.separations.try_emplace({ kind, excludes }, m_usable.size(), 0.0);
     for (std::size_t i = 0; isNew && i < m_usable.size(); ++i) {
         for (const auto& [task, run] : m_usable[i]->runs) {
             const auto partner = partners->second.find(run.kind);
             if (partner == partners->second.end())
                 continue;
-            costs->second[i] += excludes && run.latencySensitive ? std::numeric_limits<double>::infinity()
-                                                                 : separationWeight * partner->second;
+            const auto isExcluded = excludes && run.latencySensitive;
+            costs->second[i]
+                += isExcluded ? std::numeric_limits<double>::infinity() : separationWeight * partner->second;
         }
     }
     return &costs->second;
--- a/packages/fleet/src/worker.h
+++ b/packages/fleet/src/worker.h
@@ -23,11 +23,12 @@
         = true; ///< False if an earlier owner, or a call to an earlier incarnation, may have set another.
     bool confirmed = true; ///< The worker has confirmed `percent`.
     bool callInFlight = false;
+    int refusals = 0; ///< Of calls since the last success.
     TimePoint settledAt; ///< When a confirmed pace takes effect.
     TimePoint nextCall;
     TimePoint repeatUntil; ///< A call without an answer may be executed until then.
 
-    static RunPace unknown() { return { fullPace, fullPace, false, false, false, {}, {}, {} }; }
+    static RunPace unknown() { return { fullPace, fullPace, false, false, false, 0, {}, {}, {} }; }
     bool isLowered() const { return !known || percent < fullPace; }
 };
 
--- a/standins/test/users-standins-test.cpp
+++ b/standins/test/users-standins-test.cpp
@@ -54,6 +54,34 @@
         return *status;
     }
 
+    /// Posts the body; returns the status and stores the answer.
+    int post(const std::string& path, const std::string& body, std::string* answer = nullptr)
+    {
+        std::optional<int> status;
+        client.call(address, { "POST", path, { { "Expected-Instance", "w" } }, body }, Duration(400),
+            [&](const net::CallResult& result) {
+                status = result.delivery == net::DeliveryStatus::Answered ? result.response.status : 0;
+                if (answer)
+                    *answer = result.response.body;
+            });
+        while (!status)
+            loop.run_one_for(std::chrono::milliseconds(10));
+        return *status;
+    }
+
+    /// Percentage and load of a task in the worker's list.
+    std::pair<std::int64_t, std::int64_t> rowOf(const std::string& task)
+    {
+        std::string answer;
+        post("/v1/hold", R"({"FencingToken":1})", &answer);
+        const auto lists = boost::json::parse(answer);
+        for (const auto& row : lists.at("Running").as_array()) {
+            if (row.at(0).as_string() == task)
+                return { row.at(3).to_number<std::int64_t>(), row.at(4).to_number<std::int64_t>() };
+        }
+        return { -1, -1 };
+    }
+
     bool isListed(const std::string& id) const { return !store.value("servers/" + id).empty(); }
     std::string broken() const { return record.broken.empty() ? std::string() : record.broken.front(); }
 };
@@ -77,6 +105,8 @@
     CPPUNIT_TEST(theEntryShowsAChangedCapacity);
     CPPUNIT_TEST(recordsStartsBeyondTheCapacity);
     CPPUNIT_TEST(aShrunkCapacityCountsAfterTheAllowance);
+    CPPUNIT_TEST(pacesWorkAndInterference);
+    CPPUNIT_TEST(refusesPacesOfOtherRunsAndOwners);
     CPPUNIT_TEST(oddEntriesAreOdd);
     CPPUNIT_TEST_SUITE_END();
 
@@ -182,6 +212,43 @@
         CPPUNIT_ASSERT_EQUAL(200, platform.start("j.0.0.0", small));
     }
 
+    // A scheduler is tested against these effects: work and interference follow the pace, a tail after 500
+    // ms.
+    void pacesWorkAndInterference()
+    {
+        Platform platform;
+        platform.start("s.0.0.0", R"({"cpu":1000,"mem":1000,"gpu":0,"load":50,"workMs":60000})");
+        platform.start("f.0.0.0", R"({"cpu":99000,"mem":1000,"gpu":0,"fills":true,"harm":3,"workMs":4000})");
+        platform.spend(Duration(600));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(150), platform.rowOf("s.0.0.0").second);
+        CPPUNIT_ASSERT_EQUAL(
+            200, platform.post("/v1/pace", R"({"Task":"f.0.0.0","RunId":1,"Percent":0,"FencingToken":1})"));
+        platform.spend(Duration(200));
+        const auto stood = platform.rowOf("f.0.0.0").first;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(stood), stood > 10 && stood < 40);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(150), platform.rowOf("s.0.0.0").second);
+        platform.spend(Duration(700));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(50), platform.rowOf("s.0.0.0").second);
+        CPPUNIT_ASSERT_EQUAL(stood, platform.rowOf("f.0.0.0").first);
+        platform.post("/v1/pace", R"({"Task":"f.0.0.0","RunId":1,"Percent":50,"FencingToken":1})");
+        platform.spend(Duration(700));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(100), platform.rowOf("s.0.0.0").second);
+        CPPUNIT_ASSERT(platform.rowOf("f.0.0.0").first > stood);
+        CPPUNIT_ASSERT_EQUAL(std::string(), platform.broken());
+    }
+
+    void refusesPacesOfOtherRunsAndOwners()
+    {
+        Platform platform;
+        platform.start("f.0.0.0", small);
+        CPPUNIT_ASSERT_EQUAL(
+            409, platform.post("/v1/pace", R"({"Task":"f.0.0.0","RunId":2,"Percent":0,"FencingToken":1})"));
+        CPPUNIT_ASSERT_EQUAL(
+            409, platform.post("/v1/pace", R"({"Task":"f.0.0.0","RunId":1,"Percent":0,"FencingToken":0})"));
+        CPPUNIT_ASSERT_EQUAL(
+            400, platform.post("/v1/pace", R"({"Task":"f.0.0.0","RunId":1,"Percent":101,"FencingToken":1})"));
+    }
+
     void recordsStartsAfterThreeCrashes()
     {
         Platform platform;
--- a/standins/users/users-worker.cpp
+++ b/standins/users/users-worker.cpp
@@ -1,5 +1,9 @@
 #include "users-worker.h"
 
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
 namespace jujubereach::standins {
 
 namespace json = boost::json;
@@ -8,6 +12,9 @@
 
     constexpr Duration beatInterval { 1000 };
     constexpr std::int64_t maxHoldMs = 10'000;
+    constexpr Duration paceDelay { 100 };
+    constexpr Duration tailWindow { 500 };
+    constexpr Duration standstill { 86'400'000 }; // At pace 0; longer than any run.
     constexpr Duration minWork { 200 };
     constexpr std::int64_t workSpreadMs = 2500;
     constexpr int failurePercent = 5;
@@ -24,6 +31,12 @@
         return found ? found->to_number<std::uint64_t>() : 0;
     }
 
+    double real(const json::object& in, const char* name, double fallback)
+    {
+        const auto* found = in.if_contains(name);
+        return found ? found->to_number<double>() : fallback;
+    }
+
     std::string jobOf(const std::string& task)
     {
         return task.substr(0, task.find('.'));
@@ -213,6 +226,8 @@
     const auto order = json::parse(request.body).as_object();
     if (request.target == "/v1/hold")
         return hold(order, std::move(respond));
+    if (request.target == "/v1/pace")
+        return respond(pace(order));
     respond(request.target == "/v1/run-start" ? start(order) : stop(order));
 }
 
@@ -265,7 +280,8 @@
         Live live;
         live.run = run;
         const auto spec = json::parse(std::string(order.at("Spec").as_string())).as_object();
-        live.size = { static_cast<std::int64_t>(number(spec, "cpu")),
+        const auto fills = spec.contains("fills"); // Uses only what others leave idle.
+        live.size = { fills ? 0 : static_cast<std::int64_t>(number(spec, "cpu")),
             static_cast<std::int64_t>(number(spec, "mem")), static_cast<std::int64_t>(number(spec, "gpu")) };
         if (!hasRoomFor(live.size))
             m_record.broken.push_back("LIMIT: no room for " + task + " on " + m_id);
@@ -277,25 +293,88 @@
             && ++m_record.startsAfterThirdCrash[task] == startsTooMany)
             m_record.broken.push_back("BUDGET: " + task + " goes on to start after three crashes");
         m_record.lastStart[task] = ++m_record.starts;
-        live.startedAt = steadyClock()();
-        const auto deadly = isDeadly(spec, task);
-        live.work = deadly ? Duration(1 + static_cast<std::int64_t>(m_random() % crashSpreadMs))
-                           : minWork + Duration(static_cast<std::int64_t>(m_random() % workSpreadMs));
-        live.timer = std::make_shared<boost::asio::steady_timer>(m_loop, live.work);
-        const auto* how = m_random() % 100 < failurePercent ? "failed" : "done";
-        live.timer->async_wait(
-            [this, task, how, deadly, timer = live.timer](const boost::system::error_code& failed) {
-                if (failed)
-                    return;
-                const auto ending = m_live.find(task);
-                if (ending != m_live.end() && ending->second.timer == timer) // Else it was cancelled.
-                    deadly ? crashBy(task) : end(task, how);
-            });
+        live.pacedAt = steadyClock()();
+        live.deadly = isDeadly(spec, task);
+        live.load = real(spec, "load", 0);
+        live.harm = real(spec, "harm", 1);
+        live.work = live.deadly ? Duration(1 + static_cast<std::int64_t>(m_random() % crashSpreadMs))
+                                : minWork + Duration(static_cast<std::int64_t>(m_random() % workSpreadMs));
+        if (spec.contains("workMs"))
+            live.work = Duration(static_cast<std::int64_t>(number(spec, "workMs")));
+        live.outcome = m_random() % 100 < failurePercent ? "failed" : "done";
         m_live[task] = std::move(live);
+        arm(task);
     }
     return { 200, {}, json::serialize(json::object { { "ClockMs", clock() } }) };
 }
 
+void UsersWorker::arm(const std::string& task)
+{
+    auto& live = m_live.at(task);
+    if (live.timer)
+        live.timer->cancel();
+    const auto left = (static_cast<double>(live.work.count()) - live.done) * 100 / std::max(1, live.pace);
+    const auto wait = std::max(Duration(1), Duration(std::lround(left)));
+    live.timer = std::make_shared<boost::asio::steady_timer>(m_loop, live.pace == 0 ? standstill : wait);
+    live.timer->async_wait([this, task, timer = live.timer](const boost::system::error_code& failed) {
+        if (failed)
+            return;
+        const auto ending = m_live.find(task);
+        if (ending != m_live.end() && ending->second.timer == timer) // Else it was cancelled.
+            ending->second.deadly ? crashBy(task) : end(task, ending->second.outcome);
+    });
+}
+
+net::HttpResponse UsersWorker::pace(const json::object& order)
+{
+    if (isFenced(order))
+        return refuse("fence");
+    const auto percent = number(order, "Percent");
+    if (percent > 100)
+        return { 400, {}, {} };
+    const std::string task(order.at("Task").as_string());
+    const auto run = number(order, "RunId");
+    const auto found = m_live.find(task);
+    if (found == m_live.end() || found->second.run != run)
+        return refuse("old");
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, paceDelay);
+    timer->async_wait([this, timer, task, run, percent](const boost::system::error_code& failed) {
+        if (!failed)
+            setPace(task, run, static_cast<int>(percent));
+    });
+    return { 200, {}, json::serialize(json::object { { "ClockMs", clock() } }) };
+}
+
+void UsersWorker::setPace(const std::string& task, std::uint64_t run, int percent)
+{
+    const auto found = m_live.find(task);
+    if (found == m_live.end() || found->second.run != run)
+        return;
+    auto& live = found->second;
+    live.done = doneOf(live);
+    live.formerPace = std::exchange(live.pace, percent);
+    live.pacedAt = steadyClock()();
+    arm(task);
+}
+
+double UsersWorker::doneOf(const Live& live)
+{
+    return live.done + static_cast<double>((steadyClock()() - live.pacedAt).count()) * live.pace / 100;
+}
+
+// A tail covers the last half second: the former pace of a neighbour counts until then.
+double UsersWorker::tailOf(const std::string& task, const Live& live) const
+{
+    auto tail = live.load;
+    for (const auto& [other, neighbour] : m_live) {
+        const auto isRecent = steadyClock()() - neighbour.pacedAt < tailWindow;
+        const auto pace = isRecent ? std::max(neighbour.pace, neighbour.formerPace) : neighbour.pace;
+        if (other != task)
+            tail *= 1 + (neighbour.harm - 1) * pace / 100;
+    }
+    return tail;
+}
+
 net::HttpResponse UsersWorker::stop(const json::object& order)
 {
     if (isFenced(order))
@@ -371,8 +450,9 @@
 {
     json::array running;
     for (const auto& [task, live] : m_live) {
-        const auto percent = 100 * (steadyClock()() - live.startedAt).count() / live.work.count();
-        running.push_back({ json::string(task), live.run, "", std::min<std::int64_t>(99, percent), 0 });
+        const auto percent = std::lround(100 * doneOf(live) / static_cast<double>(live.work.count()));
+        running.push_back({ json::string(task), live.run, "", std::min<std::int64_t>(99, percent),
+            std::lround(tailOf(task, live)) });
     }
     json::array ended;
     for (const auto& row : m_ended)
--- a/standins/users/users-worker.h
+++ b/standins/users/users-worker.h
@@ -56,8 +56,15 @@
     struct Live {
         std::uint64_t run = 0;
         Size size;
-        TimePoint startedAt;
         Duration work { 0 };
+        double done = 0; ///< Milliseconds of work by `pacedAt`.
+        int pace = 100;
+        TimePoint pacedAt; ///< When `pace` took effect.
+        int formerPace = 100;
+        const char* outcome = "done";
+        bool deadly = false;
+        double load = 0; ///< Tail latency without neighbours; 0 for a task without requests.
+        double harm = 1; ///< Factor on the tails of neighbours at full pace.
         std::shared_ptr<boost::asio::steady_timer> timer;
     };
     struct End {
@@ -86,6 +93,11 @@
     void handle(const net::HttpRequest& request, net::Respond respond);
     net::HttpResponse start(const boost::json::object& order);
     net::HttpResponse stop(const boost::json::object& order);
+    net::HttpResponse pace(const boost::json::object& order);
+    void arm(const std::string& task);
+    void setPace(const std::string& task, std::uint64_t run, int percent);
+    static double doneOf(const Live& live);
+    double tailOf(const std::string& task, const Live& live) const;
     void hold(const boost::json::object& order, net::Respond respond);
     net::HttpResponse lists();
     bool isFenced(const boost::json::object& order);
