--- a/packages/fleet/src/interference.cpp
+++ b/packages/fleet/src/interference.cpp
@@ -14,7 +14,7 @@
     // measurements until residuals show the actual scatter.
     constexpr double priorNoise = 0.15;
     constexpr double priorNoiseWeight = 3;
-    constexpr double certainty = 2; // Standard deviations.
+    constexpr double certainty = 2.5; // Standard deviations.
     constexpr double leastEffect = 0.1; // Smaller slowdowns are within the headroom of a target.
     constexpr double forgottenWeight = 0.02; // Six half-lives after a single measurement.
     constexpr Duration pruneInterval { 10'000 };
--- a/packages/fleet/src/owner-interference.cpp
+++ b/packages/fleet/src/owner-interference.cpp
@@ -98,7 +98,7 @@
         auto& run = found->second;
         const auto wasOver = run.tail > run.tailTarget;
         run.tail = Duration(seen.load);
-        run.tailAt = now();
+        run.tailAt = worker.answeredAt;
         if (!wasOver && run.tail > run.tailTarget)
             count("jujubereach_tail_over_target_total");
     }
@@ -115,7 +115,7 @@
         return !entry.second.bestEffort || (pace.confirmed && now() - pace.settledAt >= tailWindow);
     });
     for (const auto& [task, run] : worker.runs) {
-        if (!run.latencySensitive || run.tailAt != now() || run.tail.count() == 0)
+        if (!run.latencySensitive || run.tailAt != worker.answeredAt || run.tail.count() == 0)
             continue;
         m_interference.observe(
             { run.kind, worker.id(), neighboursOf(worker, run),
@@ -167,7 +167,7 @@
         return m_pace.forget(worker.id());
     std::vector<TailReading> tails;
     for (const auto& [task, run] : worker.runs) {
-        if (run.latencySensitive && run.phase == RunPhase::Running && run.tailAt == now())
+        if (run.latencySensitive && run.phase == RunPhase::Running && run.tailAt == worker.answeredAt)
             tails.push_back({ run.kind, run.tail, run.tailTarget });
     }
     if (tails.empty() && worker.latencySensitiveRuns > 0)
@@ -344,9 +344,11 @@
             const auto partner = partners->second.find(run.kind);
             if (partner == partners->second.end())
                 continue;
-            const auto isExcluded = excludes && run.latencySensitive;
-            costs->second[i]
-                += isExcluded ? std::numeric_limits<double>::infinity() : separationWeight * partner->second;
+            auto& cost = costs->second[i];
+            if (excludes && run.latencySensitive)
+                cost = std::numeric_limits<double>::infinity();
+            else
+                cost += separationWeight * partner->second;
         }
     }
     return &costs->second;
