Compute the cost of known pairs every 200 ms; test limits and clocks

Once per pass, it would have visited all runs of the fleet for each kind. A best-effort step that waits for known pairs is logged once a second.

--- a/packages/fleet/src/interference.cpp
+++ b/packages/fleet/src/interference.cpp
@@ -19,7 +19,7 @@
     constexpr double forgottenWeight = 0.02; // Six half-lives after a single measurement.
     constexpr Duration pruneInterval { 10'000 };
     constexpr std::size_t maxKinds = 4096;
-    constexpr std::size_t maxPairs = 16'384;
+    constexpr std::size_t maxPairs = 4096; // All are visited for each refresh of the known ones.
     constexpr std::size_t maxPlaces = 11'000;
 
     double amountOf(const std::vector<Neighbour>& neighbours, TaskKind kind)
--- a/packages/fleet/src/job.h
+++ b/packages/fleet/src/job.h
@@ -78,6 +78,7 @@
     TimePoint waitingSince; ///< Unset while no task is waiting.
     TimePoint nextFeasibilityCheck; ///< Earliest next check whether the step would fit an empty fleet.
     TimePoint nextPreemption; ///< Earliest next search for tasks to preempt.
+    TimePoint nextSeparationLine; ///< Earliest next log line on a wait for known interfering pairs.
 
     bool finished() const { return done == spec->count; }
     /// The task that holds the shared state of a gang (task 0), or the task itself.
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -280,7 +280,7 @@
         const OrderAnswer& answer);
     bool admitsBestEffort(const Worker& worker) const;
     void refreshKnownPairs();
-    const std::vector<double>* separationFor(const ReadyStep& ready, Pass& pass);
+    const std::vector<double>* separationFor(const ReadyStep& ready);
     void logKeptApart(const ReadyStep& ready, const PlaceRequest& request, const Placement& placement);
 
     // owner-metrics.cpp: metrics.
@@ -366,6 +366,9 @@
     PaceController m_pace;
     KnownPairs m_knownPairs; ///< As of the last refresh.
     TimePoint m_nextPairRefresh;
+    /// Added costs of `m_fleet`, by kind and whether known pairs are excluded; computed anew after each
+    /// refresh of the pairs, as that visits all runs of the fleet.
+    std::map<std::pair<TaskKind, bool>, std::vector<double>> m_separations;
 
     std::multiset<TimePoint> m_adviceCalls; ///< When the calls without an answer were sent.
     TimePoint m_nextSweep; ///< Next periodic check of all workers and jobs.
--- a/packages/fleet/src/owner-interference.cpp
+++ b/packages/fleet/src/owner-interference.cpp
@@ -21,6 +21,7 @@
     constexpr Duration minObservationInterval { 400 }; // Lists in quick succession repeat the same tails.
     constexpr double unsettledWeight = 0.25; // Of a tail that a change of pace has affected in part.
     constexpr Duration pairRefreshInterval { 200 }; // Evidence changes with lists, at most this often.
+    constexpr Duration separationLineInterval { 1000 }; // Per step, while it waits.
     // A doubled run time outweighs any difference in fit.
     constexpr double separationWeight = 5;
 
@@ -323,22 +324,23 @@
         return;
     }
     m_nextPairRefresh = now() + pairRefreshInterval;
+    m_separations.clear();
     m_knownPairs = m_interference.knownPairs(now());
 }
 
 // Costs by what runs there; best-effort tasks that are not urgent stay away from tasks they are known to
 // slow.
-const std::vector<double>* Owner::Impl::separationFor(const ReadyStep& ready, Pass& pass)
+const std::vector<double>* Owner::Impl::separationFor(const ReadyStep& ready)
 {
     if (m_knownPairs.empty())
         return nullptr;
     const auto& spec = *ready.step().spec;
     const auto kind = kindOf(*ready.job, spec, ready.index);
     const auto partners = m_knownPairs.find(kind);
-    if (partners == m_knownPairs.end() || pass.fleet.size() != m_usable.size())
+    if (partners == m_knownPairs.end())
         return nullptr;
     const auto excludes = spec.bestEffort && termsOf(*ready.job).priority > urgentPriority;
-    const auto [costs, isNew] = pass.separations.try_emplace({ kind, excludes }, m_usable.size(), 0.0);
+    const auto [costs, isNew] = m_separations.try_emplace({ kind, excludes }, m_usable.size(), 0.0);
     for (std::size_t i = 0; isNew && i < m_usable.size(); ++i) {
         for (const auto& [task, run] : m_usable[i]->runs) {
             const auto partner = partners->second.find(run.kind);
@@ -361,8 +363,10 @@
     const auto avoided = std::count_if(costs.begin(), costs.end(), [](double cost) { return cost > 0; });
     const auto beside
         = std::count_if(placement.begin(), placement.end(), [&](std::size_t i) { return costs[i] > 0; });
-    if (avoided == 0)
+    const auto waits = placement.empty() && now() >= ready.step().nextSeparationLine;
+    if (avoided == 0 || (placement.empty() && !waits))
         return;
+    ready.step().nextSeparationLine = now() + separationLineInterval;
     const auto kind = kindOf(*ready.job, *request.spec, ready.index);
     boost::json::object partners;
     for (const auto& [other, effect] : m_knownPairs.at(kind))
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -201,6 +201,7 @@
     if (stale || usable != m_usable) {
         m_usable = std::move(usable);
         m_fleet.clear();
+        m_separations.clear();
         std::size_t racks = 0;
         for (const auto* worker : m_usable) {
             auto view = viewOf(*worker);
@@ -328,7 +329,7 @@
     request.overdue = isOverdue(ready, pass) && needsReservation(request, pass.fleet);
     request.costlyToStop = terms.priority > 0 && !step.spec->checkpointing;
     request.mayShare = mayPace();
-    request.separation = separationFor(ready, pass);
+    request.separation = separationFor(ready);
     return request;
 }
 
@@ -481,7 +482,7 @@
     if (ready.isolated)
         pass.isolatedViews += placement.size();
     startPlaced(ready, placement, pass.fleet);
-    if (request.separation && !placement.empty())
+    if (request.separation)
         logKeptApart(ready, request, placement);
     request.count -= static_cast<int>(placement.size());
     if (request.allowed && request.count > 0) {
--- a/packages/fleet/src/pass.h
+++ b/packages/fleet/src/pass.h
@@ -30,8 +30,6 @@
     int preemptionSearches = 0; ///< Searches for tasks to preempt.
     int feasibilityChecks = 0; ///< Placements tried on an empty fleet.
     std::optional<std::set<WorkerId>> crashSites {}; ///< Workers whose address has seen a crash; cached.
-    /// Added costs of the views, by kind and whether known pairs are excluded.
-    std::map<std::pair<TaskKind, bool>, std::vector<double>> separations {};
     std::size_t isolatedViews = 0; ///< Number of workers with a run on probation.
     std::size_t reservedViews = 0; ///< Number of views reserved for steps.
     bool mayReserve = false; ///< Whether this pass may still make a reservation.
--- a/packages/fleet/test/interference-test.cpp
+++ b/packages/fleet/test/interference-test.cpp
@@ -127,6 +127,9 @@
     CPPUNIT_TEST(repeatsCallsWithoutAnAnswer);
     CPPUNIT_TEST(stopsFillersOfWorkersThatCannotPace);
     CPPUNIT_TEST(aRestartedWorkerIsLearnedAnew);
+    CPPUNIT_TEST(pacesWhileTimePassesInTheOwner);
+    CPPUNIT_TEST(pacesNoMoreTasksThanTheStepAllows);
+    CPPUNIT_TEST(aFillerWaitsForAnotherWorkerThanItsVictims);
     CPPUNIT_TEST(holdsUnderChangingInterferenceAndTakeovers);
     CPPUNIT_TEST_SUITE_END();
 
@@ -324,6 +327,63 @@
         CPPUNIT_ASSERT(!shared.workerOf("s").empty() && !shared.logged("kept-apart"));
     }
 
+    // A tail that is told from an older one by the time at which it was recorded would never be used.
+    void pacesWhileTimePassesInTheOwner()
+    {
+        Shared shared(1);
+        shared.fleet.clockTicks = true;
+        shared.fleet.submit(Shared::filler("f", 1, "batch"));
+        shared.run(Duration(1000));
+        shared.fleet.submit(Shared::server("s"));
+        shared.harm["f"] = 3;
+        shared.run(Duration(6000));
+        CPPUNIT_ASSERT(shared.paceOf("f") < 100);
+        CPPUNIT_ASSERT(shared.longestOver < shared.fleet.settings.interferenceBound);
+    }
+
+    // Each paced task counts as unavailable. The servers beside the others stay over their targets.
+    void pacesNoMoreTasksThanTheStepAllows()
+    {
+        Shared shared(3);
+        auto record = Shared::filler("f", 3, "batch");
+        record.spec.steps[0].maxUnavailable = 1;
+        shared.fleet.submit(record);
+        shared.run(Duration(1000));
+        shared.fleet.submit(Shared::server("s", 3));
+        shared.harm["f"] = 3;
+        auto mostPaced = 0;
+        for (int i = 0; i < 100; ++i) {
+            shared.run(Duration(100));
+            auto paced = 0;
+            for (int index = 0; index < 3; ++index)
+                paced += shared.paceOf("f", index) < 100;
+            mostPaced = std::max(mostPaced, paced);
+        }
+        CPPUNIT_ASSERT_EQUAL(1, mostPaced);
+    }
+
+    // With headroom alone, the known image would start beside the next server and be paced again.
+    void aFillerWaitsForAnotherWorkerThanItsVictims()
+    {
+        Shared shared(1);
+        shared.harm["loud"] = shared.harm["loud2"] = 3;
+        shared.fleet.submit(Shared::filler("loud", 1, "loud"));
+        shared.run(Duration(1000));
+        shared.fleet.submit(Shared::server("s"));
+        shared.run(Duration(8000));
+        shared.fleet.cancel("loud");
+        shared.run(Duration(1500));
+        shared.fleet.submit(Shared::filler("loud2", 1, "loud"));
+        shared.fleet.submit(Shared::filler("quiet", 1, "quiet"));
+        shared.run(Duration(2000));
+        CPPUNIT_ASSERT(!shared.workerOf("quiet").empty());
+        CPPUNIT_ASSERT(shared.workerOf("loud2").empty() && shared.logged("kept-apart"));
+        shared.fleet.addWorker("free");
+        shared.fleet.report(WorkerId("free"));
+        shared.run(Duration(2000));
+        CPPUNIT_ASSERT(shared.workerOf("loud2") == WorkerId("free"));
+    }
+
     void holdsUnderChangingInterferenceAndTakeovers()
     {
         Shared shared(4);
