--- a/packages/fleet/src/owner-interference.cpp
+++ b/packages/fleet/src/owner-interference.cpp
@@ -131,8 +131,10 @@
     auto available = 0;
     for (task.index = 0; task.index < step.spec->count; ++task.index) {
         const auto* worker = findWorker(step.tasks[static_cast<std::size_t>(task.index)].worker);
-        const auto run = worker ? worker->runs.find(task) : decltype(worker->runs.find(task)) {};
-        available += worker && run != worker->runs.end() && run->second.phase == RunPhase::Running
+        if (!worker)
+            continue;
+        const auto run = worker->runs.find(task);
+        available += run != worker->runs.end() && run->second.phase == RunPhase::Running
             && !run->second.pace.isLowered();
     }
     return step.spec->count - available;
