--- a/packages/fleet/src/job.h
+++ b/packages/fleet/src/job.h
@@ -82,6 +82,7 @@
     TimePoint nextPreemption; ///< Earliest next search for tasks to preempt.
     TimePoint awaitsSince; ///< When a plan for its waiting tasks first awaited ends; unset before.
     const char* preemptionDecision = ""; ///< Reason of the last one, which is logged when it changes.
+    TimePoint nextSeparationLine; ///< Earliest next log line on a wait for known interfering pairs.
 
     bool finished() const { return done == spec->count; }
     /// The task that holds the shared state of a gang (task 0), or the task itself.
--- a/packages/fleet/src/owner-displace.cpp
+++ b/packages/fleet/src/owner-displace.cpp
@@ -205,7 +205,7 @@
     auto& fleet = pass.fleet;
     auto& step = ready.step();
     PreemptionPlan plan;
-    plan.perTask = step.spec->resources;
+    plan.perTask = resourcesOf(*step.spec);
     plan.expires = now() + planTimeout;
     if (!found.awaited.empty()) {
         plan.awaited = found.awaited;
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -204,6 +204,7 @@
     if (stale || usable != m_usable) {
         m_usable = std::move(usable);
         m_fleet.clear();
+        m_separations.clear();
         std::size_t racks = 0;
         for (const auto* worker : m_usable) {
             auto view = viewOf(*worker);
@@ -231,6 +232,8 @@
         view.reservedBy = nullptr;
         view.latencySensitive = worker.latencySensitiveRuns > 0;
         view.bestEffort = worker.bestEffortRuns > 0;
+        view.admitsBestEffort = view.latencySensitive && admitsBestEffort(worker);
+        view.idleMilliCores = worker.idleMilliCores;
         view.idle = worker.runs.empty() && plans == reserved.end();
         view.isolated = worker.isIsolated(now());
         view.preemptible.clear();
@@ -247,6 +250,7 @@
         return;
     refitSpeeds();
     refreshFleet();
+    refreshKnownPairs();
     Pass pass { m_fleet };
     pass.isolatedViews = static_cast<std::size_t>(
         std::count_if(m_fleet.begin(), m_fleet.end(), [](const WorkerView& view) { return view.isolated; }));
@@ -320,7 +324,7 @@
     }
 }
 
-PlaceRequest Owner::Impl::requestFor(const ReadyStep& ready, Pass& pass) const
+PlaceRequest Owner::Impl::requestFor(const ReadyStep& ready, Pass& pass)
 {
     const auto& step = ready.step();
     const auto& terms = termsOf(*ready.job);
@@ -337,6 +341,8 @@
     request.isolated = ready.isolated;
     request.overdue = isOverdue(ready, pass) && needsReservation(request, pass.fleet);
     request.costlyToStop = terms.priority > 0 && !step.spec->checkpointing;
+    request.mayShare = mayPace();
+    request.separation = separationFor(ready);
     return request;
 }
 
@@ -489,6 +495,8 @@
     if (ready.isolated)
         pass.isolatedViews += placement.size();
     startPlaced(ready, placement, pass.fleet);
+    if (request.separation)
+        logKeptApart(ready, request, placement);
     request.count -= static_cast<int>(placement.size());
     if (request.allowed && request.count > 0) {
         request.allowed = nullptr;
@@ -544,10 +552,7 @@
     ActiveRun run;
     run.task = id;
     run.run = number;
-    run.resources = step.spec->resources;
-    run.priority = termsOf(job).priority;
-    run.latencySensitive = step.spec->tailTarget.count() > 0;
-    run.bestEffort = step.spec->bestEffort;
+    setClass(job, *step.spec, run);
     run.orderedAt = now();
     run.runningSince = now();
     run.progressAt = now();
@@ -558,6 +563,8 @@
     if (const auto advice = step.advice.workers.find(worker.id()); advice != step.advice.workers.end())
         run.ticket = advice->second.ticket;
     addRun(worker, run);
+    if (run.bestEffort)
+        worker.bestEffortStartedAt = now();
     m_hooks.log("start",
         { { "task", toString(id) }, { "run", number.value }, { "worker", worker.id().str() },
             { "rack", worker.report.rack }, { "priority", run.priority },
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <functional>
 #include <limits>
+#include <utility>
 
 namespace jujubereach::fleet {
 
@@ -27,6 +28,8 @@
     constexpr double preemptionTimeWeight = 0.5;
     // Least speeds tried for the members of a gang; narrower classes are within the error of the estimates.
     constexpr double speedClasses[] = { 1.1, 1, 0.9, 0.8, 0 };
+    // Exceeds all other costs together: a worker of the other class is chosen only if there is no other.
+    constexpr double sharingCost = 1000;
     constexpr double infeasible = std::numeric_limits<double>::infinity();
 
     bool hasLabel(const WorkerView& view, const std::string& label)
@@ -83,10 +86,48 @@
         if (view.reservedBy && view.reservedBy != request.step && !overridesReservation
             && expectedEndOn(request, view) > view.reservedUntil)
             return false;
-        // A best-effort task disturbs a latency-sensitive one to an extent that is not known in advance.
+        // A best-effort task disturbs a latency-sensitive one to an extent that is not known in advance. It
+        // is paced if it does.
         if (request.spec->bestEffort && view.latencySensitive)
-            return false;
-        return !(request.spec->tailTarget.count() > 0 && view.bestEffort);
+            return request.mayShare && view.admitsBestEffort;
+        return request.mayShare || request.spec->tailTarget.count() == 0 || !view.bestEffort;
+    }
+
+    bool isShared(const PlaceRequest& request, const WorkerView& view)
+    {
+        return request.mayShare
+            && ((request.spec->bestEffort && view.latencySensitive)
+                || (request.spec->tailTarget.count() > 0 && view.bestEffort));
+    }
+
+    // Other tasks may use the processors that a best-effort task uses while they are idle.
+    bool usesIdleCores(const PlaceRequest& request)
+    {
+        return request.mayShare && request.spec->bestEffort;
+    }
+
+    Resources freeFor(const PlaceRequest& request, const WorkerView& view)
+    {
+        auto free = view.free;
+        if (usesIdleCores(request))
+            free.milliCores -= view.idleMilliCores;
+        return free;
+    }
+
+    void take(const PlaceRequest& request, WorkerView& view)
+    {
+        auto taken = request.spec->resources;
+        if (usesIdleCores(request))
+            view.idleMilliCores += std::exchange(taken.milliCores, 0);
+        view.free -= taken;
+    }
+
+    void giveBack(const PlaceRequest& request, WorkerView& view)
+    {
+        auto taken = request.spec->resources;
+        if (usesIdleCores(request))
+            view.idleMilliCores -= std::exchange(taken.milliCores, 0);
+        view.free += taken;
     }
 
     // Urgent tasks prefer fast workers, other work leaves these free. Gangs are compared as a whole.
@@ -100,13 +141,21 @@
     double fitCost(const PlaceRequest& request, const WorkerView& view)
     {
         const auto& need = request.spec->resources;
-        if (!view.free.canFit(need))
+        const auto free = freeFor(request, view);
+        if (!free.canFit(need))
             return infeasible;
-        const auto cpuLeft = share(view.free.milliCores - need.milliCores, view.capacity.milliCores);
-        const auto accLeft = share(view.free.accelerators - need.accelerators, view.capacity.accelerators);
+        const auto cpuLeft = share(free.milliCores - need.milliCores, view.capacity.milliCores);
+        const auto accLeft = share(free.accelerators - need.accelerators, view.capacity.accelerators);
         const auto side = request.costlyToStop ? 1 - view.rackOrder : view.rackOrder;
         return accLeft + rackOrderWeight * side + balanceWeight * std::abs(cpuLeft - accLeft)
-            + failurePenaltyWeight * view.failurePenalty + speedCost(request, view);
+            + failurePenaltyWeight * view.failurePenalty + speedCost(request, view)
+            + (isShared(request, view) ? sharingCost : 0);
+    }
+
+    double costOn(const PlaceRequest& request, const std::vector<WorkerView>& views, std::size_t i)
+    {
+        const auto cost = fitCost(request, views[i]);
+        return request.separation ? cost + (*request.separation)[i] : cost;
     }
 
     bool isOnWantedRack(const PlaceRequest& request, const WorkerView& view)
@@ -119,6 +168,8 @@
     {
         if (request.isolated && !request.spec->gang && counts.placed.contains(i))
             return false;
+        if (request.spec->bestEffort && views[i].latencySensitive && counts.placed.contains(i))
+            return false; // The next one starts once the effect of this one is known.
         return request.spec->maxPerWorker == 0 || counts.on(request, views, i) < request.spec->maxPerWorker;
     }
 
@@ -131,7 +182,7 @@
         Counts counts;
         std::vector<std::pair<double, std::size_t>> fits;
         const auto add = [&](std::size_t i) {
-            const auto value = fitCost(request, views[i]);
+            const auto value = costOn(request, views, i);
             if (value != infeasible && isWithinSpread(request, views, counts, i))
                 fits.emplace_back(value, i);
         };
@@ -143,7 +194,7 @@
             const auto [value, chosen] = fits.back();
             fits.pop_back();
             total += value;
-            views[chosen].free -= request.spec->resources;
+            take(request, views[chosen]);
             ++counts.placed[chosen];
             placement.push_back(chosen);
             const auto before = fits.size();
@@ -158,7 +209,7 @@
         const PlaceRequest& request, std::vector<WorkerView>& views, const Placement& placement)
     {
         for (const auto i : placement)
-            views[i].free += request.spec->resources;
+            giveBack(request, views[i]);
     }
 
     std::vector<std::size_t> candidates(const PlaceRequest& request, const std::vector<WorkerView>& views)
@@ -224,6 +275,12 @@
         for (const auto i : placement) {
             views[i].idle = false;
             views[i].isolated = request.isolated;
+            if (!request.mayShare)
+                continue;
+            views[i].bestEffort = views[i].bestEffort || request.spec->bestEffort;
+            views[i].latencySensitive = views[i].latencySensitive || request.spec->tailTarget.count() > 0;
+            if (views[i].latencySensitive)
+                views[i].admitsBestEffort = false;
         }
     }
 
@@ -318,7 +375,7 @@
                 best = std::move(choice);
         });
         for (const auto i : best.placement)
-            views[i].free -= request.spec->resources;
+            take(request, views[i]);
         return std::move(best.placement);
     }
 
@@ -335,7 +392,7 @@
         bool run(const std::vector<std::size_t>& among, double maxLoss)
         {
             for (const auto i : among)
-                m_free[i] = m_views[i].free;
+                m_free[i] = freeFor(m_request, m_views[i]);
             const auto nearest = cheapest(among);
             while (static_cast<int>(m_found.placement.size()) < m_request.count) {
                 if (!placeOne(nearest) || m_found.loss > maxLoss)
@@ -492,6 +549,12 @@
         && hasLabel(view, request.spec->label) && (!request.allowed || request.allowed->contains(view.id));
 }
 
+bool fitsNow(const PlaceRequest& request, const WorkerView& view)
+{
+    return couldRun(request, view) && isAllowed(request, view) && isOnWantedRack(request, view)
+        && fitCost(request, view) != infeasible;
+}
+
 void forEachCandidateSet(const PlaceRequest& request, const std::vector<WorkerView>& views,
     const std::function<void(const std::vector<std::size_t>&)>& use)
 {
@@ -511,7 +574,7 @@
     else if (request.spec->gang) {
         placement = placeGangBySpeed(request, views, among, infeasible).placement;
         for (const auto i : placement)
-            views[i].free -= request.spec->resources;
+            take(request, views[i]);
     } else {
         double total = 0;
         placement = placeAmong(request, views, among, total);
@@ -551,11 +614,13 @@
     auto emptied = views;
     for (auto& view : emptied) {
         view.free = view.capacity;
+        view.idleMilliCores = 0;
         view.idle = true;
         view.isolated = view.reservedForUrgent = false;
     }
     auto least = request;
     least.count = request.spec->gang ? request.count : 1;
+    least.separation = nullptr;
     return !place(least, emptied).empty();
 }
 
--- a/packages/fleet/src/worker.h
+++ b/packages/fleet/src/worker.h
@@ -1,6 +1,8 @@
 // In-memory state of workers: their runs, leases and health.
 #pragma once
 
+#include "jujubereach/fleet/interference.h"
+#include "jujubereach/fleet/pace.h"
 #include "jujubereach/fleet/worker-calls.h"
 
 #include <map>
@@ -21,6 +23,23 @@
     int usedPercent = 0; ///< Part of the run in the last observation of its rate; 0 for none.
 };
 
+/// The pace at which a best-effort run works.
+struct RunPace {
+    int percent = fullPace; ///< Decided last.
+    int working = fullPace; ///< Confirmed last.
+    bool known
+        = true; ///< False if an earlier owner, or a call to an earlier incarnation, may have set another.
+    bool confirmed = true; ///< The worker has confirmed `percent`.
+    bool callInFlight = false;
+    int refusals = 0; ///< Of calls since the last success.
+    TimePoint settledAt; ///< When a confirmed pace takes effect.
+    TimePoint nextCall;
+    TimePoint repeatUntil; ///< A call without an answer may be executed until then.
+
+    static RunPace unknown() { return { fullPace, fullPace, false, false, false, 0, {}, {}, {} }; }
+    bool isLowered() const { return !known || percent < fullPace; }
+};
+
 /// A run that a worker executes or may execute.
 struct ActiveRun {
     TaskId task;
@@ -30,6 +49,13 @@
     int priority = 0;
     bool latencySensitive = false; ///< Has a tail latency target.
     bool bestEffort = false;
+    TaskKind kind; ///< 0 unless interference is learned.
+    /// Processor need of a best-effort run that is not part of `resources`, as other tasks may use it.
+    std::int64_t idleMilliCores = 0;
+    Duration tailTarget { 0 };
+    Duration tail { 0 }; ///< Last reported tail latency.
+    TimePoint tailAt; ///< When it was reported; unset before.
+    RunPace pace;
     bool orphaned = false; ///< Not the current run of any task; only to be stopped.
     bool adopted = false; ///< Found on the worker: its start time is not known.
     bool reported = false; ///< This incarnation has confirmed its start or listed it.
@@ -119,6 +145,10 @@
     Resources urgent; ///< The part of `used` taken by urgent tasks.
     int latencySensitiveRuns = 0;
     int bestEffortRuns = 0;
+    std::int64_t idleMilliCores = 0; ///< Of best-effort runs; not part of `used`.
+    TimePoint bestEffortStartedAt; ///< The last start of a best-effort run.
+    TimePoint bestEffortStoppedAt; ///< The last stop of one that slowed a neighbour down.
+    TimePoint observedAt; ///< The last list from which interference was learned.
     int isolatedRuns = 0;
 
     WorkerTime clock; ///< Worker's clock, read at `clockAt` or earlier.
