Count each run once in the estimates of worker speeds

Closing a step added runs that were still running to the evidence, and their next refined rate entered as a new observation. The rates of one run are almost the same value, so the variance within workers fell and equal workers seemed to differ. Steps over 256 tasks had the same fault, since they were closed whenever a part was full.

Observations now say whether the run goes on and whether they refine an earlier one. Closing a step adds only runs that have ended; a refined rate whose earlier one is no longer held is ignored. Steps are fitted in fixed parts of 256 indices.

Discarding a run asks for a new fit. Services whose noise is not known are neither stored nor restored.

Storing of unknown noise and the new fit after a discard have no test of their own.

--- a/packages/fleet/include/jujubereach/fleet/worker-speed.h
+++ b/packages/fleet/include/jujubereach/fleet/worker-speed.h
@@ -20,6 +20,8 @@
     TaskId task;
     double rate = 0; ///< Percent per second, over the part of the run that was observed.
     double observedPercent = 0; ///< Size of that part.
+    bool refined = false; ///< An earlier, shorter part of the same run was observed.
+    bool running = false; ///< The run has not ended, so that its rate may be refined.
 };
 
 /// A rate is measured over at least this part of a run, between two lists at least this time apart.
@@ -40,10 +42,13 @@
 /// Not thread-safe. A worker has one row, of its latest incarnation.
 class WorkerSpeeds {
 public:
-    /// Adds the observation of a run, or replaces the earlier one of the same task.
+    /// Adds the observation of a run, or replaces the earlier one of the same task. Ignores a refined rate
+    /// if the earlier one is no longer held.
     void observe(const RateObservation& observation, TimePoint now);
     /// Removes the observation of a run whose rate does not show the speed of its worker.
     void discard(const TaskId& task);
+    /// The observation of this run, if any, is final.
+    void markEnded(const TaskId& task);
     /// Estimates all speeds anew if an interval has passed and there are new observations. Returns whether it
     /// did.
     bool refit(TimePoint now);
@@ -91,6 +96,7 @@
         int index = 0;
         double logRate = 0;
         double weight = 0;
+        bool running = false;
     };
     struct OpenStep {
         std::vector<StepRun> runs;
@@ -119,11 +125,12 @@
     void evictWorkers();
     void closeSteps(TimePoint now);
     void restoreRow(const StoredRow& stored, TimePoint now);
-    static void addResiduals(const OpenStep& step, SpeedEvidence Row::*to);
+    enum class Runs { All, Ended };
+    static void addResiduals(const OpenStep& step, SpeedEvidence Row::*to, Runs which);
     void estimateVariances();
 
     std::unordered_map<WorkerId, Row> m_workers;
-    std::map<TaskId, OpenStep> m_steps; ///< By the task 0 of the step.
+    std::map<TaskId, OpenStep> m_steps; ///< By the first task of the part of the step.
     std::map<ServiceId, Service> m_services;
     std::size_t m_observations = 0; ///< In `m_steps`.
     bool m_changed = false;
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -264,7 +264,7 @@
     bool showsSpeed(const Worker& worker, const Step& step, const ActiveRun& run) const;
     void measureRate(Worker& worker, ActiveRun& run, const Step& step, int percent);
     void measureEnd(const Worker& worker, const ActiveRun& run, const Step& step);
-    void observeRate(const Worker& worker, const ActiveRun& run, int percent, Duration time);
+    void observeRate(const Worker& worker, const ActiveRun& run, int percent, Duration time, bool running);
     void discardRate(ActiveRun& run);
     void refitSpeeds();
     void restoreSpeeds(const std::string& value);
--- a/packages/fleet/src/owner-speed.cpp
+++ b/packages/fleet/src/owner-speed.cpp
@@ -63,13 +63,14 @@
     if (rate.basePercent < 0 || observed < rate.usedPercent + minObservedPercent
         || now() - rate.baseAt < minObservedTime)
         return;
-    observeRate(worker, run, observed, now() - rate.baseAt);
+    observeRate(worker, run, observed, now() - rate.baseAt, true);
     rate.usedPercent = observed;
 }
 
 void Owner::Impl::measureEnd(const Worker& worker, const ActiveRun& run, const Step& step)
 {
     const auto& rate = run.rate;
+    m_speeds.markEnded(run.task);
     if (!m_settings.features.workerSpeed || worker.listLate || !showsSpeed(worker, step, run)
         || now() - std::max(rate.listedAt, run.runningSince) > maxListAge)
         return;
@@ -78,10 +79,11 @@
     const auto observed = startKnown ? 100 : 100 - rate.basePercent;
     if ((!startKnown && rate.basePercent < 0) || now() - from < minObservedTime)
         return;
-    observeRate(worker, run, observed, now() - from);
+    observeRate(worker, run, observed, now() - from, false);
 }
 
-void Owner::Impl::observeRate(const Worker& worker, const ActiveRun& run, int percent, Duration time)
+void Owner::Impl::observeRate(
+    const Worker& worker, const ActiveRun& run, int percent, Duration time, bool running)
 {
     RateObservation observation;
     observation.worker = worker.id();
@@ -90,6 +92,8 @@
     observation.task = run.task;
     observation.rate = percent * 1000.0 / static_cast<double>(time.count());
     observation.observedPercent = percent;
+    observation.refined = run.rate.usedPercent > 0;
+    observation.running = running;
     m_speeds.observe(observation, now());
     if (run.rate.usedPercent == 0)
         count("jujubereach_speed_observed_runs_total", { { "service", worker.report.service.str() } });
--- a/packages/fleet/src/worker-speed.cpp
+++ b/packages/fleet/src/worker-speed.cpp
@@ -14,7 +14,7 @@
     constexpr Duration stepTimeout { 30'000 };
     constexpr std::size_t maxWorkers = 12'000;
     constexpr std::size_t maxObservations = 12'000; // Bounds memory and the cost of a fit.
-    constexpr std::size_t maxStepRuns = 256; // A larger step is fitted in parts.
+    constexpr int maxStepRuns = 256; // A larger step is fitted in parts of this many indices.
     // A factor of two in either direction: more is the task or a fault, not the worker.
     constexpr double maxResidual = 0.7;
     // Variance added by percentages in whole numbers and by the age of lists, relative to the scatter of run
@@ -48,9 +48,11 @@
         return ((1 - b) * root - (1 - a)) / std::sqrt(b * root * root + a);
     }
 
+    // First task of the part of the step that is fitted together. Parts are fixed, so that a refined rate
+    // replaces the earlier one of its run.
     TaskId stepOf(TaskId task)
     {
-        task.index = 0;
+        task.index -= task.index % maxStepRuns;
         return task;
     }
 
@@ -76,29 +78,39 @@
     step.observedAt = now;
     const auto shortness = minObservedPercent / observation.observedPercent;
     const StepRun run { row, observation.task.index, std::log(observation.rate),
-        1 / (1 + measurementVariance * shortness * shortness) };
+        1 / (1 + measurementVariance * shortness * shortness), observation.running };
     const auto known = std::find_if(step.runs.begin(), step.runs.end(),
         [&](const StepRun& other) { return other.index == observation.task.index; });
-    m_changed = true;
     if (known != step.runs.end()) {
+        m_changed = true;
         *known = run;
-        return;
+    } else if (!observation.refined) {
+        m_changed = true;
+        step.runs.push_back(run);
+        ++m_observations;
     }
-    if (step.runs.size() >= maxStepRuns) {
-        addResiduals(step, &Row::closed);
-        m_observations -= step.runs.size();
-        step.runs.clear();
+}
+
+void WorkerSpeeds::markEnded(const TaskId& task)
+{
+    const auto found = m_steps.find(stepOf(task));
+    if (found == m_steps.end())
+        return;
+    for (auto& run : found->second.runs) {
+        if (run.index == task.index)
+            run.running = false;
     }
-    step.runs.push_back(run);
-    ++m_observations;
 }
 
 void WorkerSpeeds::discard(const TaskId& task)
 {
     const auto found = m_steps.find(stepOf(task));
-    if (found != m_steps.end())
-        m_observations
-            -= std::erase_if(found->second.runs, [&](const StepRun& run) { return run.index == task.index; });
+    if (found == m_steps.end())
+        return;
+    const auto removed
+        = std::erase_if(found->second.runs, [&](const StepRun& run) { return run.index == task.index; });
+    m_observations -= removed;
+    m_changed = m_changed || removed > 0;
 }
 
 // Null for an incarnation that has ended.
@@ -144,10 +156,13 @@
     std::erase_if(m_workers, [&](const auto& entry) { return entry.second.observedAt <= *middle; });
 }
 
-// Closes steps without recent observations and, above the limit on observations, the oldest ones.
+// Closes steps without recent observations and, above the limit on observations, the oldest ones. Runs that
+// have not ended add no evidence then: their later rates are almost the same value, and counted several times
+// they would lower the variance within workers.
 void WorkerSpeeds::closeSteps(TimePoint now)
 {
     auto limit = now - stepTimeout;
+    auto runningLimit = now - maxRowAge;
     if (m_observations > maxObservations) {
         std::vector<TimePoint> times;
         for (const auto& [task, step] : m_steps)
@@ -155,12 +170,15 @@
         const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
         std::nth_element(times.begin(), middle, times.end());
         limit = std::max(limit, *middle);
+        runningLimit = std::max(runningLimit, *middle);
     }
     std::erase_if(m_steps, [&](const auto& entry) {
         const auto& step = entry.second;
-        if (step.observedAt > limit)
+        const auto running
+            = std::any_of(step.runs.begin(), step.runs.end(), [](const StepRun& run) { return run.running; });
+        if (step.observedAt > (running ? runningLimit : limit))
             return false;
-        addResiduals(step, &Row::closed);
+        addResiduals(step, &Row::closed, Runs::Ended);
         m_observations -= step.runs.size();
         return true;
     });
@@ -169,7 +187,7 @@
 // Adds the residuals of the runs to the evidence on their workers. The mean of a step shows nothing about a
 // worker that has run most of it, so the weight falls with the worker's share of the step. The error of the
 // mean is common to all runs of a worker, so it limits what they show together.
-void WorkerSpeeds::addResiduals(const OpenStep& step, SpeedEvidence Row::*to)
+void WorkerSpeeds::addResiduals(const OpenStep& step, SpeedEvidence Row::*to, Runs which)
 {
     double total = 0;
     double mean = 0;
@@ -189,6 +207,8 @@
     for (const auto& run : step.runs)
         meanError += run.weight * (1 + run.row->share * run.row->uncertainty) / (total * total);
     for (const auto& run : step.runs) {
+        if (run.running && which == Runs::Ended)
+            continue;
         const auto residual = clamped(run.logRate - mean);
         const auto weight = run.weight * (1 - run.row->share / total) / (1 + run.row->share * meanError);
         run.row->*to += { weight, weight * residual, weight * residual * residual };
@@ -213,7 +233,7 @@
         row.all = row.closed;
     }
     for (auto& [task, step] : m_steps)
-        addResiduals(step, &Row::all);
+        addResiduals(step, &Row::all, Runs::All);
     estimateVariances();
     for (auto& [id, row] : m_workers) {
         const auto& service = m_services[row.service];
@@ -275,6 +295,8 @@
     boost::json::array services;
     std::map<ServiceId, std::size_t> indices;
     for (const auto& [id, service] : m_services) {
+        if (std::llround(service.noise * noiseUnits) == 0)
+            continue; // Not known yet.
         indices[id] = services.size();
         services.push_back(boost::json::array { id.str(), std::llround(service.noise * noiseUnits) });
     }
@@ -315,7 +337,8 @@
             clamped(in.at(3).to_number<double>() / meanUnits),
             std::clamp(in.at(4).to_number<double>() / weightUnits, 0.0, maxWeight),
             std::clamp(service.at(1).to_number<double>() / noiseUnits, 0.0, 1.0) };
-        rows.push_back(std::move(row));
+        if (row.noise > 0)
+            rows.push_back(std::move(row));
     }
     return rows;
 }
--- a/packages/fleet/test/worker-speed-test.cpp
+++ b/packages/fleet/test/worker-speed-test.cpp
@@ -51,6 +51,79 @@
     }
 };
 
+// Steps that start evenly on equal workers; each run shows a refined rate at every tenth of its progress.
+class RefinedLoad {
+public:
+    struct Shape {
+        int workers = 0;
+        int tasks = 0; ///< Of a step.
+        double stepsPerSecond = 0;
+        double runSeconds = 0;
+    };
+
+    explicit RefinedLoad(const Shape& shape)
+        : m_shape(shape)
+    {
+    }
+
+    int wrongFits(int seconds)
+    {
+        for (int tick = 0; tick < 2 * seconds; ++tick) {
+            m_now += Duration(500);
+            start();
+            std::erase_if(m_runs, [&](Run& run) { return advance(run); });
+            m_wrong += m_speeds.refit(m_now) && m_speeds.differ(service);
+        }
+        return m_wrong;
+    }
+
+private:
+    struct Run {
+        TaskId task;
+        int worker = 0;
+        double rate = 0; ///< Percent per second.
+        TimePoint startedAt;
+        int used = 0; ///< Percent.
+    };
+
+    void start()
+    {
+        for (m_due += m_shape.stepsPerSecond / 2; m_due >= 1; --m_due, ++m_steps) {
+            for (int i = 0; i < m_shape.tasks; ++i)
+                m_runs.push_back({ { JobId(std::to_string(m_steps)), 0, 0, i },
+                    static_cast<int>(m_random() % static_cast<unsigned>(m_shape.workers)),
+                    100 / m_shape.runSeconds * std::exp(0.25 * m_normal(m_random)), m_now });
+        }
+    }
+
+    // Whether the run has ended.
+    bool advance(Run& run)
+    {
+        const auto passed = static_cast<double>((m_now - run.startedAt).count()) / 1000;
+        const auto percent = static_cast<int>(std::min(100.0, run.rate * passed));
+        const auto ended = percent >= 100;
+        if (percent >= run.used + 10) {
+            m_speeds.observe(
+                { workerNamed(run.worker), 1, service, run.task, ended ? run.rate : percent / passed,
+                    static_cast<double>(percent), run.used > 0, !ended },
+                m_now);
+            run.used = percent;
+        } else if (ended)
+            m_speeds.markEnded(run.task);
+        return ended;
+    }
+
+    Shape m_shape;
+    std::mt19937 m_random { 3 };
+    std::normal_distribution<double> m_normal;
+    WorkerSpeeds m_speeds;
+    std::vector<Run> m_runs;
+    TimePoint m_now { Duration(1'000'000) };
+    double m_due = 0;
+    int m_steps = 0;
+    int m_wrong = 0;
+};
+
 // Urgent gangs, gangs of the next class and bulk steps on workers of unequal speed, in racks of eight.
 class MixedLoad {
 public:
@@ -183,6 +256,7 @@
     CPPUNIT_TEST_SUITE(WorkerSpeedTest);
     CPPUNIT_TEST(threeSpeedsAreFoundAmongScatteredRunTimes);
     CPPUNIT_TEST(equalWorkersAreNotTakenForUnequal);
+    CPPUNIT_TEST(refinedRatesOfARunCountOnce);
     CPPUNIT_TEST(aStepOnOneWorkerShowsNothing);
     CPPUNIT_TEST(aRestartedWorkerIsUnknown);
     CPPUNIT_TEST(theStateIsBoundedAndRestoredOnce);
@@ -218,6 +292,15 @@
         }
     }
 
+    // Guards against a run whose step is closed before its end and that then counts again: the variance
+    // within workers seems smaller than it is, and equal workers seem to differ.
+    void refinedRatesOfARunCountOnce()
+    {
+        CPPUNIT_ASSERT_EQUAL(0, RefinedLoad({ 350, 400, 0.2, 6 }).wrongFits(60));
+        CPPUNIT_ASSERT_EQUAL(0, RefinedLoad({ 11'000, 39, 51, 6 }).wrongFits(25));
+        CPPUNIT_ASSERT_EQUAL(0, RefinedLoad({ 100, 4, 0.05, 600 }).wrongFits(3000));
+    }
+
     // Guards against evidence without comparison: the mean of such a step is that of the worker.
     void aStepOnOneWorkerShowsNothing()
     {
