Respect reservations at a gang's speed; reserve unknown workers

A reservation was compared with the expected end at the speed of each member alone, so a gang with a slower member outlasted it. Members of gangs now count as no faster than the mean, and the chosen placement is checked again with its slowest speed.

Unknown workers are not reservable, so the reserve for urgent work vanished where most workers were unknown. If the reservable racks do not reach the share, the other workers of the service supply the rest.

Without the changes aGangEndsBeforeReservationsOfItsMembers placed 2 members instead of 0, and unknownWorkersAreReservedIfOthersAreFew reserved 1 worker instead of 3. theStateIsBoundedAndRestoredOnce now compares deviations after one and two restores and requires over 2000 restored rows; it was not seen to fail.

--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -58,11 +58,11 @@
         return request.priority <= urgentPriority || request.overdue;
     }
 
-    TimePoint expectedEndOn(const PlaceRequest& request, const WorkerView& view)
+    TimePoint expectedEndAt(const PlaceRequest& request, double speed)
     {
-        if (view.speed == 1)
+        if (speed == 1)
             return request.expectedEnd;
-        const auto more = static_cast<double>(request.expectedTime.count()) * (1 / view.speed - 1);
+        const auto more = static_cast<double>(request.expectedTime.count()) * (1 / speed - 1);
         return request.expectedEnd + Duration(static_cast<std::int64_t>(more));
     }
 
@@ -71,6 +71,13 @@
         return request.priority <= urgentPriority;
     }
 
+    bool respectsReservation(const PlaceRequest& request, const WorkerView& view, double speed)
+    {
+        const auto overridesReservation = request.priority <= urgentPriority && !view.reservationBindsUrgent;
+        return !view.reservedBy || view.reservedBy == request.step || overridesReservation
+            || expectedEndAt(request, speed) <= view.reservedUntil;
+    }
+
     bool isAllowed(const PlaceRequest& request, const WorkerView& view)
     {
         if (view.isolated || (request.isolated && !view.idle))
@@ -79,9 +86,8 @@
             return false;
         if (view.reservedForUrgent && !mayUseReservedRacks(request))
             return false;
-        const auto overridesReservation = request.priority <= urgentPriority && !view.reservationBindsUrgent;
-        if (view.reservedBy && view.reservedBy != request.step && !overridesReservation
-            && expectedEndOn(request, view) > view.reservedUntil)
+        // The other members of a gang may be slower: a fast worker does not shorten it.
+        if (!respectsReservation(request, view, request.spec->gang ? std::min(1.0, view.speed) : view.speed))
             return false;
         // A best-effort task disturbs a latency-sensitive one to an extent that is not known in advance.
         if (request.spec->bestEffort && view.latencySensitive)
@@ -253,6 +259,18 @@
         double cost = infeasible;
     };
 
+    // `isAllowed` has compared the speed of each member alone.
+    bool respectsReservations(
+        const PlaceRequest& request, const std::vector<WorkerView>& views, const Placement& placement)
+    {
+        double slowest = 1;
+        for (const auto i : placement)
+            slowest = std::min(slowest, views[i].speed);
+        return slowest == 1 || std::all_of(placement.begin(), placement.end(), [&](std::size_t i) {
+            return respectsReservation(request, views[i], slowest);
+        });
+    }
+
     GangChoice placeGang(
         const PlaceRequest& request, std::vector<WorkerView>& views, const std::vector<std::size_t>& members)
     {
@@ -262,7 +280,8 @@
         double total = 0;
         auto placement = placeAmong(request, views, members, total);
         releasePlacement(request, views, placement);
-        if (static_cast<int>(placement.size()) == request.count)
+        if (static_cast<int>(placement.size()) == request.count
+            && respectsReservations(request, views, placement))
             choice = { std::move(placement), total };
         return choice;
     }
--- a/packages/fleet/src/reserve.cpp
+++ b/packages/fleet/src/reserve.cpp
@@ -47,30 +47,46 @@
         return view.service == service && view.cautiousSpeed >= minReservedSpeed;
     }
 
+    // Reserves the workers that `isEligible` on whole racks. Returns the share that is still missing; 0 if
+    // there are more racks than needed.
+    template <typename F>
+    double reserveRacksOf(
+        const Resources& whole, double share, std::vector<WorkerView>& views, F&& isEligible)
+    {
+        std::map<double, Resources> racks;
+        for (const auto& view : views) {
+            if (isEligible(view))
+                racks[view.rackOrder] += view.capacity;
+        }
+        auto last = -1.0;
+        auto kept = 0.0;
+        auto enough = false;
+        for (const auto& [order, resources] : racks) {
+            const auto rack = largestShare(resources, whole);
+            if (rack == 0)
+                continue; // Without capacity, all workers would be reserved.
+            enough = kept + rack / 2 > share;
+            if (enough)
+                break;
+            kept += rack;
+            last = order;
+        }
+        for (auto& view : views)
+            view.reservedForUrgent = view.reservedForUrgent || (isEligible(view) && view.rackOrder <= last);
+        return enough ? 0 : std::max(0.0, share - kept);
+    }
+
 } // namespace
 
 void reserveRacks(const ServiceId& service, double share, std::vector<WorkerView>& views)
 {
     const auto whole = sumOf(service, views, &WorkerView::capacity);
-    std::map<double, Resources> racks;
-    for (const auto& view : views) {
-        if (isReservable(service, view))
-            racks[view.rackOrder] += view.capacity;
-    }
-    auto last = -1.0;
-    auto kept = 0.0;
-    for (const auto& [order, resources] : racks) {
-        const auto rack = largestShare(resources, whole);
-        if (rack == 0)
-            continue; // Without capacity, all workers would be reserved.
-        if (kept + rack / 2 > share)
-            break;
-        kept += rack;
-        last = order;
-    }
-    for (auto& view : views)
-        view.reservedForUrgent
-            = view.reservedForUrgent || (isReservable(service, view) && view.rackOrder <= last);
+    const auto missing = reserveRacksOf(
+        whole, share, views, [&](const WorkerView& view) { return isReservable(service, view); });
+    // After a rollout most workers are unknown; urgent work still needs room then.
+    if (missing > 0)
+        reserveRacksOf(whole, missing, views,
+            [&](const WorkerView& view) { return view.service == service && !isReservable(service, view); });
 }
 
 } // namespace jujubereach::fleet
--- a/packages/fleet/test/worker-speed-test.cpp
+++ b/packages/fleet/test/worker-speed-test.cpp
@@ -1,5 +1,7 @@
 // Speed of workers: estimates on plain data, and where gangs land on a fleet with three speeds.
 #include "fake-fleet.h"
+#include "jujubereach/fleet/placement.h"
+#include "jujubereach/fleet/reserve.h"
 #include "jujubereach/fleet/worker-speed.h"
 
 #include <cmath>
@@ -262,6 +264,8 @@
     CPPUNIT_TEST(theStateIsBoundedAndRestoredOnce);
     CPPUNIT_TEST(urgentGangsAvoidSlowWorkers);
     CPPUNIT_TEST(aSuccessorKnowsTheSpeeds);
+    CPPUNIT_TEST(aGangEndsBeforeReservationsOfItsMembers);
+    CPPUNIT_TEST(unknownWorkersAreReservedIfOthersAreFew);
     CPPUNIT_TEST(equalWorkersChangeNoDecision);
     CPPUNIT_TEST_SUITE_END();
 
@@ -343,6 +347,12 @@
             CPPUNIT_ASSERT(!successor.restoreState(malformed, load.now));
         CPPUNIT_ASSERT(successor.restoreState(state, load.now) && successor.restoreState(state, load.now));
         CPPUNIT_ASSERT(successor.refit(load.now) && successor.differ(service));
+        CPPUNIT_ASSERT(successor.workers() > 2000);
+        WorkerSpeeds once;
+        CPPUNIT_ASSERT(once.restoreState(state, load.now) && once.refit(load.now));
+        for (int i = 0; i < 4000; ++i)
+            CPPUNIT_ASSERT_EQUAL(once.deviationOf(workerNamed(i), 1, service),
+                successor.deviationOf(workerNamed(i), 1, service));
         int misjudged = 0;
         for (int i = 0; i < 4000; ++i) {
             const auto speed = successor.speedOf(workerNamed(i), 1);
@@ -402,6 +412,58 @@
         CPPUNIT_ASSERT_MESSAGE(shares, with < 0.1);
     }
 
+    static WorkerView view(double speed, double rackOrder)
+    {
+        WorkerView out;
+        out.service = service;
+        out.rack = "r" + std::to_string(rackOrder);
+        out.rackOrder = rackOrder;
+        out.capacity = out.free = { 8000, 8000, 8 };
+        out.speed = out.cautiousSpeed = speed;
+        return out;
+    }
+
+    static std::size_t placedOfPair(double reservedSpeed, double otherSpeed, int reservedUntil)
+    {
+        std::vector<WorkerView> views { view(reservedSpeed, 0), view(otherSpeed, 0) };
+        static const int holder = 0; // Only its address is used.
+        views[0].reservedBy = reinterpret_cast<const Step*>(&holder);
+        views[0].reservedUntil = TimePoint(Duration(reservedUntil));
+        StepSpec step;
+        step.count = 2;
+        step.gang = step.sameRack = true;
+        step.resources = { 8000, 8000, 8 };
+        PlaceRequest request;
+        request.spec = &step;
+        request.service = service;
+        request.count = 2;
+        request.priority = 1;
+        request.expectedEnd = TimePoint(Duration(1000));
+        request.expectedTime = Duration(1000);
+        return place(request, views).size();
+    }
+
+    // Guards against a gang that outlasts a reservation of one worker because another one is slower.
+    void aGangEndsBeforeReservationsOfItsMembers()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), placedOfPair(1, 0.8, 1100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), placedOfPair(1, 0.8, 1300));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), placedOfPair(1.25, 1, 900));
+    }
+
+    // Guards against a fleet without room for urgent work after most workers have restarted.
+    void unknownWorkersAreReservedIfOthersAreFew()
+    {
+        std::vector<WorkerView> views;
+        for (int i = 0; i < 10; ++i)
+            views.push_back(view(i == 9 ? 1 : 0.83, 0.1 * i));
+        reserveRacks(service, 0.3, views);
+        const auto reserved
+            = std::count_if(views.begin(), views.end(), [](const auto& v) { return v.reservedForUrgent; });
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(3), reserved);
+        CPPUNIT_ASSERT(views[9].reservedForUrgent);
+    }
+
     // Guards against decisions that change without a reason.
     void equalWorkersChangeNoDecision()
     {
