Measure rates from known starts and undisturbed parts of runs

The end of a run was measured from its start even if earlier lists had discarded its rate, and the start counted as known after a second attempt or an answer that the run was old. A discarded run is now measured from its later base only, and the start is known only if the first attempt was answered with success and that answer marked the run as started.

The learned run times of gangs used the members still in the step, so they depended on the order of the ends. Each run of a gang now holds the slowest speed at its placement.

A worker that is new since the last fit gets the caution of an unknown one instead of speed 1. A parameter no longer shadows now().

--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -206,7 +206,7 @@
     countEnd(end, job, thrownAway);
     const auto cores = current ? coreSeconds(found->second.resources, Duration(1000)) : 0;
     const auto stopping = current && found->second.phase == RunPhase::Stopping;
-    const auto speed = current && step ? speedOfRun(worker, *step) : 1;
+    const auto speed = current && step ? speedOfRun(worker, *step, found->second) : 1;
     if (current && step && !stopping && end.kind == EndKind::Done)
         measureEnd(worker, found->second, *step);
     if (current)
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -260,7 +260,7 @@
 
     // owner-speed.cpp: speed of workers.
     static std::int64_t incarnationOf(const Worker& worker);
-    static bool isDelayed(const Worker& worker, TimePoint now, const OrderAnswer& answer);
+    static bool isDelayed(const Worker& worker, TimePoint at, const OrderAnswer& answer);
     bool showsSpeed(const Worker& worker, const Step& step, const ActiveRun& run) const;
     void measureRate(Worker& worker, ActiveRun& run, const Step& step, int percent);
     void measureEnd(const Worker& worker, const ActiveRun& run, const Step& step);
@@ -271,9 +271,11 @@
     double speedOf(const Worker& worker) const; ///< 1 if unknown.
     double cautiousSpeedOf(const Worker& worker) const; ///< Less one standard deviation.
     /// Of the worker, or of the slowest worker of a gang.
-    double speedOfRun(const Worker& worker, const Step& step);
+    double speedOfRun(const Worker& worker, const Step& step, const ActiveRun& run);
     /// `expectedTime` on workers of this speed.
     Duration expectedTimeAt(double speed, const Job& job, const StepSpec& step) const;
+    void recordGangSpeed(
+        const ReadyStep& ready, const Placement& placement, const std::vector<WorkerView>& fleet);
     void logGangSpeed(
         const ReadyStep& ready, const Placement& placement, const std::vector<WorkerView>& fleet) const;
 
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -337,6 +337,7 @@
     case OrderFate::Done:
     case OrderFate::Old: // Already ended or stopped: the next poll shows which.
         markStarted(run);
+        run.startTimeKnown = answer.fate == OrderFate::Done && run.startAttempts == 1;
         return requestList(*worker);
     case OrderFate::Unknown:
         run.startUnanswered = true;
@@ -393,7 +394,7 @@
 {
     const auto progress = run.percent - run.basePercent;
     if (run.basePercent < 0 || progress < minMeasuredPercent)
-        return run.runningSince + expectedTimeAt(speedOfRun(worker, step), job, *step.spec);
+        return run.runningSince + expectedTimeAt(speedOfRun(worker, step, run), job, *step.spec);
     const auto elapsed = static_cast<double>((run.progressAt - run.baseAt).count());
     return run.progressAt + Duration(static_cast<std::int64_t>(elapsed * (100 - run.percent) / progress));
 }
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -501,6 +501,8 @@
             *findWorker(fleet[placement[i]].id),
             step.spec->gang ? gangRun : Run { step.shared(index).lastRun.value + gap }, ready.isolated);
     }
+    if (step.spec->gang)
+        recordGangSpeed(ready, placement, fleet);
 }
 
 void Owner::Impl::addRun(Worker& worker, ActiveRun run)
--- a/packages/fleet/src/owner-speed.cpp
+++ b/packages/fleet/src/owner-speed.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
+#include <utility>
 
 namespace jujubereach::fleet {
 
@@ -31,10 +33,10 @@
     return worker.incarnation != 0 ? worker.incarnation : worker.report.incarnation;
 }
 
-bool Owner::Impl::isDelayed(const Worker& worker, TimePoint now, const OrderAnswer& answer)
+bool Owner::Impl::isDelayed(const Worker& worker, TimePoint at, const OrderAnswer& answer)
 {
     return worker.clock.value > 0 && answer.incarnation == worker.incarnation
-        && answer.clock.value + static_cast<std::uint64_t>(maxListDelay.count()) < worker.clockNow(now).value;
+        && answer.clock.value + static_cast<std::uint64_t>(maxListDelay.count()) < worker.clockNow(at).value;
 }
 
 // Whether the rate of the run shows the speed of its worker, rather than that of a gang or a disturbance.
@@ -74,7 +76,7 @@
     if (!m_settings.features.workerSpeed || worker.listLate || !showsSpeed(worker, step, run)
         || now() - std::max(rate.listedAt, run.runningSince) > maxListAge)
         return;
-    const auto startKnown = run.startAnsweredAt != TimePoint {} && run.runningSince >= worker.coldUntil;
+    const auto startKnown = run.startTimeKnown && !rate.disturbed && run.runningSince >= worker.coldUntil;
     const auto from = startKnown ? run.runningSince : rate.baseAt;
     const auto observed = startKnown ? 100 : 100 - rate.basePercent;
     if ((!startKnown && rate.basePercent < 0) || now() - from < minObservedTime)
@@ -103,6 +105,7 @@
 {
     if (run.rate.usedPercent > 0)
         m_speeds.discard(run.task);
+    run.rate.disturbed = true;
     run.rate.basePercent = -1;
     run.rate.usedPercent = 0;
 }
@@ -167,14 +170,19 @@
 
 double Owner::Impl::cautiousSpeedOf(const Worker& worker) const
 {
-    return m_settings.features.workerSpeed && worker.speedIncarnation == incarnationOf(worker)
-            && worker.speedDeviation > 0
-        ? worker.speed * std::exp(-worker.speedDeviation)
-        : 1;
+    if (!m_settings.features.workerSpeed)
+        return 1;
+    const auto incarnation = incarnationOf(worker);
+    if (worker.speedIncarnation != incarnation) // New since the last fit.
+        return std::exp(-m_speeds.deviationOf(worker.id(), incarnation, worker.report.service));
+    return worker.speedDeviation > 0 ? worker.speed * std::exp(-worker.speedDeviation) : 1;
 }
 
-double Owner::Impl::speedOfRun(const Worker& worker, const Step& step)
+// Members leave the step one by one at its end, so the speed of a gang is that at its start.
+double Owner::Impl::speedOfRun(const Worker& worker, const Step& step, const ActiveRun& run)
 {
+    if (run.gangSpeed > 0)
+        return run.gangSpeed;
     auto speed = speedOf(worker);
     if (!step.spec->gang || !m_settings.features.workerSpeed || !m_speeds.differ(worker.report.service))
         return speed;
@@ -191,6 +199,22 @@
     return speed == 1 ? time : Duration(static_cast<std::int64_t>(static_cast<double>(time.count()) / speed));
 }
 
+void Owner::Impl::recordGangSpeed(
+    const ReadyStep& ready, const Placement& placement, const std::vector<WorkerView>& fleet)
+{
+    if (!m_settings.features.workerSpeed || !m_speeds.differ(termsOf(*ready.job).service))
+        return;
+    auto slowest = std::numeric_limits<double>::infinity();
+    for (const auto i : placement)
+        slowest = std::min(slowest, fleet[i].speed);
+    for (std::size_t i = 0; i < placement.size(); ++i) {
+        auto& runs = findWorker(fleet[placement[i]].id)->runs;
+        const auto run = runs.find({ ready.job->id(), ready.occurrence, ready.index, ready.tasks[i] });
+        if (run != runs.end())
+            run->second.gangSpeed = slowest;
+    }
+}
+
 // Tells why a gang was placed where it was.
 void Owner::Impl::logGangSpeed(
     const ReadyStep& ready, const Placement& placement, const std::vector<WorkerView>& fleet) const
--- a/packages/fleet/src/worker.h
+++ b/packages/fleet/src/worker.h
@@ -19,6 +19,7 @@
     TimePoint baseAt;
     TimePoint listedAt; ///< When the last list arrived.
     int usedPercent = 0; ///< Part of the run in the last observation of its rate; 0 for none.
+    bool disturbed = false; ///< A part before `baseAt` does not show the speed of the worker.
 };
 
 /// A run that a worker executes or may execute.
@@ -47,6 +48,9 @@
     TimePoint startSentAt; ///< When the last attempt was sent.
     TimePoint startAnsweredAt; ///< When an attempt was answered with success; unset before.
     TimePoint runningSince;
+    bool startTimeKnown = false; ///< `runningSince` is when the worker accepted the only start.
+    double gangSpeed
+        = 0; ///< Of the slowest worker of the gang when it was placed; 0 if it is no gang or unknown.
     TimePoint confirmedAt; ///< If a poll sent after this time does not list the run, it has ended.
     bool confirmed = false;
     TimePoint nextCall; ///< Earliest time of the next start or stop call.
