Keep the end of the cold time when an entry is unchanged

The cold time restarted whenever an unchanged entry was reported again. It is now set only with a new incarnation or a changed value.

--- a/packages/fleet/include/jujubereach/fleet/worker-speed.h
+++ b/packages/fleet/include/jujubereach/fleet/worker-speed.h
@@ -7,8 +7,11 @@
 
 #include "jujubereach/fleet/job-spec.h"
 
+#include <cstdint>
 #include <map>
+#include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace jujubereach::fleet {
 
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -160,8 +160,9 @@
         || known.service != report.service || known.labels != report.labels
         || known.capacity != report.capacity;
     const auto wasDraining = worker.report.draining && known.incarnation == report.incarnation;
+    if (known.incarnation != report.incarnation || known.coldFor != report.coldFor)
+        worker.coldUntil = now() + report.coldFor; // An unchanged entry may be reported again.
     worker.report = report;
-    worker.coldUntil = now() + report.coldFor;
     worker.listed = true;
     if (restarted) {
         loseRuns(worker, "its worker has restarted");
--- a/packages/fleet/src/worker-speed.cpp
+++ b/packages/fleet/src/worker-speed.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
+#include <utility>
 
 namespace jujubereach::fleet {
 
