Mend two lint errors in the measurement of starts and its test

startAnswered had 61 statements of at most 60, so markStarted takes whether the start time is known. A vector in worker-speed-test grew in a loop without reserve. All 27 tests of packages/fleet pass.

--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -119,8 +119,9 @@
         run.resources = worker.report.capacity;
 }
 
-void Owner::Impl::markStarted(ActiveRun& run)
+void Owner::Impl::markStarted(ActiveRun& run, bool startTimeKnown)
 {
+    run.startTimeKnown = startTimeKnown;
     run.phase = RunPhase::Running;
     run.reported = true;
     markAnswered(run);
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -140,7 +140,7 @@
     void finish(Job& job, JobState state, const char* why);
     void stopTasks(Job& job, const char* why);
     void setRequirements(const Job* job, const Worker& worker, ActiveRun& run) const;
-    void markStarted(ActiveRun& run);
+    void markStarted(ActiveRun& run, bool startTimeKnown = false);
     void updateRun(Worker& worker, ActiveRun& run, Step* step, const RunningTask& seen);
     void checkProgress(Worker& worker, ActiveRun& run, const RunningTask& seen);
 
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -336,8 +336,7 @@
     switch (answer.fate) {
     case OrderFate::Done:
     case OrderFate::Old: // Already ended or stopped: the next poll shows which.
-        markStarted(run);
-        run.startTimeKnown = answer.fate == OrderFate::Done && run.startAttempts == 1;
+        markStarted(run, answer.fate == OrderFate::Done && run.startAttempts == 1);
         return requestList(*worker);
     case OrderFate::Unknown:
         run.startUnanswered = true;
--- a/packages/fleet/test/worker-speed-test.cpp
+++ b/packages/fleet/test/worker-speed-test.cpp
@@ -455,6 +455,7 @@
     void unknownWorkersAreReservedIfOthersAreFew()
     {
         std::vector<WorkerView> views;
+        views.reserve(10);
         for (int i = 0; i < 10; ++i)
             views.push_back(view(i == 9 ? 1 : 0.83, 0.1 * i));
         reserveRacks(service, 0.3, views);
