--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -118,8 +118,9 @@
         run.resources = worker.report.capacity;
 }
 
-void Owner::Impl::markStarted(ActiveRun& run)
+void Owner::Impl::markStarted(ActiveRun& run, bool startTimeKnown)
 {
+    run.startTimeKnown = startTimeKnown;
     run.phase = RunPhase::Running;
     run.reported = true;
     markAnswered(run);
@@ -208,7 +209,7 @@
     countEnd(end, job, thrownAway);
     const auto cores = current ? coreSeconds(found->second.resources, Duration(1000)) : 0;
     const auto stopping = current && found->second.phase == RunPhase::Stopping;
-    const auto speed = current && step ? speedOfRun(worker, *step) : 1;
+    const auto speed = current && step ? speedOfRun(worker, *step, found->second) : 1;
     if (current && step && !stopping && end.kind == EndKind::Done)
         measureEnd(worker, found->second, *step);
     if (current)
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -151,7 +151,7 @@
     void finish(Job& job, JobState state, const char* why);
     void stopTasks(Job& job, const char* why);
     void setRequirements(const Job* job, const Worker& worker, ActiveRun& run);
-    void markStarted(ActiveRun& run);
+    void markStarted(ActiveRun& run, bool startTimeKnown = false);
     void updateRun(Worker& worker, ActiveRun& run, Step* step, const RunningTask& seen);
     void checkProgress(Worker& worker, ActiveRun& run, const RunningTask& seen);
 
@@ -291,20 +291,22 @@
 
     // owner-speed.cpp: speed of workers.
     static std::int64_t incarnationOf(const Worker& worker);
-    static bool isDelayed(const Worker& worker, TimePoint now, const OrderAnswer& answer);
+    static bool isDelayed(const Worker& worker, TimePoint at, const OrderAnswer& answer);
     bool showsSpeed(const Worker& worker, const Step& step, const ActiveRun& run) const;
     void measureRate(Worker& worker, ActiveRun& run, const Step& step, int percent);
     void measureEnd(const Worker& worker, const ActiveRun& run, const Step& step);
-    void observeRate(const Worker& worker, const ActiveRun& run, int percent, Duration time);
+    void observeRate(const Worker& worker, const ActiveRun& run, int percent, Duration time, bool running);
     void discardRate(ActiveRun& run);
     void refitSpeeds();
     void restoreSpeeds(const std::string& value);
     double speedOf(const Worker& worker) const; ///< 1 if unknown.
     double cautiousSpeedOf(const Worker& worker) const; ///< Less one standard deviation.
     /// Of the worker, or of the slowest worker of a gang.
-    double speedOfRun(const Worker& worker, const Step& step);
+    double speedOfRun(const Worker& worker, const Step& step, const ActiveRun& run);
     /// `expectedTime` on workers of this speed.
     Duration expectedTimeAt(double speed, const Job& job, const StepSpec& step) const;
+    void recordGangSpeed(
+        const ReadyStep& ready, const Placement& placement, const std::vector<WorkerView>& fleet);
     void logGangSpeed(
         const ReadyStep& ready, const Placement& placement, const std::vector<WorkerView>& fleet) const;
     // owner-interference.cpp: tasks that slow each other down on one worker.
--- a/packages/fleet/test/worker-speed-test.cpp
+++ b/packages/fleet/test/worker-speed-test.cpp
@@ -1,5 +1,7 @@
 // Speed of workers: estimates on plain data, and where gangs land on a fleet with three speeds.
 #include "fake-fleet.h"
+#include "jujubereach/fleet/placement.h"
+#include "jujubereach/fleet/reserve.h"
 #include "jujubereach/fleet/worker-speed.h"
 
 #include <cmath>
@@ -51,6 +53,79 @@
     }
 };
 
+// Steps that start evenly on equal workers; each run shows a refined rate at every tenth of its progress.
+class RefinedLoad {
+public:
+    struct Shape {
+        int workers = 0;
+        int tasks = 0; ///< Of a step.
+        double stepsPerSecond = 0;
+        double runSeconds = 0;
+    };
+
+    explicit RefinedLoad(const Shape& shape)
+        : m_shape(shape)
+    {
+    }
+
+    int wrongFits(int seconds)
+    {
+        for (int tick = 0; tick < 2 * seconds; ++tick) {
+            m_now += Duration(500);
+            start();
+            std::erase_if(m_runs, [&](Run& run) { return advance(run); });
+            m_wrong += m_speeds.refit(m_now) && m_speeds.differ(service);
+        }
+        return m_wrong;
+    }
+
+private:
+    struct Run {
+        TaskId task;
+        int worker = 0;
+        double rate = 0; ///< Percent per second.
+        TimePoint startedAt;
+        int used = 0; ///< Percent.
+    };
+
+    void start()
+    {
+        for (m_due += m_shape.stepsPerSecond / 2; m_due >= 1; --m_due, ++m_steps) {
+            for (int i = 0; i < m_shape.tasks; ++i)
+                m_runs.push_back({ { JobId(std::to_string(m_steps)), 0, 0, i },
+                    static_cast<int>(m_random() % static_cast<unsigned>(m_shape.workers)),
+                    100 / m_shape.runSeconds * std::exp(0.25 * m_normal(m_random)), m_now });
+        }
+    }
+
+    // Whether the run has ended.
+    bool advance(Run& run)
+    {
+        const auto passed = static_cast<double>((m_now - run.startedAt).count()) / 1000;
+        const auto percent = static_cast<int>(std::min(100.0, run.rate * passed));
+        const auto ended = percent >= 100;
+        if (percent >= run.used + 10) {
+            m_speeds.observe(
+                { workerNamed(run.worker), 1, service, run.task, ended ? run.rate : percent / passed,
+                    static_cast<double>(percent), run.used > 0, !ended },
+                m_now);
+            run.used = percent;
+        } else if (ended)
+            m_speeds.markEnded(run.task);
+        return ended;
+    }
+
+    Shape m_shape;
+    std::mt19937 m_random { 3 };
+    std::normal_distribution<double> m_normal;
+    WorkerSpeeds m_speeds;
+    std::vector<Run> m_runs;
+    TimePoint m_now { Duration(1'000'000) };
+    double m_due = 0;
+    int m_steps = 0;
+    int m_wrong = 0;
+};
+
 // Urgent gangs, gangs of the next class and bulk steps on workers of unequal speed, in racks of eight.
 class MixedLoad {
 public:
@@ -183,11 +258,14 @@
     CPPUNIT_TEST_SUITE(WorkerSpeedTest);
     CPPUNIT_TEST(threeSpeedsAreFoundAmongScatteredRunTimes);
     CPPUNIT_TEST(equalWorkersAreNotTakenForUnequal);
+    CPPUNIT_TEST(refinedRatesOfARunCountOnce);
     CPPUNIT_TEST(aStepOnOneWorkerShowsNothing);
     CPPUNIT_TEST(aRestartedWorkerIsUnknown);
     CPPUNIT_TEST(theStateIsBoundedAndRestoredOnce);
     CPPUNIT_TEST(urgentGangsAvoidSlowWorkers);
     CPPUNIT_TEST(aSuccessorKnowsTheSpeeds);
+    CPPUNIT_TEST(aGangEndsBeforeReservationsOfItsMembers);
+    CPPUNIT_TEST(unknownWorkersAreReservedIfOthersAreFew);
     CPPUNIT_TEST(equalWorkersChangeNoDecision);
     CPPUNIT_TEST_SUITE_END();
 
@@ -218,6 +296,15 @@
         }
     }
 
+    // Guards against a run whose step is closed before its end and that then counts again: the variance
+    // within workers seems smaller than it is, and equal workers seem to differ.
+    void refinedRatesOfARunCountOnce()
+    {
+        CPPUNIT_ASSERT_EQUAL(0, RefinedLoad({ 350, 400, 0.2, 6 }).wrongFits(60));
+        CPPUNIT_ASSERT_EQUAL(0, RefinedLoad({ 11'000, 39, 51, 6 }).wrongFits(25));
+        CPPUNIT_ASSERT_EQUAL(0, RefinedLoad({ 100, 4, 0.05, 600 }).wrongFits(3000));
+    }
+
     // Guards against evidence without comparison: the mean of such a step is that of the worker.
     void aStepOnOneWorkerShowsNothing()
     {
@@ -260,6 +347,12 @@
             CPPUNIT_ASSERT(!successor.restoreState(malformed, load.now));
         CPPUNIT_ASSERT(successor.restoreState(state, load.now) && successor.restoreState(state, load.now));
         CPPUNIT_ASSERT(successor.refit(load.now) && successor.differ(service));
+        CPPUNIT_ASSERT(successor.workers() > 2000);
+        WorkerSpeeds once;
+        CPPUNIT_ASSERT(once.restoreState(state, load.now) && once.refit(load.now));
+        for (int i = 0; i < 4000; ++i)
+            CPPUNIT_ASSERT_EQUAL(once.deviationOf(workerNamed(i), 1, service),
+                successor.deviationOf(workerNamed(i), 1, service));
         int misjudged = 0;
         for (int i = 0; i < 4000; ++i) {
             const auto speed = successor.speedOf(workerNamed(i), 1);
@@ -319,6 +412,59 @@
         CPPUNIT_ASSERT_MESSAGE(shares, with < 0.1);
     }
 
+    static WorkerView view(double speed, double rackOrder)
+    {
+        WorkerView out;
+        out.service = service;
+        out.rack = "r" + std::to_string(rackOrder);
+        out.rackOrder = rackOrder;
+        out.capacity = out.free = { 8000, 8000, 8 };
+        out.speed = out.cautiousSpeed = speed;
+        return out;
+    }
+
+    static std::size_t placedOfPair(double reservedSpeed, double otherSpeed, int reservedUntil)
+    {
+        std::vector<WorkerView> views { view(reservedSpeed, 0), view(otherSpeed, 0) };
+        static const int holder = 0; // Only its address is used.
+        views[0].reservedBy = reinterpret_cast<const Step*>(&holder);
+        views[0].reservedUntil = TimePoint(Duration(reservedUntil));
+        StepSpec step;
+        step.count = 2;
+        step.gang = step.sameRack = true;
+        step.resources = { 8000, 8000, 8 };
+        PlaceRequest request;
+        request.spec = &step;
+        request.service = service;
+        request.count = 2;
+        request.priority = 1;
+        request.expectedEnd = TimePoint(Duration(1000));
+        request.expectedTime = Duration(1000);
+        return place(request, views).size();
+    }
+
+    // Guards against a gang that outlasts a reservation of one worker because another one is slower.
+    void aGangEndsBeforeReservationsOfItsMembers()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), placedOfPair(1, 0.8, 1100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), placedOfPair(1, 0.8, 1300));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), placedOfPair(1.25, 1, 900));
+    }
+
+    // Guards against a fleet without room for urgent work after most workers have restarted.
+    void unknownWorkersAreReservedIfOthersAreFew()
+    {
+        std::vector<WorkerView> views;
+        views.reserve(10);
+        for (int i = 0; i < 10; ++i)
+            views.push_back(view(i == 9 ? 1 : 0.83, 0.1 * i));
+        reserveRacks(service, 0.3, views);
+        const auto reserved
+            = std::count_if(views.begin(), views.end(), [](const auto& v) { return v.reservedForUrgent; });
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(3), reserved);
+        CPPUNIT_ASSERT(views[9].reservedForUrgent);
+    }
+
     // Guards against decisions that change without a reason.
     void equalWorkersChangeNoDecision()
     {
