Conclude from pace 0 only what a test at pace 0 has shown

A task that must not be lowered worked at full pace during the test, and its pair was cleared with the others. A stop that the owner refuses came with every list and blocked the exchange of pace between the others. A run of unknown pace was lowered although its step allows no further unavailable task.

The test now requires all neighbours at 0. Stops leave the other tasks to the exchange.

Before: aTaskAtFullPaceIsNotClearedByTheOthers saw pace 100 in place of 0, aRefusedStopDoesNotBlockTheOthers 1 decision in place of 2.

--- a/packages/fleet/include/jujubereach/fleet/pace.h
+++ b/packages/fleet/include/jujubereach/fleet/pace.h
@@ -37,7 +37,16 @@
     std::optional<TimePoint> settledAt;
 };
 
-enum class PaceReason { Pressure, Headroom, Exchange, NotTheCause, NoTarget, TooLong, CannotPace };
+enum class PaceReason {
+    Pressure,
+    Headroom,
+    Exchange,
+    NotTheCause,
+    NoTarget,
+    TooLong,
+    MissAllowed,
+    CannotPace
+};
 const char* nameOf(PaceReason reason);
 
 struct PaceDecision {
--- a/packages/fleet/src/pace.cpp
+++ b/packages/fleet/src/pace.cpp
@@ -37,7 +37,7 @@
 
     bool canLower(const PacedTask& task)
     {
-        return task.percent > 0 && (isLowered(task) || task.mayReduce);
+        return task.percent > 0 && ((task.known && isLowered(task)) || task.mayReduce);
     }
 
     // The task that is known to slow the affected kind down most at its present pace; null if none is known.
@@ -73,6 +73,8 @@
         return "no-target";
     case PaceReason::TooLong:
         return "too-long";
+    case PaceReason::MissAllowed:
+        return "miss-allowed";
     case PaceReason::CannotPace:
         return "cannot-pace";
     }
@@ -128,11 +130,9 @@
     if (isOver && now < state.clearedUntil)
         return raise(state, worst, tasks, model, now);
     const auto atZero = std::all_of(tasks.begin(), tasks.end(), [now](const PacedTask& task) {
-        return !canLower(task) && (task.percent > 0 || (task.settledAt && now - *task.settledAt >= testTime));
+        return task.percent == 0 && task.settledAt && now - *task.settledAt >= testTime;
     });
-    const auto anyAtZero
-        = std::any_of(tasks.begin(), tasks.end(), [](const PacedTask& task) { return task.percent == 0; });
-    if (isOver && atZero && anyAtZero)
+    if (isOver && atZero)
         return restore(state, worst, tasks, model, now);
     const auto atOnce = overFor >= partOf(m_bound, allAtZeroShare) || state.wasCleared;
     const auto* largest = largestSource(worst.kind, tasks, model, now);
@@ -145,6 +145,10 @@
             out.push_back({ task.task, 0, true, PaceReason::TooLong });
             continue;
         }
+        if (!task.known && !task.mayReduce) {
+            out.push_back({ task.task, fullPace, false, PaceReason::MissAllowed });
+            continue;
+        }
         if (!canLower(task) || (largest && !atOnce && &task != largest))
             continue;
         // An earlier owner may have seen the tail over its target for most of the bound.
@@ -202,6 +206,7 @@
 {
     std::vector<PaceDecision> out;
     std::set<TaskKind> lowered;
+    std::vector<PacedTask> others; // The owner may refuse a stop for long.
     const PacedTask* source = nullptr;
     const auto effectOf
         = [&](const PacedTask& task) { return model.effectOf(worst.kind, task.kind, now).mean; };
@@ -212,11 +217,16 @@
             source = &task;
         if (task.percent == 0 && task.settledAt && now - *task.settledAt >= longAtZero)
             out.push_back({ task.task, 0, true, PaceReason::TooLong });
+        else
+            others.push_back(task);
     }
-    if (!out.empty() || lowered.size() < 2 || now - state.changedAt < testTime)
+    if (lowered.size() < 2 || now - state.changedAt < testTime)
         return out;
-    if (pressureOf(worst) < (headroomShare + pressureShare) / 2)
-        return raise(state, worst, tasks, model, now);
+    if (pressureOf(worst) < (headroomShare + pressureShare) / 2) {
+        const auto raised = raise(state, worst, others, model, now);
+        out.insert(out.end(), raised.begin(), raised.end());
+        return out;
+    }
     if (source)
         out.push_back(
             { source->task, std::max(0, source->percent - raiseStep), false, PaceReason::Exchange });
--- a/packages/fleet/test/pace-test.cpp
+++ b/packages/fleet/test/pace-test.cpp
@@ -123,6 +123,8 @@
     CPPUNIT_TEST(aNeighbourThatBecomesTheCauseIsPacedInTime);
     CPPUNIT_TEST(changesOfInterferenceAreFollowedInTime);
     CPPUNIT_TEST(aKnownSourceDoesNotHideAnother);
+    CPPUNIT_TEST(aTaskAtFullPaceIsNotClearedByTheOthers);
+    CPPUNIT_TEST(aRefusedStopDoesNotBlockTheOthers);
     CPPUNIT_TEST_SUITE_END();
 
     // Without pairs that are told apart, the harmless neighbour would be paced as long as the other one.
@@ -246,6 +248,35 @@
         CPPUNIT_ASSERT_EQUAL(0, tasks[0].percent);
         CPPUNIT_ASSERT_EQUAL(0, tasks[1].percent);
     }
+
+    // The pace of the second must not be lowered, so that no test at pace 0 covers it.
+    void aTaskAtFullPaceIsNotClearedByTheOthers()
+    {
+        Bench bench({ filler("loud", 2.2), filler("fixed", 2.5) }, 60);
+        bench.fillers[1].state.mayReduce = false;
+        bench.run(Duration(4000));
+        for (int i = 0; i < 10; ++i) {
+            bench.list();
+            CPPUNIT_ASSERT_EQUAL(0, bench.fillers[0].state.percent);
+        }
+    }
+
+    // The owner may refuse a stop for as long as there is no other place.
+    void aRefusedStopDoesNotBlockTheOthers()
+    {
+        Bench bench({ filler("a", 2), filler("b", 2) }, 60);
+        std::vector<PacedTask> tasks { bench.fillers[0].state, bench.fillers[1].state };
+        tasks[0].percent = 0;
+        tasks[1].percent = 50;
+        bench.now += Duration(20'000);
+        const TailReading reading { bench.model.kindOf("server"), Duration(75), Duration(100) };
+        const auto decisions
+            = bench.controller.decide(WorkerId("w"), { reading }, tasks, bench.model, bench.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), decisions.size());
+        CPPUNIT_ASSERT(decisions[0].stop && decisions[0].task.index == 0);
+        CPPUNIT_ASSERT(!decisions[1].stop && decisions[1].task.index == 1);
+        CPPUNIT_ASSERT_EQUAL(60, decisions[1].percent);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PaceTest);
