Preempt no best-effort task that frees nothing that is missing

The processors of a best-effort task are not part of what its run takes, so that its loss was 0 and it came first among the victims, although its stop frees no processors. The search skips such tasks unless they free memory or accelerators that are missing. The loss counts all processors that the task needs. Other candidates are not affected, so that nothing changes with the feature off.

--- a/packages/fleet/include/jujubereach/fleet/placement.h
+++ b/packages/fleet/include/jujubereach/fleet/placement.h
@@ -19,6 +19,7 @@
     double rank = 0; ///< Rank of its occurrence in the queue.
     double loss = 0; ///< Core-seconds of work lost by stopping it, or its whole gang.
     bool gang = false;
+    bool usesIdleCores = false; ///< Its processors are not part of `resources`.
 };
 
 struct WorkerView {
--- a/packages/fleet/src/owner-displace.cpp
+++ b/packages/fleet/src/owner-displace.cpp
@@ -42,13 +42,15 @@
                 lostTime = std::min(lostTime,
                     step->spec->gang ? m_settings.checkpointInterval / 2 + m_settings.restoreTime
                                      : m_settings.restoreTime);
-            const auto lost = coresOf(active.resources) * static_cast<double>(lostTime.count()) / 1000;
+            const auto lost
+                = coresOf(active.neededResources()) * static_cast<double>(lostTime.count()) / 1000;
             const auto& occurrence = job->occurrences.at(task.occurrence);
             const auto [rank, isNew] = ranks.try_emplace(&occurrence, 0);
             if (isNew)
                 rank->second = rankInQueue(*job, occurrence, false);
             view.preemptible.push_back({ task, active.resources, active.priority, rank->second,
-                step->spec->gang ? lost * step->spec->count : lost, step->spec->gang });
+                step->spec->gang ? lost * step->spec->count : lost, step->spec->gang,
+                active.idleMilliCores > 0 });
         }
     }
 }
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -371,6 +371,15 @@
             return m_gangs.contains(gangOf(victim)) ? 0 : victim.loss;
         }
 
+        // Whether its stop frees some of what is still missing.
+        bool relieves(const PreemptionCandidate& option, const Resources& free) const
+        {
+            const auto& need = m_request.spec->resources;
+            return (free.milliCores < need.milliCores && option.resources.milliCores > 0)
+                || (free.memoryMb < need.memoryMb && option.resources.memoryMb > 0)
+                || (free.accelerators < need.accelerators && option.resources.accelerators > 0);
+        }
+
         Choice cheapestOn(std::size_t i) const
         {
             Choice choice { i, m_views[i].failurePenalty * failurePenaltyWeight, {} };
@@ -396,6 +405,8 @@
             for (const auto& [cost, option] : options) {
                 if (free.canFit(m_request.spec->resources))
                     break;
+                if (option->usesIdleCores && !relieves(*option, free))
+                    continue;
                 free += option->resources;
                 choice.victims.push_back(option);
                 choice.cost += lossOf(*option) + 1;
--- a/packages/fleet/src/worker.h
+++ b/packages/fleet/src/worker.h
@@ -30,6 +30,12 @@
 
     static RunPace unknown() { return { fullPace, fullPace, false, false, false, 0, {}, {}, {} }; }
     bool isLowered() const { return !known || percent < fullPace; }
+    /// Whether it works at full pace as far as is known: the worker has confirmed it, or sets no pace at all.
+    bool isFull() const { return !isLowered() && (confirmed || refusals > 0); }
+    /// Whether it may be held at pace 0, so that no progress is to be expected.
+    bool mayBeHeld() const { return !known || (refusals == 0 && (percent == 0 || !confirmed)); }
+    /// Whether a pace other than the one at the start has ever been decided.
+    bool wasSet() const { return !confirmed || settledAt != TimePoint {}; }
 };
 
 /// A run that a worker executes or may execute.
@@ -75,6 +81,8 @@
     int basePercent = -1; ///< Progress at `baseAt`, from which its speed is measured; negative if unknown.
     TimePoint baseAt;
 
+    /// Including the processors that it does not take from others.
+    Resources neededResources() const { return resources + Resources { idleMilliCores, 0, 0 }; }
     /// Whether it is executed by the known incarnation of the worker or by a later one.
     bool isUndecided() const { return startAnsweredAt != TimePoint {} && incarnation == 0; }
 };
