Mend stalls, moves, unknown paces and known pairs of paced tasks

- A finite task that is held at pace 0 was stopped as stalled, and its worker quarantined.
The time without progress now starts when a pace other than 0 has taken effect, and is scaled by the pace, as is the expected end.
- The move of a task at pace 0 was decided with the views of the last pass, whose labels belong to workers that may have been erased since.
The next pass decides, with separation and advice, after the tasks that wait; one free place stops one task, at most once a second.
- Unknown paces counted as lowered already: a successor lowered more tasks than MissAllowed.
They count as unavailable until full pace is confirmed.
- The copy of the known pairs was kept when the last pair was cleared.
- The pace of an undecided run stayed "in flight" after a restart.
- Part of a list that cannot be decoded let the other tails raise paces; old tails could be taken for the worst.
- Lost work of best-effort tasks counts their processors.

No test covers the call in flight of an undecided run.

--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -148,7 +148,7 @@
     const auto incarnation = std::exchange(run.incarnation, worker.incarnation);
     if (incarnation != worker.incarnation && !worker.isDraining())
         setIncarnation(run, worker, worker.incarnation);
-    if (incarnation != worker.incarnation && incarnation != 0)
+    if (incarnation != worker.incarnation && (incarnation != 0 || run.pace.wasSet()))
         run.pace = RunPace::unknown(); // A call may have set the pace in either incarnation.
     run.carriedOver = false;
     if (step && !seen.checkpoint.empty())
@@ -159,6 +159,15 @@
         checkProgress(worker, run, seen);
 }
 
+// Notes that no progress is to be expected of a run that is held.
+bool Owner::Impl::mayStall(ActiveRun& run) const
+{
+    if (!mayPace() || !run.bestEffort || !run.pace.mayBeHeld())
+        return true;
+    run.progressAt = now();
+    return false;
+}
+
 void Owner::Impl::checkProgress(Worker& worker, ActiveRun& run, const RunningTask& seen)
 {
     if (run.basePercent < 0) {
@@ -176,7 +185,7 @@
         return;
     // A single per cent of a very long task may take longer than `stallBound`.
     const auto bound = std::max(stallBound, step->spec->estimate / 10);
-    if (now() - run.progressAt < bound)
+    if (!mayStall(run) || now() - std::max(run.progressAt, run.pace.settledAt) < pacedTime(run, bound))
         return;
     if (step->spec->gang && step->active < step->spec->count)
         return; // The member is waiting for the rest of its gang.
@@ -198,12 +207,12 @@
     const auto current = found != worker.runs.end() && found->second.run == end.run;
     const auto ranFor = current ? now() - found->second.runningSince : Duration(0);
     const auto thrownAway = current && end.kind != EndKind::Done && end.checkpoint.empty()
-        ? coreSeconds(found->second.resources, ranFor)
+        ? coreSeconds(found->second.neededResources(), ranFor)
         : 0;
     if (end.kind != EndKind::Failed) // Failures are the fault of the task.
         m_figures.thrownAway += thrownAway;
     countEnd(end, job, thrownAway);
-    const auto cores = current ? coreSeconds(found->second.resources, Duration(1000)) : 0;
+    const auto cores = current ? coreSeconds(found->second.neededResources(), Duration(1000)) : 0;
     const auto stopping = current && found->second.phase == RunPhase::Stopping;
     if (current)
         release(worker, end.task);
@@ -319,10 +328,10 @@
         const auto mayCome = run.startUnanswered || (run.phase == RunPhase::Ordered && run.callInFlight);
         run.carriedOver = true;
         run.reported = false;
+        run.pace = RunPace::unknown(); // The answer to a call in flight is ignored from now on.
         if (trackStarts && run.isUndecided())
             continue;
         run.incarnation = 0;
-        run.pace = RunPace::unknown();
         run.startAnsweredAt = {};
         if (!trackStarts || !mayCome)
             gone.push_back(task);
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -268,9 +268,16 @@
     /// Whether its lists are needed as often as tails change.
     bool awaitsTails(const Worker& worker) const;
     void learnInterference(Worker& worker);
+    bool mayStall(ActiveRun& run) const;
+    /// The time for what takes `time` at full pace. A pace of 0 counts as 1 percent.
+    static Duration pacedTime(const ActiveRun& run, Duration time);
     void decidePaces(Worker& worker, TimePoint sentAt);
     void applyPace(Worker& worker, const PaceDecision& decision, const ActiveRun* worst, TimePoint sentAt);
-    bool mayStopPaced(const Worker& worker, const TaskId& task, PaceReason reason);
+    void logPace(const Worker& worker, const ActiveRun& run, const PaceDecision& decision,
+        const ActiveRun* worst, TimePoint sentAt);
+    bool mayStopPaced(const TaskId& task);
+    void moveHeldTasks(Pass& pass);
+    void moveHeldTask(Worker& worker, const TaskId& task, Pass& pass);
     int unavailableTasks(const Step& step, TaskId task);
     std::vector<PacedTask> pacedTasks(Worker& worker, bool underPressure);
     bool needsPaceCall(const ActiveRun& run) const;
@@ -364,6 +371,8 @@
 
     InterferenceModel m_interference;
     PaceController m_pace;
+    std::map<TaskId, WorkerId> m_heldTasks; ///< At pace 0 for so long that the next pass tries to move them.
+    TimePoint m_nextMove; ///< Rate limit: stopped tasks start elsewhere before others are considered.
     KnownPairs m_knownPairs; ///< As of the last refresh.
     TimePoint m_nextPairRefresh;
     /// Added costs of `m_fleet`, by kind and whether known pairs are excluded; computed anew after each
--- a/packages/fleet/src/owner-interference.cpp
+++ b/packages/fleet/src/owner-interference.cpp
@@ -21,6 +21,8 @@
     constexpr Duration minObservationInterval { 400 }; // Lists in quick succession repeat the same tails.
     constexpr double unsettledWeight = 0.25; // Of a tail that a change of pace has affected in part.
     constexpr Duration pairRefreshInterval { 200 }; // Evidence changes with lists, at most this often.
+    constexpr Duration maxMoveTime { 20 }; // Of a pass.
+    constexpr Duration moveInterval { 1000 }; // Of a stop and the next pass; a move visits all workers.
     constexpr Duration separationLineInterval { 1000 }; // Per step, while it waits.
     // A doubled run time outweighs any difference in fit.
     constexpr double separationWeight = 5;
@@ -29,7 +31,8 @@
     {
         const ActiveRun* worst = nullptr;
         for (const auto& [task, run] : worker.runs) {
-            const auto counts = run.latencySensitive && run.phase == RunPhase::Running;
+            const auto counts = run.latencySensitive && run.phase == RunPhase::Running
+                && run.tailAt == worker.answeredAt; // An older tail may be from another pace.
             if (counts
                 && (!worst
                     || pressureOf({ run.kind, run.tail, run.tailTarget })
@@ -125,6 +128,11 @@
     }
 }
 
+Duration Owner::Impl::pacedTime(const ActiveRun& run, Duration time)
+{
+    return time * fullPace / std::max(1, run.pace.percent);
+}
+
 // Tasks of the step that do not run at full pace.
 int Owner::Impl::unavailableTasks(const Step& step, TaskId task)
 {
@@ -135,7 +143,7 @@
             continue;
         const auto run = worker->runs.find(task);
         available += run != worker->runs.end() && run->second.phase == RunPhase::Running
-            && !run->second.pace.isLowered();
+            && run->second.pace.isFull();
     }
     return step.spec->count - available;
 }
@@ -153,11 +161,14 @@
         auto* job = findJob(task.job);
         const auto* step = job ? job->findStep(task) : nullptr;
         if (underPressure && step && step->spec->longRunning && step->spec->maxUnavailable > 0
-            && !run.pace.isLowered()) {
+            && (!run.pace.known || run.pace.percent == fullPace)) {
             const auto [sum, isNew] = unavailable.try_emplace(step, 0);
             if (isNew)
                 sum->second = unavailableTasks(*step, task);
-            paced.mayReduce = ++sum->second <= step->spec->maxUnavailable;
+            const auto after = sum->second + (run.pace.isFull() ? 1 : 0);
+            paced.mayReduce = after <= step->spec->maxUnavailable;
+            if (paced.mayReduce)
+                sum->second = after;
         }
         out.push_back(paced);
     }
@@ -169,15 +180,21 @@
     if (!mayPace() || worker.bestEffortRuns == 0)
         return m_pace.forget(worker.id());
     std::vector<TailReading> tails;
+    std::size_t running = 0;
     for (const auto& [task, run] : worker.runs) {
-        if (run.latencySensitive && run.phase == RunPhase::Running && run.tailAt == worker.answeredAt)
+        if (!run.latencySensitive || run.phase != RunPhase::Running)
+            continue;
+        ++running;
+        if (run.tailAt == worker.answeredAt)
             tails.push_back({ run.kind, run.tail, run.tailTarget });
     }
-    if (tails.empty() && worker.latencySensitiveRuns > 0)
-        return; // Not listed yet, or stopping: the paces stay as they are.
     const auto* worst = worstTail(worker);
     const auto underPressure
         = worst && pressureOf({ worst->kind, worst->tail, worst->tailTarget }) > pressureShare;
+    if (tails.size() < running && !underPressure)
+        return; // The missing tails may leave no headroom.
+    if (tails.empty() && worker.latencySensitiveRuns > 0)
+        return; // Not listed yet, or stopping: the paces stay as they are.
     const auto decisions
         = m_pace.decide(worker.id(), tails, pacedTasks(worker, underPressure), m_interference, now());
     for (const auto& decision : decisions)
@@ -191,8 +208,28 @@
     if (found == worker.runs.end() || found->second.phase != RunPhase::Running)
         return;
     auto& run = found->second;
-    if (decision.stop && !mayStopPaced(worker, decision.task, decision.reason))
+    if (decision.reason == PaceReason::TooLong) {
+        m_heldTasks[decision.task] = worker.id(); // The views are valid only in a pass.
+        if (now() >= m_nextMove)
+            schedulePass();
+        return;
+    }
+    if (decision.stop && !mayStopPaced(decision.task))
         return;
+    logPace(worker, run, decision, worst, sentAt);
+    if (decision.stop) {
+        worker.bestEffortStoppedAt = now();
+        return stopWhole(decision.task, "it slows a neighbour down");
+    }
+    run.pace.percent = decision.percent;
+    run.pace.known = true;
+    run.pace.confirmed = false;
+    run.pace.nextCall = now();
+}
+
+void Owner::Impl::logPace(const Worker& worker, const ActiveRun& run, const PaceDecision& decision,
+    const ActiveRun* worst, TimePoint sentAt)
+{
     boost::json::object line { { "task", toString(decision.task) }, { "run", run.run.value },
         { "worker", worker.id().str() }, { "percent", decision.percent }, { "from", run.pace.percent },
         { "stop", decision.stop }, { "reason", nameOf(decision.reason) },
@@ -206,38 +243,61 @@
         line["deviation"] = effect.deviation;
     }
     m_hooks.log("pace", std::move(line));
-    if (decision.stop) {
-        worker.bestEffortStoppedAt = now();
-        return stopWhole(decision.task, "it slows a neighbour down");
-    }
-    run.pace.percent = decision.percent;
-    run.pace.known = true;
-    run.pace.confirmed = false;
-    run.pace.nextCall = now();
 }
 
 // A paced task counts as unavailable already, so that a stop makes no further one unavailable.
-bool Owner::Impl::mayStopPaced(const Worker& worker, const TaskId& task, PaceReason reason)
+bool Owner::Impl::mayStopPaced(const TaskId& task)
 {
     auto* job = findJob(task.job);
     const auto* step = job ? job->findStep(task) : nullptr;
     if (!step)
         return false;
     const auto& spec = *step->spec;
-    if (spec.longRunning && unavailableTasks(*step, task) > spec.maxUnavailable)
-        return false;
-    if (reason != PaceReason::TooLong)
-        return true;
-    PlaceRequest request;
-    request.spec = &spec;
-    request.service = termsOf(*job).service;
-    request.priority = termsOf(*job).priority;
-    request.mayShare = true;
-    return std::any_of(m_fleet.begin(), m_fleet.end(), [&](const WorkerView& view) {
-        return view.id != worker.id() && fitsNow(request, view)
-            && (spec.maxPerWorker == 0 || !step->onWorker.contains(view.id)
-                || step->onWorker.at(view.id) < spec.maxPerWorker);
-    });
+    return !spec.longRunning || unavailableTasks(*step, task) <= spec.maxUnavailable;
+}
+
+// Each takes its new place in the views, so that one free place stops one task.
+void Owner::Impl::moveHeldTasks(Pass& pass)
+{
+    if (m_heldTasks.empty() || now() < m_nextMove)
+        return;
+    m_nextMove = now() + moveInterval;
+    const auto begun = now();
+    for (const auto& [task, id] : std::exchange(m_heldTasks, {})) {
+        auto* worker = findWorker(id);
+        if (worker && now() - begun <= maxMoveTime)
+            moveHeldTask(*worker, task, pass);
+    }
+}
+
+void Owner::Impl::moveHeldTask(Worker& worker, const TaskId& task, Pass& pass)
+{
+    const auto found = worker.runs.find(task);
+    auto* job = findJob(task.job);
+    auto* step = job ? job->findStep(task) : nullptr;
+    if (!step || found == worker.runs.end() || found->second.orphaned)
+        return;
+    const auto& run = found->second;
+    const auto isHeld
+        = run.phase == RunPhase::Running && run.pace.known && run.pace.confirmed && run.pace.percent == 0;
+    if (!isHeld || !mayStopPaced(task))
+        return;
+    const ReadyStep ready { job, task.occurrence, task.step, { task.index } };
+    auto request = requestFor(ready, pass);
+    request.count = step->spec->gang ? step->spec->count : 1;
+    request.overdue = false; // It is not waiting.
+    const std::set<WorkerId> avoid { worker.id() };
+    request.avoid = &avoid;
+    AdvisedWorkers advised;
+    if (termsOf(*job).advice) {
+        advised = advisedWorkers(*step);
+        request.allowed = &advised.ticketed;
+    }
+    if (place(request, pass.fleet).empty())
+        return;
+    logPace(worker, run, { task, 0, true, PaceReason::TooLong }, worstTail(worker), worker.listRequestedAt);
+    worker.bestEffortStoppedAt = now();
+    stopWhole(task, "it slows a neighbour down");
 }
 
 bool Owner::Impl::needsPaceCall(const ActiveRun& run) const
@@ -320,11 +380,13 @@
 
 void Owner::Impl::refreshKnownPairs()
 {
-    if (!mayPace() || m_interference.empty() || now() < m_nextPairRefresh) {
-        if (!mayPace())
-            m_knownPairs.clear();
+    if (!mayPace() || m_interference.empty()) {
+        m_knownPairs.clear();
+        m_separations.clear();
         return;
     }
+    if (now() < m_nextPairRefresh)
+        return;
     m_nextPairRefresh = now() + pairRefreshInterval;
     m_separations.clear();
     m_knownPairs = m_interference.knownPairs(now());
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -398,7 +398,8 @@
     if (run.basePercent < 0 || progress < minMeasuredPercent)
         return run.runningSince + expectedTime(job, step);
     const auto elapsed = static_cast<double>((run.progressAt - run.baseAt).count());
-    return run.progressAt + Duration(static_cast<std::int64_t>(elapsed * (100 - run.percent) / progress));
+    const Duration left(static_cast<std::int64_t>(elapsed * (100 - run.percent) / progress));
+    return run.progressAt + pacedTime(run, left);
 }
 
 // Stops what cannot end before its worker leaves. A confirmed stop lets the task start elsewhere at once and
--- a/packages/fleet/src/owner-pass.cpp
+++ b/packages/fleet/src/owner-pass.cpp
@@ -254,6 +254,8 @@
         applyReservations(waiting, pass);
     }
     placeInOrder(waiting, pass);
+    if (!m_passDue)
+        moveHeldTasks(pass); // To what no waiting task has taken.
     m_nextPass = now() + (m_passDue ? slicePause : std::max(minPassInterval, now() - begun));
 }
 
