Let a worker leave just before a paused task would be moved

aWorkerThatHasLeftIsNoPlaceForPausedTasks passed before the fix as well, as a pass followed the removal before the decision. The worker now leaves 5 ms before the list that decides.

--- a/packages/fleet/test/interference-test.cpp
+++ b/packages/fleet/test/interference-test.cpp
@@ -439,22 +439,34 @@
     }
 
     // The decision to move a task was made with the views of the last pass: of a worker that had left, too.
+    // It leaves 5 ms before the list that makes the decision.
     void aWorkerThatHasLeftIsNoPlaceForPausedTasks()
     {
-        Shared shared(1);
-        shared.fleet.submit(Shared::filler("f", 1, "batch"));
-        shared.run(Duration(1500));
-        shared.load = 95;
-        shared.harm["f"] = 3;
-        shared.fleet.submit(Shared::server("s"));
-        shared.run(Duration(6000));
         const WorkerId free("free");
-        shared.fleet.addWorker("free");
-        shared.fleet.report(free);
-        shared.run(Duration(1000));
+        const auto play = [&free](Shared& shared, Duration time) {
+            shared.fleet.submit(Shared::filler("f", 1, "batch"));
+            shared.run(Duration(1500));
+            shared.load = 95; // Needs pace 0.
+            shared.harm["f"] = 3;
+            shared.fleet.submit(Shared::server("s"));
+            shared.run(Duration(6000));
+            shared.fleet.addWorker("free");
+            shared.fleet.report(free);
+            shared.fleet.run(time);
+        };
+        Duration stoppedAfter { 0 };
+        for (Shared shared(1); !shared.logged("too-long"); ++stoppedAfter) {
+            if (stoppedAfter.count() == 0)
+                play(shared, Duration(0));
+            CPPUNIT_ASSERT(stoppedAfter < Duration(20'000));
+            shared.fleet.run(Duration(1));
+        }
+        Shared shared(1);
+        play(shared, stoppedAfter - Duration(5));
+        CPPUNIT_ASSERT(!shared.logged("too-long"));
         shared.fleet.unlisted.insert(free);
         shared.fleet.owner->workerUnlisted(free);
-        shared.run(Duration(10'000));
+        shared.run(Duration(5000));
         CPPUNIT_ASSERT_EQUAL(0, shared.paceOf("f"));
         CPPUNIT_ASSERT(!shared.logged("too-long"));
         shared.fleet.unlisted.erase(free);
