--- a/packages/fleet/include/jujubereach/fleet/placement.h
+++ b/packages/fleet/include/jujubereach/fleet/placement.h
@@ -22,6 +22,7 @@
     TimePoint endsAt = TimePoint::max(); ///< Expected end if it is not stopped.
     TimePoint nextCheckpoint {}; ///< Expected next checkpoint, if a stop loses the work since the last one.
     bool resumesAtOnce = false; ///< Saved by the stop, and would fit elsewhere now.
+    bool usesIdleCores = false; ///< Its processors are not part of `resources`.
 };
 
 struct WorkerView {
--- a/packages/fleet/src/owner-displace.cpp
+++ b/packages/fleet/src/owner-displace.cpp
@@ -75,7 +75,8 @@
         lost = std::min(lost,
             spec.gang ? m_settings.checkpointInterval / 2 + m_settings.restoreTime : m_settings.restoreTime);
     }
-    out.loss = coresOf(run.resources) * static_cast<double>(lost.count()) / 1000;
+    out.usesIdleCores = run.idleMilliCores > 0;
+    out.loss = coresOf(run.neededResources()) * static_cast<double>(lost.count()) / 1000;
     if (spec.gang)
         out.loss *= spec.count;
     return out;
