Apply workspace shares only where weights are configured

The factors also placed bulk work of one workspace, which an urgent step of another preempted by its raw rank at once.

Change: `Workspace::weight` is optional; without any weight the order is by utility alone. A preemption needs the order with and without the factors.

Ruled out for now: counting only steps that a search failed to place; a trial made `doesNotPreemptBecauseOfShares` fail, cause unknown.

--- a/packages/fleet/include/jujubereach/fleet/fleet-config.h
+++ b/packages/fleet/include/jujubereach/fleet/fleet-config.h
@@ -39,7 +39,7 @@
 struct Workspace {
     WorkspaceId id;
     std::int64_t guaranteedAccelerators = 0; ///< Always available to its jobs of priority 0.
-    double weight = 1; ///< Of its share of scarce capacity; positive.
+    std::optional<double> weight = {}; ///< Of its share of scarce capacity; positive. 1 if others state one.
 };
 
 struct CallerLimits {
--- a/packages/fleet/src/owner-displace.cpp
+++ b/packages/fleet/src/owner-displace.cpp
@@ -48,7 +48,7 @@
             const auto& occurrence = job->occurrences.at(task.occurrence);
             const auto [rank, isNew] = ranks.try_emplace(&occurrence, 0);
             if (isNew)
-                rank->second = rankInQueue(*job, occurrence, false);
+                rank->second = rankInQueue(*job, occurrence, false) * std::max(1.0, factorOf(*job));
             view.preemptible.push_back(candidateOf(*job, *step->spec, active, rank->second));
         }
     }
@@ -175,6 +175,7 @@
 {
     auto& step = ready.step();
     auto request = requestFor(ready, pass);
+    request.rank = ready.rank * std::min(1.0, ready.factor); // See `orderByShares`.
     request.isolated = false; // Steps that must be isolated do not preempt.
     request.maxLoss = ready.guaranteed
         ? std::numeric_limits<double>::infinity()
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -259,6 +259,8 @@
     // owner-shares.cpp: fair shares of scarce capacity between workspaces.
     void countUse();
     double weightOf(const WorkspaceId& id) const;
+    bool statesWeights() const; ///< Whether the configuration states a weight for any workspace.
+    double factorOf(const Job& job) const; ///< For the ranks of its steps; 1 without competition.
     void updateShares(const std::vector<ReadyStep>& waiting);
     void orderByShares(std::vector<ReadyStep>& waiting);
     void reportShares(
--- a/packages/fleet/src/owner-shares.cpp
+++ b/packages/fleet/src/owner-shares.cpp
@@ -41,7 +41,20 @@
 double Owner::Impl::weightOf(const WorkspaceId& id) const
 {
     const auto found = m_config->workspaces.find(id);
-    return found == m_config->workspaces.end() ? 1 : found->second.weight;
+    return found == m_config->workspaces.end() ? 1 : found->second.weight.value_or(1);
+}
+
+// Equal shares without weights did not help the workspaces that are served worst.
+bool Owner::Impl::statesWeights() const
+{
+    return std::any_of(m_config->workspaces.begin(), m_config->workspaces.end(),
+        [](const auto& row) { return row.second.weight.has_value(); });
+}
+
+double Owner::Impl::factorOf(const Job& job) const
+{
+    const auto service = m_shares.find(termsOf(job).service);
+    return service == m_shares.end() ? 1 : service->second.shares.of(job.record.workspace).factor;
 }
 
 void Owner::Impl::updateShares(const std::vector<ReadyStep>& waiting)
@@ -77,12 +90,16 @@
     }
 }
 
-// Guaranteed steps keep their place. The rank itself decides on preemptions: if the factor did, two
-// workspaces would preempt each other in turn.
+// Guaranteed steps keep their place. A preemption needs the order with and without the factors: with one of
+// them alone, two workspaces would preempt each other in turn.
 void Owner::Impl::orderByShares(std::vector<ReadyStep>& waiting)
 {
     if (!m_settings.features.workspaceShares || m_settings.order != QueueOrder::ByUtility)
         return;
+    if (!statesWeights()) {
+        m_shares.clear(); // The weights may have been removed while workspaces competed.
+        return;
+    }
     if (now() >= m_nextShareUpdate) {
         m_nextShareUpdate = now() + updateInterval;
         updateShares(waiting);
@@ -93,12 +110,8 @@
     const Job* last = nullptr; // Steps of one job mostly follow each other.
     auto factor = 1.0;
     for (auto& ready : waiting) {
-        if (std::exchange(last, ready.job) != ready.job) {
-            const auto service = m_shares.find(termsOf(*ready.job).service);
-            factor = service == m_shares.end()
-                ? 1
-                : service->second.shares.of(ready.job->record.workspace).factor;
-        }
+        if (std::exchange(last, ready.job) != ready.job)
+            factor = factorOf(*ready.job);
         if (!ready.guaranteed)
             ready.factor = factor;
     }
--- a/packages/fleet/test/workspace-shares-test.cpp
+++ b/packages/fleet/test/workspace-shares-test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(anInactiveWorkspaceGainsNoCredit);
     CPPUNIT_TEST(aFloodLeavesTheOthersWhatTheyHad);
     CPPUNIT_TEST(doesNotPreemptBecauseOfShares);
+    CPPUNIT_TEST(doesNotStopWhatSharesHaveStarted);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr TimePoint start { Duration(100'000) };
@@ -97,11 +98,13 @@
 
     /// What 60 jobs of the workspaces "b" and "c", which use a quarter each, get if "a" submits `factor`
     /// times as much.
-    static Served serve(int factor, bool enabled, bool takeover)
+    static Served serve(int factor, bool enabled, bool takeover, bool weighted = true)
     {
         FakeFleet fleet;
         fleet.logHook = [](const char*, const boost::json::object&) {};
         fleet.settings.features.workspaceShares = enabled;
+        if (weighted)
+            fleet.config->workspaces[WorkspaceId("a")].weight = 1;
         for (int i = 0; i < 4; ++i)
             fleet.addWorker("w" + std::to_string(i));
         fleet.takeOver();
@@ -146,6 +149,9 @@
         CPPUNIT_ASSERT_EQUAL(60, flooded.jobs);
         CPPUNIT_ASSERT(flooded.meanMs < before.meanMs + 1000);
         CPPUNIT_ASSERT(serve(10, false, false).jobs < 30);
+        const auto unweighted
+            = serve(10, true, false, false); // Without weights the order is by utility alone.
+        CPPUNIT_ASSERT_EQUAL(serve(10, false, false).jobs, unweighted.jobs);
         CPPUNIT_ASSERT(serve(10, true, true).jobs >= 55); // The successor starts without the use until then.
     }
 
@@ -155,6 +161,7 @@
     {
         FakeFleet fleet;
         fleet.config->workspaces.clear();
+        fleet.config->workspaces[WorkspaceId("a")].weight = 1;
         for (auto& [id, route] : fleet.config->routes)
             route.objective = Duration(1'000'000);
         fleet.addWorker("w");
@@ -177,6 +184,33 @@
         CPPUNIT_ASSERT_EQUAL(1, fleet.observed.startCalls);
         CPPUNIT_ASSERT(lifted);
     }
+
+    // The factors placed bulk work of "b" first, and the urgent job of "a" stopped it by rank in the same
+    // pass.
+    void doesNotStopWhatSharesHaveStarted()
+    {
+        FakeFleet fleet;
+        fleet.config->workspaces.clear();
+        fleet.config->workspaces[WorkspaceId("a")].weight = 1;
+        for (auto& [id, route] : fleet.config->routes)
+            route.objective = Duration(1'000'000);
+        fleet.addWorker("w");
+        fleet.workTime = [](const TaskId&) { return Duration(5000); };
+        fleet.takeOver();
+        fleet.run(Duration(500));
+        for (const auto* id : { "a1", "a2", "b1", "b2", "b3" }) {
+            auto job = FakeFleet::job(id, 1, { 64'000, 1000, 8 }, id[0] == 'a' ? 0 : 1);
+            job.workspace = WorkspaceId(std::string(1, id[0]));
+            job.spec.steps[0].estimate = Duration(5000);
+            fleet.submit(job);
+            fleet.run(Duration(100));
+        }
+        fleet.run(Duration(9000));
+        CPPUNIT_ASSERT_EQUAL(2, fleet.observed.startCalls);
+        const auto stopped = std::any_of(fleet.log.begin(), fleet.log.end(),
+            [](const std::string& line) { return line.find("displace") == 0; });
+        CPPUNIT_ASSERT(!stopped);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WorkspaceSharesTest);
