--- a/packages/daemon/program.cpp
+++ b/packages/daemon/program.cpp
@@ -65,15 +65,13 @@
         }).detach();
     }
 
-    // Returns the features without those that are named in `disabled`.
-    fleet::OwnerFeatures featuresWithout(const std::vector<std::string>& disabled)
+    // Sets the named features to `value`.
+    void setFeatures(fleet::OwnerFeatures& features, const std::vector<std::string>& names, bool value)
     {
-        fleet::OwnerFeatures features;
         for (const auto& [name, feature] : namedFeatures) {
-            if (std::find(disabled.begin(), disabled.end(), name) != disabled.end())
-                features.*feature = false;
+            if (std::find(names.begin(), names.end(), name) != names.end())
+                features.*feature = value;
         }
-        return features;
     }
 
     // "jujubereachd entry" serves the users' platform; its settings come from the file that the platform
@@ -92,7 +90,12 @@
         std::set<std::string> names;
         for (const auto& [name, feature] : namedFeatures)
             names.insert(name);
+        std::vector<std::string> enabled;
         std::vector<std::string> disabled;
+        app.add_option("--enable", enabled, "Parts of the scheduler to switch on; may be repeated")
+            ->delimiter(',')
+            ->check(CLI::IsMember(names))
+            ->envname("JUJUBEREACH_ENABLE");
         app.add_option("--disable", disabled, "Parts of the scheduler to switch off; may be repeated")
             ->delimiter(',')
             ->check(CLI::IsMember(names))
@@ -109,7 +112,10 @@
             std::cerr << "jujubereachd: " << users::settingsVariable << " must name the settings file\n";
             return badSettingStatus;
         }
-        return users::serve(path, { order, switches, featuresWithout(disabled) });
+        fleet::OwnerFeatures features;
+        setFeatures(features, enabled, true);
+        setFeatures(features, disabled, false);
+        return users::serve(path, { order, switches, features });
     }
 
 } // namespace
--- a/packages/fleet/include/jujubereach/fleet/owner.h
+++ b/packages/fleet/include/jujubereach/fleet/owner.h
@@ -36,11 +36,13 @@
     bool trackUnansweredStarts = true; ///< A start without an answer is treated as possibly executed later.
 };
 
-/// Parts of the scheduler that operators can switch off; decisions are then made without them.
+/// Parts of the scheduler that operators can switch off or on; decisions are made without those that are off.
 struct OwnerFeatures {
     bool workerSpeed = true; ///< Learns the speed of workers and places gangs by it.
     bool workspaceShares = true; ///< Divides scarce capacity fairly between workspaces.
-    bool preemptionCost = true; ///< Weighs a preemption against waiting for runs to end.
+    /// Weighs a preemption against waiting for runs to end. Off: no gain was measured
+    /// (docs/design/preemption-cost.md).
+    bool preemptionCost = false;
     bool interference = true; ///< Separates and paces tasks that slow each other down.
     bool demandForecast = true; ///< Reserves capacity for the urgent demand that is expected.
 };
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -262,6 +262,8 @@
     // owner-shares.cpp: fair shares of scarce capacity between workspaces.
     void countUse();
     double weightOf(const WorkspaceId& id) const;
+    bool statesWeights() const; ///< Whether the configuration states a weight for any workspace.
+    double factorOf(const Job& job) const; ///< For the ranks of its steps; 1 without competition.
     void updateShares(const std::vector<ReadyStep>& waiting);
     void orderByShares(std::vector<ReadyStep>& waiting);
     void reportShares(
@@ -280,6 +282,8 @@
     /// Returns whether a plan now holds capacity for the step.
     bool preemptFor(const ReadyStep& ready, Pass& pass);
     void plan(const ReadyStep& ready, const std::vector<int>& waiting, const Preemption& found, Pass& pass);
+    const ActiveRun* findRun(const TaskId& task);
+    bool victimsStop(const PreemptionPlan& plan); ///< Whether a victim of the plan still runs.
     bool endsInTime(const PreemptionPlan& plan);
     bool awaitsEnds(const ReadyStep& ready) const; ///< Whether a plan for the step awaits runs that end.
     void stopWhole(const TaskId& task, const char* why);
