Bound clients by their own stalled bodies and idle connections

Causes found in review of the limits on clients: - A client over its part of a share was refused at once, so stalled bodies through one load balancer kept all its other requests at 503. It now loses its own stalled connections first. Addresses that only keep idle connections no longer reduce the parts; together they have one. - Connections were bounded by descriptors only. Idle ones are never closed for memory, so they may now fill half of a share at most. Kept buffers are 2 KiB instead of 4, so that 160 MB still allow 2,047 callers. - Idle outgoing connections could take half of RLIMIT_NOFILE whatever MaxFds said. They now have 3/16 of the descriptors. Without a descriptor a listener closes one of its connections if a new one waits. Doing so without asking whether one waits was tried and ruled out: accept reports EMFILE on an empty queue too, and net-test (aCallWithoutADescriptorClosesAnIdleConnection) failed. - Connections with a few bytes of a request displaced idle callers. - Short header fields were charged below their decoded size. - The kernel's receive buffers were 64 KiB; now 32, and 16 where no bodies are served.

The five new tests of client-limits-test failed before. net-test, client-limits-test, users-test and job-limits-test pass.

--- a/packages/net/include/jujubereach/net/connection-table.h
+++ b/packages/net/include/jujubereach/net/connection-table.h
@@ -73,6 +73,8 @@
     ConnectionEntry* victimForConnection(TimePoint now, std::size_t clients);
     /// The connection to close for the sake of the memory that it holds; null if none is stalled.
     ConnectionEntry* victimForMemory(TimePoint now);
+    /// As above, among the connections of one client. Searches a bounded number of connections.
+    ConnectionEntry* victimForMemory(TimePoint now, const ClientUse& client);
     /// The client that has waited longest with its response unread; null if there is none.
     ConnectionEntry* oldestWriter();
 
@@ -90,6 +92,8 @@
     ByProgress& listOf(ConnectionState state) { return m_lists[static_cast<std::size_t>(state)]; }
     const ByProgress& listOf(ConnectionState state) const { return m_lists[static_cast<std::size_t>(state)]; }
     ConnectionEntry* stalled(ConnectionState state, TimePoint now);
+    ConnectionEntry* stalledOf(const ClientUse& client, ConnectionState state, TimePoint now);
+    ConnectionEntry* majority(std::size_t clients);
     ConnectionEntry* first(ConnectionState state, std::size_t clients);
 
     const std::size_t m_max;
--- a/packages/net/include/jujubereach/net/memory-budget.h
+++ b/packages/net/include/jujubereach/net/memory-budget.h
@@ -20,6 +20,7 @@
     ClientId id;
     std::size_t connections = 0;
     std::size_t bytes = 0;
+    bool isBusy = false; ///< Holds more than its connections take while idle.
 };
 
 enum class Reservation { Granted, ShareFull, ClientOverPart };
@@ -29,6 +30,13 @@
     /// Requests with a body above this size are large, in bytes. Jobs of ordinary callers are below it.
     static constexpr std::size_t largeBody = 16'384;
 
+    /// Bytes of a connection's objects, including those of the loop.
+    static constexpr std::size_t connectionBytes = 1536;
+    /// Larger buffers are released between requests, in bytes.
+    static constexpr std::size_t keptBytes = 2048;
+    /// The most that an idle connection holds, in bytes.
+    static constexpr std::size_t idleBytes = connectionBytes + 2 * keptBytes;
+
     explicit MemoryShare(std::size_t limit = SIZE_MAX)
         : m_limit(limit)
     {
@@ -39,7 +47,8 @@
     void leave(ClientUse& client);
 
     /// Charges `bytes` if they fit. Large requests leave a quarter of the share to small ones. When more than
-    /// half of the share is held, no client may hold more than an equal part of it.
+    /// half of what such requests may use is held, no client may hold more than an equal part of it; the
+    /// parts are those of the busy clients and one for all others.
     Reservation reserve(ClientUse& client, std::size_t bytes, bool large);
     /// Charges bytes that exist already. May exceed the limit; the caller then closes connections.
     void charge(ClientUse& client, std::size_t bytes);
@@ -51,8 +60,12 @@
     std::size_t clients() const { return m_clients.size(); }
 
 private:
+    void updateBusy(ClientUse& client);
+    std::size_t partsFor(const ClientUse& client) const;
+
     std::size_t m_limit;
     std::size_t m_held = 0; ///< Sum of ClientUse::bytes.
+    std::size_t m_busy = 0; ///< Clients of which `isBusy` is set.
     std::unordered_map<std::uint64_t, ClientUse> m_clients;
 };
 
@@ -65,6 +78,7 @@
 struct ListenerBounds {
     std::size_t memoryBytes = 0;
     std::size_t maxConnections = 0;
+    int receiveBufferBytes = 32'768; ///< In the kernel, per connection.
 };
 
 /// Divides the process's limits among its listeners.
@@ -73,6 +87,7 @@
     ListenerBounds hosts;
     ListenerBounds readiness;
     ListenerBounds metrics;
+    std::size_t maxIdleOutgoing = 0; ///< Connections to other systems that are kept open without a call.
 };
 MemoryBudget divide(const ProcessLimits& limits);
 
--- a/packages/net/src/connection-table.cpp
+++ b/packages/net/src/connection-table.cpp
@@ -6,6 +6,8 @@
 
     constexpr int searchedEntries = 8; // Bounds the cost of a choice.
 
+    constexpr int searchedStalled = 64; // For those of one client among those of all.
+
     void consider(std::optional<TimePoint>& earliest, TimePoint deadline)
     {
         if (!earliest || deadline < *earliest)
@@ -70,6 +72,33 @@
     return !list.empty() && list.front().progressAt + stallTime <= now ? &list.front() : nullptr;
 }
 
+ConnectionEntry* ConnectionTable::stalledOf(const ClientUse& client, ConnectionState state, TimePoint now)
+{
+    auto left = searchedStalled;
+    for (auto& entry : listOf(state)) {
+        if (left-- == 0 || entry.progressAt + stallTime > now)
+            return nullptr;
+        if (entry.client == &client)
+            return &entry;
+    }
+    return nullptr;
+}
+
+// Connections that are opened at a high rate and send nothing, or a few bytes, must not displace the idle
+// ones of callers. Null if such connections are not the majority.
+ConnectionEntry* ConnectionTable::majority(std::size_t clients)
+{
+    using enum ConnectionState;
+    const auto unused = count(Unused);
+    const auto reading = count(Reading);
+    if (unused + reading <= m_size / 2)
+        return nullptr;
+    if (unused >= reading)
+        return first(Unused, clients);
+    auto* entry = first(Reading, clients);
+    return entry->progressAt == entry->enteredAt ? entry : first(Unused, clients);
+}
+
 // Prefers a connection of a client that has more than an equal part of the connections.
 ConnectionEntry* ConnectionTable::first(ConnectionState state, std::size_t clients)
 {
@@ -95,9 +124,8 @@
         if (auto* entry = stalled(state, now))
             return entry;
     }
-    // Connections that are opened at a high rate and send nothing must not displace the idle ones of callers.
-    if (count(Unused) > m_size / 2)
-        return first(Unused, clients);
+    if (auto* entry = majority(clients))
+        return entry;
     // Ordinary callers wait for a response before their next request.
     for (const auto state : { Pipelined, Idle, Unused, Reading, Writing }) {
         if (auto* entry = first(state, clients))
@@ -115,6 +143,12 @@
     return reading->progressAt < writing->progressAt ? reading : writing;
 }
 
+ConnectionEntry* ConnectionTable::victimForMemory(TimePoint now, const ClientUse& client)
+{
+    auto* entry = stalledOf(client, ConnectionState::Reading, now);
+    return entry ? entry : stalledOf(client, ConnectionState::Writing, now);
+}
+
 ConnectionEntry* ConnectionTable::oldestWriter()
 {
     auto& list = listOf(ConnectionState::Writing);
--- a/packages/net/src/http-server.cpp
+++ b/packages/net/src/http-server.cpp
@@ -4,6 +4,7 @@
 #include "server-connection.h"
 
 #include <algorithm>
+#include <poll.h>
 
 namespace jujubereach::net {
 
@@ -14,9 +15,7 @@
 
     constexpr int listenBacklog = 1024;
     constexpr Duration acceptPause { 50 }; // After a failed accept, such as for lack of descriptors.
-    // Per connection, in the kernel. A body of 256 KiB takes four round trips; responses are far smaller.
-    constexpr int receiveBufferBytes = 65'536;
-    constexpr int sendBufferBytes = 16'384;
+    constexpr int sendBufferBytes = 16'384; // In the kernel, per connection.
 
     ClientId clientIdOf(const asio::ip::address& address)
     {
@@ -29,6 +28,12 @@
         return { network };
     }
 
+    bool hasWaiting(tcp::acceptor& acceptor)
+    {
+        pollfd waiting { acceptor.native_handle(), POLLIN, 0 };
+        return ::poll(&waiting, 1, 0) == 1;
+    }
+
     bool isLimit(CloseCause cause)
     {
         return cause == CloseCause::ResponseTimeout || cause == CloseCause::ConnectionBound
@@ -68,6 +73,7 @@
     , closeTimer(usedLoop)
     , handler(std::move(usedHandler))
     , limitReached(std::move(usedLimitReached))
+    , receiveBufferBytes(bounds.receiveBufferBytes)
     , memory(bounds.memoryBytes)
     , table(bounds.maxConnections)
 {
@@ -75,17 +81,22 @@
 
 void HttpServer::Shared::add(tcp::socket socket)
 {
-    if (table.isFull()) {
-        auto* victim = table.victimForConnection(bootClockNow(), memory.clients());
-        if (!victim)
-            return countClose(CloseCause::ConnectionBound);
-        static_cast<ServerConnection*>(victim)->close(CloseCause::ConnectionBound);
-    }
+    if (table.isFull() && !closeOne())
+        return countClose(CloseCause::ConnectionBound);
     auto connection = std::make_shared<ServerConnection>(shared_from_this(), std::move(socket));
     connections.insert(connection);
     connection->start(clientIdOf(peer.address()));
 }
 
+bool HttpServer::Shared::closeOne()
+{
+    auto* victim = table.victimForConnection(bootClockNow(), memory.clients());
+    if (!victim)
+        return false;
+    static_cast<ServerConnection*>(victim)->close(CloseCause::ConnectionBound);
+    return true;
+}
+
 void HttpServer::Shared::closeAll()
 {
     closeTimer.cancel();
@@ -163,7 +174,7 @@
     if (!failed)
         acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
     if (!failed)
-        acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), failed);
+        acceptor.set_option(asio::socket_base::receive_buffer_size(m_shared->receiveBufferBytes), failed);
     if (!failed)
         acceptor.set_option(asio::socket_base::send_buffer_size(sendBufferBytes), failed);
     if (!failed)
@@ -220,6 +231,9 @@
                 shared->add(std::move(socket));
                 return accept();
             }
+            // The kernel reports a lack of descriptors also while no connection waits.
+            if (failed == asio::error::no_descriptors && hasWaiting(shared->acceptor) && shared->closeOne())
+                return accept();
             shared->acceptTimer.expires_after(acceptPause);
             shared->acceptTimer.async_wait([this, shared](const boost::system::error_code& cancelled) {
                 if (!cancelled && shared->accepting)
--- a/packages/net/src/memory-budget.cpp
+++ b/packages/net/src/memory-budget.cpp
@@ -10,12 +10,17 @@
     constexpr std::size_t fileFds = 200;
     constexpr std::size_t minMemoryBytes = 6U << 20U; // Serves one legal request at each listener.
     constexpr std::size_t minListenerMemory = 512U << 10U;
+    constexpr int bodilessReceiveBytes = 16'384; // For listeners that serve no bodies.
     constexpr std::size_t minConnections = 8; // Per listener.
 
+    // Idle connections are not closed for memory, so they may fill half of the share at most.
     ListenerBounds percentOf(const ListenerBounds& all, std::size_t memory, std::size_t connections)
     {
-        return { std::max(minListenerMemory, all.memoryBytes / 100 * memory),
-            std::max(minConnections, all.maxConnections * connections / 100) };
+        const auto memoryBytes = std::max(minListenerMemory, all.memoryBytes / 100 * memory);
+        const auto byMemory = memoryBytes / 2 / MemoryShare::idleBytes;
+        return { memoryBytes,
+            std::max(minConnections, std::min(byMemory, all.maxConnections * connections / 100)),
+            ListenerBounds {}.receiveBufferBytes };
     }
 
 } // namespace
@@ -32,7 +37,7 @@
 {
     if (--client.connections > 0)
         return;
-    m_held -= client.bytes;
+    release(client, client.bytes);
     m_clients.erase(client.id.value);
 }
 
@@ -41,8 +46,8 @@
     const auto most = large ? m_limit - m_limit / 4 : m_limit;
     if (m_held > most || bytes > most - m_held)
         return Reservation::ShareFull;
-    const auto isScarce = m_held + bytes > m_limit / 2;
-    if (isScarce && m_clients.size() > 1 && client.bytes + bytes > most / m_clients.size())
+    const auto isScarce = m_held + bytes > most / 2;
+    if (const auto parts = partsFor(client); isScarce && parts > 1 && client.bytes + bytes > most / parts)
         return Reservation::ClientOverPart;
     charge(client, bytes);
     return Reservation::Granted;
@@ -52,12 +57,30 @@
 {
     client.bytes += bytes;
     m_held += bytes;
+    updateBusy(client);
 }
 
 void MemoryShare::release(ClientUse& client, std::size_t bytes)
 {
     client.bytes -= bytes;
     m_held -= bytes;
+    updateBusy(client);
+}
+
+void MemoryShare::updateBusy(ClientUse& client)
+{
+    const auto isBusy = client.bytes > client.connections * idleBytes;
+    if (isBusy == client.isBusy)
+        return;
+    client.isBusy = isBusy;
+    isBusy ? ++m_busy : --m_busy;
+}
+
+// Idle clients together have one part, so that they neither reduce the others' much nor find the share full.
+std::size_t MemoryShare::partsFor(const ClientUse& client) const
+{
+    const auto busy = m_busy + (client.isBusy ? 0 : 1);
+    return std::min(m_clients.size(), busy + 1);
 }
 
 MemoryBudget divide(const ProcessLimits& limits)
@@ -65,7 +88,11 @@
     const auto fds = limits.maxFds > fileFds ? limits.maxFds - fileFds : 0;
     // A quarter of the descriptors stays free for outgoing calls.
     const ListenerBounds all { std::max(minMemoryBytes, limits.memoryBytes / memoryDivisor), fds - fds / 4 };
-    return { percentOf(all, 60, 70), percentOf(all, 25, 20), percentOf(all, 5, 5), percentOf(all, 10, 5) };
+    const auto outgoing = fds / 4;
+    MemoryBudget out { percentOf(all, 60, 70), percentOf(all, 25, 20), percentOf(all, 5, 5),
+        percentOf(all, 10, 5), std::max<std::size_t>(1, outgoing - outgoing / 4) };
+    out.readiness.receiveBufferBytes = out.metrics.receiveBufferBytes = bodilessReceiveBytes;
+    return out;
 }
 
 } // namespace jujubereach::net
--- a/packages/net/src/server-connection.cpp
+++ b/packages/net/src/server-connection.cpp
@@ -15,10 +15,11 @@
 namespace {
 
     constexpr unsigned peerTimeoutMs = 10'000; // For unacknowledged data; then the peer counts as dead.
-    constexpr std::size_t connectionBytes = 1536; // Of the connection's objects, including those of the loop.
-    constexpr std::size_t keptBytes = 4096; // Larger buffers are released between requests.
+    constexpr auto connectionBytes = MemoryShare::connectionBytes;
+    constexpr auto keptBytes = MemoryShare::keptBytes;
     constexpr std::size_t minBodyBytes = 4096; // First buffer of a body of unknown size.
-    constexpr std::size_t headFactor = 4; // A decoded head takes this many times its bytes, at most.
+    constexpr std::size_t headFactor
+        = 2; // Of the texts of a decoded head; a short text is part of its field.
     // While a request is decided: its body, which may still be forwarded, the decoded job, and the write to
     // the store.
     constexpr std::size_t decidedBodies = 3;
@@ -118,6 +119,8 @@
         return;
     if (m_framing.headBytes == 0)
         return hold(connectionBytes + m_in.capacity() + m_out.capacity()) ? awaitBytes() : refuseForMemory();
+    if (!hold(requestBytes() + m_in.capacity()))
+        return refuseForMemory();
     auto head = detail::parseRequestHead(m_in, m_framing);
     if (!head)
         return refuse(400, RefusalCause::Malformed, "the head of the request is malformed");
@@ -385,9 +388,7 @@
         const auto reserved = m_shared->memory.reserve(*client, bytes - m_charged, m_large);
         if (reserved == Reservation::Granted)
             break;
-        auto* victim = left > 0 && reserved == Reservation::ShareFull
-            ? m_shared->table.victimForMemory(bootClockNow())
-            : nullptr;
+        auto* victim = left > 0 ? victimFor(reserved) : nullptr;
         if (!victim || victim == this)
             return false;
         static_cast<ServerConnection*>(victim)->close(CloseCause::MemoryBound);
@@ -396,6 +397,15 @@
     return true;
 }
 
+// A client over its part must not close the connections of others.
+ConnectionEntry* ServerConnection::victimFor(Reservation failed)
+{
+    auto& table = m_shared->table;
+    const auto now = bootClockNow();
+    return failed == Reservation::ShareFull ? table.victimForMemory(now)
+                                            : table.victimForMemory(now, *client);
+}
+
 // For bytes that exist already. Closes unread responses if they exceed the share, possibly this one.
 void ServerConnection::mustHold(std::size_t bytes)
 {
@@ -425,7 +435,8 @@
 
 std::size_t ServerConnection::requestBytes() const
 {
-    return connectionBytes + m_out.capacity() + headFactor * m_framing.headBytes;
+    return connectionBytes + m_out.capacity() + headFactor * m_framing.headBytes
+        + m_headLines * sizeof(Headers::value_type);
 }
 
 } // namespace jujubereach::net
--- a/packages/net/src/server-connection.h
+++ b/packages/net/src/server-connection.h
@@ -22,6 +22,8 @@
 
     void add(boost::asio::ip::tcp::socket socket);
     void closeAll();
+    /// Closes one connection for a descriptor. Returns false if all are being decided.
+    bool closeOne();
     /// Closes connections whose time is over at their deadlines; called for each new deadline.
     void closeAt(TimePoint deadline);
     ConnectionTimeouts timeouts() const;
@@ -36,6 +38,7 @@
     std::optional<TimePoint> closesAt; ///< When `closeTimer` expires.
     const RequestHandler handler;
     const LimitReached limitReached;
+    const int receiveBufferBytes;
     ServerLimits limits;
     bool draining = false;
     bool accepting = true;
@@ -79,6 +82,7 @@
     void next();
 
     bool hold(std::size_t bytes);
+    ConnectionEntry* victimFor(Reservation failed);
     void mustHold(std::size_t bytes);
     void releaseInput();
     /// Bytes held by the connection and the head of its request, without the body and `m_in`.
--- a/packages/net/test/client-limits-test.cpp
+++ b/packages/net/test/client-limits-test.cpp
@@ -19,14 +19,19 @@
     CPPUNIT_TEST_SUITE(ClientLimitsTest);
     CPPUNIT_TEST(largeRequestsLeaveMemoryToSmallOnes);
     CPPUNIT_TEST(aClientWithMoreThanItsPartWaitsForTheOthers);
+    CPPUNIT_TEST(idleAddressesDoNotReduceTheParts);
     CPPUNIT_TEST(dividesLimitsAmongListeners);
+    CPPUNIT_TEST(idleConnectionsLeaveHalfOfAShare);
     CPPUNIT_TEST(closesLeastProgressFirst);
     CPPUNIT_TEST(singleBytesAreNoProgress);
     CPPUNIT_TEST(newConnectionsDoNotDisplaceIdleOnes);
+    CPPUNIT_TEST(newRequestsDoNotDisplaceIdleConnections);
     CPPUNIT_TEST(findsExpiredConnections);
     CPPUNIT_TEST(decodesChunksInAnyPieces);
     CPPUNIT_TEST(boundsChunkedBodies);
     CPPUNIT_TEST(stalledBodiesGiveWay);
+    CPPUNIT_TEST(aClientOverItsPartLosesItsStalledBodies);
+    CPPUNIT_TEST(chargesShortFieldsAsDecoded);
     CPPUNIT_TEST(refusesWithoutRunning);
     CPPUNIT_TEST(unreadResponsesGiveWay);
     CPPUNIT_TEST(aFullListenerAcceptsNewConnections);
@@ -60,6 +65,26 @@
         CPPUNIT_ASSERT(share.reserve(other, 500, false) == Reservation::Granted);
     }
 
+    // Addresses that only keep connections open must not reduce what a busy address may hold.
+    void idleAddressesDoNotReduceTheParts()
+    {
+        MemoryShare share(1'000'000);
+        auto& busy = share.join({ 1 });
+        for (std::uint64_t id = 2; id < 12; ++id)
+            share.charge(share.join({ id }), 1536);
+        CPPUNIT_ASSERT(share.reserve(busy, 490'000, false) == Reservation::Granted);
+        CPPUNIT_ASSERT(share.reserve(busy, 9'000, false) == Reservation::Granted);
+        CPPUNIT_ASSERT(share.reserve(busy, 2'000, false) == Reservation::ClientOverPart);
+    }
+
+    // Idle connections are not closed for memory, so they must not fill a share where descriptors abound.
+    void idleConnectionsLeaveHalfOfAShare()
+    {
+        const auto budget = divide({ 160U << 20U, 1'000'000 });
+        for (const auto& bounds : { budget.callers, budget.hosts, budget.readiness, budget.metrics })
+            CPPUNIT_ASSERT(bounds.maxConnections * 5632 <= bounds.memoryBytes / 2);
+    }
+
     void dividesLimitsAmongListeners()
     {
         const auto budget = divide({ 160U << 20U, 4100 });
@@ -147,6 +172,16 @@
         CPPUNIT_ASSERT(all.closeOne(1000) == &first);
     }
 
+    // One byte per new connection must not change that.
+    void newRequestsDoNotDisplaceIdleConnections()
+    {
+        Table all;
+        all.add(ConnectionState::Idle, 0);
+        const auto& first = all.add(ConnectionState::Reading, 990);
+        all.add(ConnectionState::Reading, 995);
+        CPPUNIT_ASSERT(all.closeOne(1000) == &first);
+    }
+
     void findsExpiredConnections()
     {
         Table all;
@@ -229,9 +264,9 @@
 
         void runFor(int milliseconds) { loop.run_for(std::chrono::milliseconds(milliseconds)); }
 
-        tcp::socket send(const std::string& bytes)
+        tcp::socket send(const std::string& bytes, const char* from = "127.0.0.1")
         {
-            tcp::socket socket(loop);
+            tcp::socket socket(loop, tcp::endpoint(asio::ip::make_address(from), 0));
             socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), 29327));
             asio::write(socket, asio::buffer(bytes));
             runFor(30);
@@ -272,6 +307,31 @@
         CPPUNIT_ASSERT(host.reached == std::vector<std::string> { "memory-bound" });
     }
 
+    // Stalled bodies behind a load balancer must not make the server refuse all its other requests.
+    void aClientOverItsPartLosesItsStalledBodies()
+    {
+        Host host({ 100'000, 100 });
+        auto other = host.send("G", "127.0.0.2");
+        auto stalled = host.send(post("/stalled", 30'000, 10));
+        host.runFor(ConnectionTable::stallTime.count() + 50);
+        auto whole = host.send(post("/whole", 10'000, 10'000));
+        CPPUNIT_ASSERT(Host::receive(whole).starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), host.closed(CloseCause::MemoryBound));
+        CPPUNIT_ASSERT(Host::receive(other).empty()); // Still open.
+    }
+
+    // A field of four bytes takes two strings once it is decoded.
+    void chargesShortFieldsAsDecoded()
+    {
+        Host host({ 100'000, 100 });
+        constexpr std::size_t fields = 60;
+        std::string head = "POST / HTTP/1.1\r\nContent-Length: 9\r\n";
+        for (std::size_t i = 0; i < fields; ++i)
+            head += "a:\r\n";
+        auto client = host.send(head + "\r\n");
+        CPPUNIT_ASSERT(host.server.figures().heldBytes >= 1536 + fields * sizeof(Headers::value_type));
+    }
+
     // A refusal for lack of memory tells the client that the request has not run, and when to repeat it.
     void refusesWithoutRunning()
     {
