--- a/packages/net/include/jujubereach/net/memory-budget.h
+++ b/packages/net/include/jujubereach/net/memory-budget.h
@@ -38,10 +38,15 @@
     static constexpr std::size_t idleBytes = connectionBytes + 2 * keptBytes;
 
     explicit MemoryShare(std::size_t limit = SIZE_MAX)
-        : m_limit(limit)
+        : m_configured(limit)
+        , m_limit(limit)
     {
     }
 
+    /// Makes each request of up to `requestBytes` fit into a share of which idle connections hold half, and
+    /// into the part of each client, if necessary by raising the limit.
+    void admit(std::size_t requestBytes);
+
     /// Each connection joins once and leaves once.
     ClientUse& join(ClientId id);
     void leave(ClientUse& client);
@@ -63,7 +68,9 @@
     void updateBusy(ClientUse& client);
     std::size_t partsFor(const ClientUse& client) const;
 
+    const std::size_t m_configured;
     std::size_t m_limit;
+    std::size_t m_minPart = 0; ///< Of a client, in bytes.
     std::size_t m_held = 0; ///< Sum of ClientUse::bytes.
     std::size_t m_busy = 0; ///< Clients of which `isBusy` is set.
     std::unordered_map<std::uint64_t, ClientUse> m_clients;
--- a/packages/net/src/http-server.cpp
+++ b/packages/net/src/http-server.cpp
@@ -36,8 +36,8 @@
 
     bool isLimit(CloseCause cause)
     {
-        return cause == CloseCause::ResponseTimeout || cause == CloseCause::ConnectionBound
-            || cause == CloseCause::MemoryBound;
+        return cause == CloseCause::RequestTimeout || cause == CloseCause::ResponseTimeout
+            || cause == CloseCause::ConnectionBound || cause == CloseCause::MemoryBound;
     }
 
     CloseCause timeoutOf(ConnectionState state)
@@ -190,6 +190,7 @@
 void HttpServer::setLimits(const ServerLimits& limits)
 {
     m_shared->limits = limits;
+    m_shared->memory.admit(ServerConnection::largestRequest(limits.maxBodyBytes));
 }
 
 void HttpServer::drain()
--- a/packages/net/src/memory-budget.cpp
+++ b/packages/net/src/memory-budget.cpp
@@ -25,6 +25,12 @@
 
 } // namespace
 
+void MemoryShare::admit(std::size_t requestBytes)
+{
+    m_limit = std::max(m_configured, 4 * requestBytes); // Large requests have three of the four quarters.
+    m_minPart = requestBytes;
+}
+
 ClientUse& MemoryShare::join(ClientId id)
 {
     auto& client = m_clients[id.value];
@@ -47,7 +53,8 @@
     if (m_held > most || bytes > most - m_held)
         return Reservation::ShareFull;
     const auto isScarce = m_held + bytes > most / 2;
-    if (const auto parts = partsFor(client); isScarce && parts > 1 && client.bytes + bytes > most / parts)
+    if (const auto parts = partsFor(client);
+        isScarce && parts > 1 && client.bytes + bytes > std::max(m_minPart, most / parts))
         return Reservation::ClientOverPart;
     charge(client, bytes);
     return Reservation::Granted;
--- a/packages/net/src/server-connection.cpp
+++ b/packages/net/src/server-connection.cpp
@@ -49,6 +49,12 @@
     detail::setPeerOptions(m_socket, peerTimeoutMs);
 }
 
+std::size_t ServerConnection::largestRequest(std::size_t maxBodyBytes)
+{
+    constexpr std::size_t headAndBuffers = 131'072;
+    return decidedBodies * maxBodyBytes + headAndBuffers;
+}
+
 void ServerConnection::start(ClientId id)
 {
     client = &m_shared->memory.join(id);
--- a/packages/net/src/server-connection.h
+++ b/packages/net/src/server-connection.h
@@ -56,6 +56,9 @@
 public:
     ServerConnection(std::shared_ptr<HttpServer::Shared> shared, boost::asio::ip::tcp::socket socket);
 
+    /// The most that a connection holds while it handles one request, in bytes.
+    static std::size_t largestRequest(std::size_t maxBodyBytes);
+
     void start(ClientId client);
     void close(CloseCause cause);
 
--- a/packages/net/test/client-limits-test.cpp
+++ b/packages/net/test/client-limits-test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(aClientWithMoreThanItsPartWaitsForTheOthers);
     CPPUNIT_TEST(idleAddressesDoNotReduceTheParts);
     CPPUNIT_TEST(dividesLimitsAmongListeners);
+    CPPUNIT_TEST(admitsTheLargestLegalRequest);
     CPPUNIT_TEST(idleConnectionsLeaveHalfOfAShare);
     CPPUNIT_TEST(closesLeastProgressFirst);
     CPPUNIT_TEST(singleBytesAreNoProgress);
@@ -77,6 +78,20 @@
         CPPUNIT_ASSERT(share.reserve(busy, 2'000, false) == Reservation::ClientOverPart);
     }
 
+    // A large configured body, or many peers, must not make each largest request fail without a flood.
+    void admitsTheLargestLegalRequest()
+    {
+        MemoryShare share(100'000);
+        share.admit(80'000);
+        for (std::uint64_t id = 1; id < 4; ++id) {
+            auto& peer = share.join({ id });
+            share.join({ id + 10 });
+            CPPUNIT_ASSERT(share.reserve(peer, 80'000, true) == Reservation::Granted);
+        }
+        share.admit(10);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(100'000), share.limit());
+    }
+
     // Idle connections are not closed for memory, so they must not fill a share where descriptors abound.
     void idleConnectionsLeaveHalfOfAShare()
     {
