Leave hosts room for all peers; test handlers that respond late

With 1,024 descriptors the listener of hosts had 123 connections, while 31 peers keep 124. It now has at least 160 where a quarter of all connections and its memory allow; fewDescriptorsServeAllPeers failed before. The test of handlers that respond after their connection or server is gone passed before too; it guards against closing a connection whose request runs.

--- a/packages/net/src/memory-budget.cpp
+++ b/packages/net/src/memory-budget.cpp
@@ -11,6 +11,8 @@
     constexpr std::size_t minMemoryBytes = 6U << 20U; // Serves one legal request at each listener.
     constexpr std::size_t minListenerMemory = 512U << 10U;
     constexpr int bodilessReceiveBytes = 16'384; // For listeners that serve no bodies.
+    // 31 peers keep up to four connections each to a host (`ClientLimits::maxIdlePerEndpoint`).
+    constexpr std::size_t peerConnections = 160;
     constexpr std::size_t minConnections = 8; // Per listener.
 
     // Idle connections are not closed for memory, so they may fill half of the share at most.
@@ -98,6 +100,9 @@
     const auto outgoing = fds / 4;
     MemoryBudget out { percentOf(all, 60, 70), percentOf(all, 25, 20), percentOf(all, 5, 5),
         percentOf(all, 10, 5), std::max<std::size_t>(1, outgoing - outgoing / 4) };
+    const auto byMemory = out.hosts.memoryBytes / 2 / MemoryShare::idleBytes;
+    out.hosts.maxConnections
+        = std::max(out.hosts.maxConnections, std::min({ peerConnections, byMemory, all.maxConnections / 4 }));
     out.readiness.receiveBufferBytes = out.metrics.receiveBufferBytes = bodilessReceiveBytes;
     return out;
 }
--- a/packages/net/test/client-limits-test.cpp
+++ b/packages/net/test/client-limits-test.cpp
@@ -23,6 +23,8 @@
     CPPUNIT_TEST(dividesLimitsAmongListeners);
     CPPUNIT_TEST(admitsTheLargestLegalRequest);
     CPPUNIT_TEST(idleConnectionsLeaveHalfOfAShare);
+    CPPUNIT_TEST(fewDescriptorsServeAllPeers);
+    CPPUNIT_TEST(aPendingHandlerOutlivesItsConnection);
     CPPUNIT_TEST(closesLeastProgressFirst);
     CPPUNIT_TEST(singleBytesAreNoProgress);
     CPPUNIT_TEST(newConnectionsDoNotDisplaceIdleOnes);
@@ -112,6 +114,53 @@
             <= 40U << 20U);
     }
 
+    // With the usual 1,024 descriptors the pooled connections of 31 peers must not displace each other.
+    void fewDescriptorsServeAllPeers()
+    {
+        const auto budget = divide({ 160U << 20U, 1024 });
+        CPPUNIT_ASSERT(budget.hosts.maxConnections >= std::size_t { 31 } * 4);
+        CPPUNIT_ASSERT(200 + budget.callers.maxConnections + budget.hosts.maxConnections
+                + budget.readiness.maxConnections + budget.metrics.maxConnections + budget.maxIdleOutgoing
+            <= 1024);
+    }
+
+    // A handler may respond after its connection, or the server, is gone; until then its connection must not
+    // be closed for a new one.
+    void aPendingHandlerOutlivesItsConnection()
+    {
+        asio::io_context loop { 1 };
+        std::vector<Respond> pending;
+        std::optional<HttpServer> server(
+            std::in_place, loop,
+            [&](HttpRequest&&, Respond respond) { pending.push_back(std::move(respond)); },
+            ListenerBounds { 1'000'000, 2 });
+        CPPUNIT_ASSERT(server->listen(address));
+        const auto connect = [&] {
+            tcp::socket socket(loop);
+            socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), 29327));
+            asio::write(socket, asio::buffer(std::string_view("GET / HTTP/1.1\r\n\r\n")));
+            loop.run_for(std::chrono::milliseconds(30));
+            return socket;
+        };
+        auto first = connect();
+        auto second = connect();
+        auto third = connect();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), pending.size());
+        const auto refused = static_cast<std::size_t>(CloseCause::ConnectionBound);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), server->figures().closed[refused]); // The third.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2),
+            server->figures().connections[static_cast<std::size_t>(ConnectionState::Deciding)]);
+        CPPUNIT_ASSERT(Host::receive(first).empty()); // Still open.
+        pending[0]({ 200, {}, "late" });
+        CPPUNIT_ASSERT(Host::receive(first).starts_with("HTTP/1.1 200"));
+        second.close();
+        loop.run_for(std::chrono::milliseconds(30));
+        server.reset();
+        pending[1]({ 200, {}, "nobody reads this" });
+        loop.run_for(std::chrono::milliseconds(30));
+        CPPUNIT_ASSERT(!pending.empty());
+    }
+
     struct Table {
         ConnectionTable table;
         std::deque<ConnectionEntry> entries;
