Tell IPv4-mapped clients of a listener apart

All addresses ::ffff:a.b.c.d share the upper 64 bits, so they counted as one client. They now have the id of their IPv4 address. No test: the listeners of the tests use IPv4. net-test and client-limits-test pass.

--- a/packages/net/src/http-server.cpp
+++ b/packages/net/src/http-server.cpp
@@ -21,6 +21,8 @@
     {
         if (address.is_v4())
             return { address.to_v4().to_uint() };
+        if (address.to_v6().is_v4_mapped())
+            return { asio::ip::make_address_v4(asio::ip::v4_mapped, address.to_v6()).to_uint() };
         const auto bytes = address.to_v6().to_bytes();
         std::uint64_t network = 0;
         for (std::size_t i = 0; i < sizeof network; ++i)
