--- a/packages/net/src/http-server.cpp
+++ b/packages/net/src/http-server.cpp
@@ -4,6 +4,7 @@
 #include "server-connection.h"
 
 #include <algorithm>
+#include <poll.h>
 
 namespace jujubereach::net {
 
@@ -14,14 +15,14 @@
 
     constexpr int listenBacklog = 1024;
     constexpr Duration acceptPause { 50 }; // After a failed accept, such as for lack of descriptors.
-    // Per connection, in the kernel. A body of 256 KiB takes four round trips; responses are far smaller.
-    constexpr int receiveBufferBytes = 65'536;
-    constexpr int sendBufferBytes = 16'384;
+    constexpr int sendBufferBytes = 16'384; // In the kernel, per connection.
 
     ClientId clientIdOf(const asio::ip::address& address)
     {
         if (address.is_v4())
             return { address.to_v4().to_uint() };
+        if (address.to_v6().is_v4_mapped())
+            return { asio::ip::make_address_v4(asio::ip::v4_mapped, address.to_v6()).to_uint() };
         const auto bytes = address.to_v6().to_bytes();
         std::uint64_t network = 0;
         for (std::size_t i = 0; i < sizeof network; ++i)
@@ -29,10 +30,16 @@
         return { network };
     }
 
+    bool hasWaiting(tcp::acceptor& acceptor)
+    {
+        pollfd waiting { acceptor.native_handle(), POLLIN, 0 };
+        return ::poll(&waiting, 1, 0) == 1;
+    }
+
     bool isLimit(CloseCause cause)
     {
-        return cause == CloseCause::ResponseTimeout || cause == CloseCause::ConnectionBound
-            || cause == CloseCause::MemoryBound;
+        return cause == CloseCause::RequestTimeout || cause == CloseCause::ResponseTimeout
+            || cause == CloseCause::ConnectionBound || cause == CloseCause::MemoryBound;
     }
 
     CloseCause timeoutOf(ConnectionState state)
@@ -68,6 +75,7 @@
     , closeTimer(usedLoop)
     , handler(std::move(usedHandler))
     , limitReached(std::move(usedLimitReached))
+    , receiveBufferBytes(bounds.receiveBufferBytes)
     , memory(bounds.memoryBytes)
     , table(bounds.maxConnections)
 {
@@ -75,17 +83,22 @@
 
 void HttpServer::Shared::add(tcp::socket socket)
 {
-    if (table.isFull()) {
-        auto* victim = table.victimForConnection(bootClockNow(), memory.clients());
-        if (!victim)
-            return countClose(CloseCause::ConnectionBound);
-        static_cast<ServerConnection*>(victim)->close(CloseCause::ConnectionBound);
-    }
+    if (table.isFull() && !closeOne())
+        return countClose(CloseCause::ConnectionBound);
     auto connection = std::make_shared<ServerConnection>(shared_from_this(), std::move(socket));
     connections.insert(connection);
     connection->start(clientIdOf(peer.address()));
 }
 
+bool HttpServer::Shared::closeOne()
+{
+    auto* victim = table.victimForConnection(bootClockNow(), memory.clients());
+    if (!victim)
+        return false;
+    static_cast<ServerConnection*>(victim)->close(CloseCause::ConnectionBound);
+    return true;
+}
+
 void HttpServer::Shared::closeAll()
 {
     closeTimer.cancel();
@@ -163,7 +176,7 @@
     if (!failed)
         acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
     if (!failed)
-        acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), failed);
+        acceptor.set_option(asio::socket_base::receive_buffer_size(m_shared->receiveBufferBytes), failed);
     if (!failed)
         acceptor.set_option(asio::socket_base::send_buffer_size(sendBufferBytes), failed);
     if (!failed)
@@ -179,6 +192,7 @@
 void HttpServer::setLimits(const ServerLimits& limits)
 {
     m_shared->limits = limits;
+    m_shared->memory.admit(ServerConnection::largestRequest(limits.maxBodyBytes));
 }
 
 void HttpServer::drain()
@@ -220,6 +234,9 @@
                 shared->add(std::move(socket));
                 return accept();
             }
+            // The kernel reports a lack of descriptors also while no connection waits.
+            if (failed == asio::error::no_descriptors && hasWaiting(shared->acceptor) && shared->closeOne())
+                return accept();
             shared->acceptTimer.expires_after(acceptPause);
             shared->acceptTimer.async_wait([this, shared](const boost::system::error_code& cancelled) {
                 if (!cancelled && shared->accepting)
