--- a/fuzz/chunked-body.cpp
+++ b/fuzz/chunked-body.cpp
@@ -1,6 +1,6 @@
 // Chunked bodies that arrive in pieces of any size.
+#include "chunk-decoder.h"
 #include "fuzz-target.h"
-#include "message-codec.h"
 
 #include <algorithm>
 
@@ -11,7 +11,7 @@
 constexpr std::size_t maxInput = 4096; // Decoding in pieces costs the square of it.
 
 struct Decoded {
-    std::optional<std::size_t> end; ///< As decodeChunkedBody() returns it.
+    std::optional<std::size_t> end; ///< Offset of the end; 0 if incomplete, unset if malformed.
     std::string body; ///< Only of a complete body.
 
     friend bool operator==(const Decoded&, const Decoded&) = default;
@@ -21,13 +21,19 @@
 /// decoder.
 Decoded decode(const std::string& bytes, std::size_t pieceBytes)
 {
+    using Status = net::detail::ChunkDecoder::Status;
     Decoded out;
-    std::string received;
-    do {
-        received += bytes.substr(received.size(), pieceBytes);
-        out.end = net::detail::decodeChunkedBody(received, 0, out.body);
-    } while (out.end && *out.end == 0 && received.size() < bytes.size());
-    if (!out.end || *out.end == 0)
+    net::detail::ChunkDecoder decoder(maxInput);
+    auto status = Status::Incomplete;
+    std::size_t at = 0;
+    while (status == Status::Incomplete && at < bytes.size()) {
+        std::size_t used = 0;
+        status = decoder.decode(std::string_view(bytes).substr(at, pieceBytes), out.body, used);
+        at += used;
+    }
+    if (status == Status::Complete || status == Status::Incomplete)
+        out.end = status == Status::Complete ? at : 0;
+    if (status != Status::Complete)
         out.body.clear();
     return out;
 }
--- a/packages/daemon/program.cpp
+++ b/packages/daemon/program.cpp
@@ -25,7 +25,6 @@
         { "workspace-shares", &fleet::OwnerFeatures::workspaceShares },
         { "preemption-cost", &fleet::OwnerFeatures::preemptionCost },
         { "interference", &fleet::OwnerFeatures::interference },
-        { "demand-forecast", &fleet::OwnerFeatures::demandForecast },
     };
 
     Platform connectPlatform(const Settings& settings)
--- a/packages/fleet/include/jujubereach/fleet/owner.h
+++ b/packages/fleet/include/jujubereach/fleet/owner.h
@@ -44,7 +44,6 @@
     /// (docs/design/preemption-cost.md).
     bool preemptionCost = false;
     bool interference = true; ///< Separates and paces tasks that slow each other down.
-    bool demandForecast = true; ///< Reserves capacity for the urgent demand that is expected.
 };
 
 struct OwnerSettings {
