--- a/fuzz/chunked-body.cpp
+++ b/fuzz/chunked-body.cpp
@@ -3,6 +3,8 @@
 #include "fuzz-target.h"
 
 #include <algorithm>
+#include <optional>
+#include <string>
 
 using namespace jujubereach;
 
--- a/packages/entry/src/host-impl.h
+++ b/packages/entry/src/host-impl.h
@@ -112,6 +112,7 @@
     void jobsListed(const std::vector<StoreItem>& items);
     /// Logs a record that cannot be read.
     std::optional<fleet::JobRecord> readJob(const StoreItem& item);
+    void readSpeeds();
     void watchFleet();
     /// Logs an entry that cannot be read, once until it is readable or removed.
     std::optional<fleet::WorkerReport> readWorker(const StoreItem& item);
--- a/packages/entry/src/ownership.cpp
+++ b/packages/entry/src/ownership.cpp
@@ -203,6 +203,16 @@
     });
 }
 
+// The takeover does not wait for the answer: without it, speeds are learned anew.
+void EntryHost::Impl::readSpeeds()
+{
+    m_hooks.store.read(
+        keys::speeds, readTimeout, [this, self = m_self, term = m_term](const StoreAnswer& answer) {
+            if (*self && term == m_term && m_owner && answer.fate == StoreFate::Done && !answer.items.empty())
+                m_owner->restoreSpeeds(answer.items[0].value);
+        });
+}
+
 void EntryHost::Impl::watchFleet()
 {
     const auto term = m_term;
@@ -242,10 +252,7 @@
     m_workers = std::make_shared<PrefixWatcher>(
         m_hooks, m_hooks.layout.workerPrefix, workerWatchPause, std::move(workers));
 
-    m_hooks.store.read(keys::speeds, readTimeout, [this, self = m_self, term](const StoreAnswer& answer) {
-        if (*self && term == m_term && m_owner && answer.fate == StoreFate::Done && !answer.items.empty())
-            m_owner->restoreSpeeds(answer.items[0].value);
-    });
+    readSpeeds();
     m_hooks.store.read(keys::roster, readTimeout, [this, self = m_self, term](const StoreAnswer& answer) {
         if (!*self || term != m_term || !m_owner)
             return;
