--- a/packages/entry/src/ownership.cpp
+++ b/packages/entry/src/ownership.cpp
@@ -199,6 +199,7 @@
         }
         for (auto& item : *items)
             m_progress[item.key] = std::move(item);
+        readSpeeds();
         watchFleet();
     });
 }
@@ -252,7 +253,6 @@
     m_workers = std::make_shared<PrefixWatcher>(
         m_hooks, m_hooks.layout.workerPrefix, workerWatchPause, std::move(workers));
 
-    readSpeeds();
     m_hooks.store.read(keys::roster, readTimeout, [this, self = m_self, term](const StoreAnswer& answer) {
         if (!*self || term != m_term || !m_owner)
             return;
