--- a/packages/net/include/jujubereach/net/memory-budget.h
+++ b/packages/net/include/jujubereach/net/memory-budget.h
@@ -94,7 +94,6 @@
     ListenerBounds hosts;
     ListenerBounds readiness;
     ListenerBounds metrics;
-    std::size_t maxIdleOutgoing = 0; ///< Connections to other systems that are kept open without a call.
 };
 MemoryBudget divide(const ProcessLimits& limits);
 
--- a/packages/net/src/memory-budget.cpp
+++ b/packages/net/src/memory-budget.cpp
@@ -97,9 +97,8 @@
     const auto fds = limits.maxFds > fileFds ? limits.maxFds - fileFds : 0;
     // A quarter of the descriptors stays free for outgoing calls.
     const ListenerBounds all { std::max(minMemoryBytes, limits.memoryBytes / memoryDivisor), fds - fds / 4 };
-    const auto outgoing = fds / 4;
     MemoryBudget out { percentOf(all, 60, 70), percentOf(all, 25, 20), percentOf(all, 5, 5),
-        percentOf(all, 10, 5), std::max<std::size_t>(1, outgoing - outgoing / 4) };
+        percentOf(all, 10, 5) };
     const auto byMemory = out.hosts.memoryBytes / 2 / MemoryShare::idleBytes;
     out.hosts.maxConnections
         = std::max(out.hosts.maxConnections, std::min({ peerConnections, byMemory, all.maxConnections / 4 }));
