--- a/packages/fleet/test/preemption-cost-test.cpp
+++ b/packages/fleet/test/preemption-cost-test.cpp
@@ -197,6 +197,7 @@
     void aRunThatLastsLongerDelaysAnUrgentGangOnlyBriefly()
     {
         FakeFleet fleet;
+        fleet.settings.features.preemptionCost = true;
         fleet.config->workspaces.clear();
         fill(fleet, Duration(700), Duration(4000), Duration(400));
         fleet.run(Duration(900));
@@ -209,6 +210,7 @@
     void guaranteedWorkWaitsForHalfASecondAtMost()
     {
         FakeFleet fleet;
+        fleet.settings.features.preemptionCost = true;
         fleet.settings.stopTimeout = Duration(1000);
         fill(fleet, Duration(700), Duration(4000), Duration(400));
         const auto stops = [&] { return fleet.counts["jujubereach_preemptions_total stop urgent w"]; };
@@ -226,6 +228,7 @@
     void aSuccessorPlacesTheUrgentGangOfAWait()
     {
         FakeFleet fleet;
+        fleet.settings.features.preemptionCost = true;
         fill(fleet, Duration(2000), Duration(2000), Duration(1700));
         fleet.run(Duration(100));
         fleet.takeOver();
@@ -240,6 +243,7 @@
     void unboundedObjectivesDoNotOverflow()
     {
         FakeFleet fleet;
+        fleet.settings.features.preemptionCost = true;
         fleet.config->workspaces.clear();
         for (auto& [id, route] : fleet.config->routes)
             route.objective = Duration::max();
