Look up victims only of plans that overrun; reuse isUrgent

Change: the order of two conditions without side effects, calls of isUrgent, an early return, a cast less. Ruled out: a change of decisions, as the conditions are the same.

--- a/packages/fleet/src/owner-displace.cpp
+++ b/packages/fleet/src/owner-displace.cpp
@@ -65,7 +65,7 @@
     auto lost = now() - run.orderedAt;
     if (m_settings.features.preemptionCost) {
         if (run.adopted) // Its start is unknown.
-            lost = std::max(lost, expectedTime(job, spec) * std::max(0, static_cast<int>(run.percent)) / 100);
+            lost = std::max(lost, expectedTime(job, spec) * std::max(0, run.percent) / 100);
         lost = lostTime({ lost, !run.adopted, spec.checkpointing, spec.gang, m_settings.checkpointInterval,
             m_settings.restoreTime });
         out.endsAt = endUnlessStopped(job, step, worker, run);
@@ -268,8 +268,10 @@
     const auto* step = job ? job->findStep(task) : nullptr;
     const auto* worker
         = step ? findWorker(step->tasks[static_cast<std::size_t>(task.index)].worker) : nullptr;
-    const auto found = worker ? worker->runs.find(task) : decltype(worker->runs.find(task)) {};
-    return worker && found != worker->runs.end() ? &found->second : nullptr;
+    if (!worker)
+        return nullptr;
+    const auto found = worker->runs.find(task);
+    return found == worker->runs.end() ? nullptr : &found->second;
 }
 
 bool Owner::Impl::victimsStop(const PreemptionPlan& plan)
@@ -366,7 +368,7 @@
     // Without its plan, the step would stop further runs while the victims are still stopping.
     std::erase_if(m_plans, [this](const auto& row) {
         const auto& plan = row.second;
-        return now() >= plan.expires || (!victimsStop(plan) && !endsInTime(plan));
+        return now() >= plan.expires || (!endsInTime(plan) && !victimsStop(plan));
     });
 }
 
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -56,9 +56,14 @@
         }
     };
 
+    bool isUrgent(const PlaceRequest& request)
+    {
+        return request.priority <= urgentPriority;
+    }
+
     bool mayUseReservedRacks(const PlaceRequest& request)
     {
-        return request.priority <= urgentPriority || request.overdue;
+        return isUrgent(request) || request.overdue;
     }
 
     TimePoint expectedEndAt(const PlaceRequest& request, double speed)
@@ -69,14 +74,9 @@
         return request.expectedEnd + Duration(static_cast<std::int64_t>(more));
     }
 
-    bool isUrgent(const PlaceRequest& request)
-    {
-        return request.priority <= urgentPriority;
-    }
-
     bool respectsReservation(const PlaceRequest& request, const WorkerView& view, double speed)
     {
-        const auto overridesReservation = request.priority <= urgentPriority && !view.reservationBindsUrgent;
+        const auto overridesReservation = isUrgent(request) && !view.reservationBindsUrgent;
         return !view.reservedBy || view.reservedBy == request.step || overridesReservation
             || expectedEndAt(request, speed) <= view.reservedUntil;
     }
