--- a/review/deployment/deployment.cc
+++ b/review/deployment/deployment.cc
@@ -670,6 +670,14 @@
     beat();
 }
 
+void Minion::setCut(bool cut)
+{
+    m_record.line(id() + (cut ? " is cut off" : " is reached again"));
+    m_cut = cut;
+    if (!cut && m_up)
+        beat();
+}
+
 Size Minion::used() const
 {
     Size sum;
@@ -683,6 +691,8 @@
 
 void Minion::beat()
 {
+    if (m_cut)
+        return;
     m_beatAt = nowMs();
     json::object entry { { "Service", m_place.service },
         { "Address", m_place.ip + ':' + std::to_string(m_place.port) }, { "Zone", m_place.zone },
@@ -713,7 +723,7 @@
     }
     if (m_up && now - m_beatAt >= heartbeatMs)
         beat();
-    if (!m_up && !m_gone && now - m_beatAt >= 3 * heartbeatMs)
+    if ((!m_up || m_cut) && !m_gone && now - m_beatAt >= 3 * heartbeatMs)
         m_store.remove("servers/" + id());
     if (m_up && !m_runs.empty() && clock() >= m_deadline) {
         while (!m_runs.empty())
@@ -732,9 +742,30 @@
     });
 }
 
+// Such an order is carried out in whatever life the minion then has: a minion that is back under its id takes
+// calls that were meant for its former life.
+bool Minion::isLate(const json::object& order)
+{
+    if (m_history.lateTask.empty() || text(order, "Task") != m_history.lateTask
+        || !m_history.lateMinion.empty())
+        return false;
+    m_history.lateMinion = id();
+    m_record.line(id() + " leaves a start of " + text(order, "Task") + " unanswered");
+    auto timer = std::make_shared<asio::steady_timer>(m_loop, Milliseconds(m_history.lateMs));
+    timer->async_wait([this, timer, order](const boost::system::error_code& failed) {
+        if (failed || !m_up)
+            return;
+        const auto fence = static_cast<std::uint64_t>(number(order, "FencingToken"));
+        m_record.line(id() + " carries out the start of " + text(order, "Task") + " that it left unanswered");
+        const auto reply = fence < m_fence ? refuse("fence") : start(order);
+        m_record.line(id() + " would have answered " + std::to_string(reply.status) + ' ' + reply.body);
+    });
+    return true;
+}
+
 void Minion::handle(const Request& request, Respond respond)
 {
-    if (!m_up)
+    if (!m_up || m_cut)
         return;
     if (!request.instance.empty() && request.instance != id())
         return respond({ 421, {} });
@@ -746,6 +777,8 @@
         m_record.line(id() + " answers 503 to a start of " + text(order, "Task"));
         return respond({ 503, {} });
     }
+    if (request.target == "/v1/run-start" && isLate(order))
+        return;
     m_fence = static_cast<std::uint64_t>(number(order, "FencingToken"));
     if (request.target == "/v1/run-start")
         return respond(start(order));
--- a/review/deployment/deployment.h
+++ b/review/deployment/deployment.h
@@ -171,6 +171,11 @@
     };
     std::vector<ListedEnd> ends;
 
+    /// The first start of this work unit gets no answer and is carried out after `lateMs`.
+    std::string lateTask;
+    std::int64_t lateMs = 0;
+    std::string lateMinion; ///< The one that got it; empty before.
+
     std::size_t count(const std::string& task, const std::string& what) const;
     /// The time of the last such entry; -1 for none.
     std::int64_t last(const std::string& task, const std::string& what) const;
@@ -191,6 +196,7 @@
     void crash(std::int64_t downMs); ///< The process ends without notice and starts again under its id.
     void drain(std::int64_t remainingMs); ///< Reports `draining`, then leaves for good.
     void setBusy(bool busy) { m_busy = busy; } ///< Answers starts with 503.
+    void setCut(bool cut); ///< Cut off from all hosts and from the store; it runs on.
 
     const std::string& id() const { return m_place.id; }
     bool isUp() const { return m_up; }
@@ -230,6 +236,7 @@
     void tick();
     std::int64_t clock() const { return nowMs() - m_bornAt + 1; }
     void handle(const Request& request, Respond respond);
+    bool isLate(const json::object& order);
     Reply start(const json::object& order);
     Reply stop(const json::object& order);
     void hold(const json::object& order, Respond respond);
@@ -262,6 +269,7 @@
     bool m_draining = false;
     bool m_gone = false;
     bool m_busy = false;
+    bool m_cut = false;
     std::int64_t m_returnsAt = 0;
 };
 
