--- a/review/deployment/deployment.cc
+++ b/review/deployment/deployment.cc
@@ -13,6 +13,7 @@
 #include <iostream>
 #include <random>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -1039,6 +1040,7 @@
     const auto variable = "JUJUBEREACH_CONFIG=" + path;
     const auto pid = fork();
     if (pid == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL); // Ends with the case, also when that is interrupted.
         const auto out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
         dup2(out, 1);
         dup2(out, 2);
