Review: keep a result of the stand-ins alive until it is taken

Cause, by reading: Deployment::onLoop destroyed a promise that the other thread was still setting; it is shared now.

--- a/review/deployment/deployment.h
+++ b/review/deployment/deployment.h
@@ -313,15 +313,16 @@
     /// Runs `f` on the thread of the stand-ins and returns its result.
     template <typename F> auto onLoop(F f) -> decltype(f())
     {
-        std::promise<decltype(f())> done;
-        asio::post(m_loop, [&] {
+        // Shared: the loop's thread may still use it when the caller has its result.
+        const auto done = std::make_shared<std::promise<decltype(f())>>();
+        asio::post(m_loop, [&f, done] {
             if constexpr (std::is_void_v<decltype(f())>) {
                 f();
-                done.set_value();
+                done->set_value();
             } else
-                done.set_value(f());
+                done->set_value(f());
         });
-        return done.get_future().get();
+        return done->get_future().get();
     }
 
     Record& record() { return m_record; }
