Review: end the stand-ins only when their loop has ended

Scripts ended with 2 after their verdict in 2 of 22 runs (case 11 once, case 15 with TROUBLE=0 once), seven scripts at a time. Cause, by reading: minions were destroyed on the running loop, where a timer that had fired already still called them.

--- a/review/deployment/deployment.cc
+++ b/review/deployment/deployment.cc
@@ -989,13 +989,12 @@
 {
     for (int i = 0; i < hostCount(); ++i)
         killHost(i, SIGKILL);
-    onLoop([&] {
-        m_minions.clear();
-        m_store.reset();
-    });
     m_work.reset();
     m_loop.stop();
     m_thread.join();
+    // After the loop: a timer that has fired already would still call its minion.
+    m_minions.clear();
+    m_store.reset();
     std::error_code ignored;
     if (!std::getenv("KEEP"))
         std::filesystem::remove_all(m_folder, ignored);
