Withhold ends while another order of their start may still be executed

Cause: a start without an answer is sent again, so one run has several orders under way. Each may be executed up to 12 s late, by a later incarnation too, and nothing in the order makes that one refuse it. The owner took the end of the run for the end of all its orders and acknowledged it.

Change: the second order is sent once the store holds that the start is repeated, and an end of such a start is acknowledged only when no order can come any more, 12 s after the last one without an answer. Jobs are shown as before. Successors know it too, also for final jobs; gangs wait for the orders of all members. Why it works: by the rule an end counts from its acknowledgement, and after that no order of the start is left. A start with a single order is settled by the list or the end that shows the run. Beside withheld ends polls follow the expected ends.

--- a/packages/fleet/include/jujubereach/fleet/records.h
+++ b/packages/fleet/include/jujubereach/fleet/records.h
@@ -62,11 +62,20 @@
     std::optional<TaskStart> start {}; ///< Of `lastRun`, unless it is known to have ended.
 };
 
+/// A task whose start was sent more than once.
+struct RepeatedStart {
+    int occurrence = 0;
+    int step = 0;
+    int index = 0;
+};
+
 /// Written by the owner.
 struct ProgressRecord {
     JobState state = JobState::Queued;
     int occurrencesDone = 0; ///< All occurrences below this number are done and have no rows.
     std::vector<TaskProgress> tasks; ///< Only tasks with progress; empty in a final state.
+    /// An order of these starts may still be executed, also in a final state.
+    std::vector<RepeatedStart> repeatedStarts {};
 };
 
 /// Published by the owner to all hosts: the number of jobs of each queue that have not started.
--- a/packages/fleet/src/job.cpp
+++ b/packages/fleet/src/job.cpp
@@ -50,6 +50,8 @@
 {
     ProgressRecord out;
     out.state = state;
+    for (const auto& [task, expires] : repeatedStarts)
+        out.repeatedStarts.push_back({ task.occurrence, task.step, task.index });
     if (isFinal(state))
         return out;
     out.occurrencesDone = occurrences.empty() ? nextOccurrence : occurrences.begin()->first;
@@ -69,9 +71,11 @@
     return out;
 }
 
-void Job::restore(const ProgressRecord& progress)
+void Job::restore(const ProgressRecord& progress, TimePoint ordersExpire)
 {
     state = progress.state;
+    for (const auto& row : progress.repeatedStarts)
+        repeatedStarts[{ id(), row.occurrence, row.step, row.index }] = ordersExpire;
     if (isFinal(state))
         return;
     nextOccurrence = progress.occurrencesDone;
@@ -98,4 +102,14 @@
     }
 }
 
+bool Job::mayStartLate(const TaskId& task, TimePoint now) const
+{
+    const auto* spec = specOf(task);
+    return std::any_of(repeatedStarts.begin(), repeatedStarts.end(), [&](const auto& row) {
+        const auto& [repeated, expires] = row;
+        return now <= expires && repeated.occurrence == task.occurrence && repeated.step == task.step
+            && (repeated.index == task.index || (spec && spec->gang));
+    });
+}
+
 } // namespace jujubereach::fleet
--- a/packages/fleet/src/job.h
+++ b/packages/fleet/src/job.h
@@ -119,6 +119,8 @@
     bool begun = false; ///< A worker has begun one of its tasks, as far as this owner knows.
     bool startUnresolved = false; ///< Whether it holds for any task.
     bool awaitsCrashSave = false; ///< A task may start once the count of its crashes is stored.
+    /// Starts that were sent more than once, with the time until which one of the orders may be executed.
+    std::map<TaskId, TimePoint> repeatedStarts;
 
     const JobId& id() const { return record.id; }
     const JobSpec& spec() const { return record.spec; }
@@ -127,7 +129,10 @@
     Step* findStep(const TaskId& task); ///< Null if there is no such task or its occurrence is finished.
     const StepSpec* specOf(const TaskId& task) const; ///< Also valid after the task has ended.
     ProgressRecord progress() const;
-    void restore(const ProgressRecord& progress);
+    /// Orders of the previous owner may be executed until `ordersExpire`.
+    void restore(const ProgressRecord& progress, TimePoint ordersExpire);
+    /// Whether an order of a repeated start of the task, or of a member of its gang, may be executed later.
+    bool mayStartLate(const TaskId& task, TimePoint now) const;
 };
 
 } // namespace jujubereach::fleet
--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -141,6 +141,7 @@
 // Updates a known run that a poll reports as running.
 void Owner::Impl::updateRun(Worker& worker, ActiveRun& run, Step* step, const RunningTask& seen)
 {
+    settleSingleStart(worker, run);
     if (run.phase == RunPhase::Ordered) {
         markStarted(run);
         run.callInFlight = false;
@@ -221,8 +222,11 @@
     const auto speed = current && step ? speedOfRun(worker, *step, found->second) : 1;
     if (current && step && !stopping && end.kind == EndKind::Done)
         measureEnd(worker, found->second, *step);
-    if (current)
+    if (current) {
+        settleSingleStart(worker, found->second);
         release(worker, end.task);
+    } else if (job)
+        awaitRepeatedStart(worker, *job, end);
     if (job)
         job->begun = true;
     if (task && !end.checkpoint.empty() && end.run >= step->shared(end.task.index).lastRun)
@@ -242,7 +246,8 @@
         { { "task", toString(end.task) }, { "run", end.run.value }, { "worker", worker.id().str() },
             { "kind", nameOf(end.kind) }, { "ranMs", ranFor.count() }, { "cores", cores },
             { "counted", task && !replaced }, { "saved", !end.checkpoint.empty() },
-            { "incarnation", worker.incarnation }, { "startMayComeForMs", lateFor.count() } });
+            { "incarnation", worker.incarnation }, { "startMayComeForMs", lateFor.count() },
+            { "withheld", job && job->mayStartLate(end.task, now()) } });
     if (task && !replaced && !isFinal(job->state) && !task->done) {
         if (end.kind == EndKind::Done) {
             worker.health.taskDone();
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -124,6 +124,7 @@
     bool mayAcknowledge(const Worker& worker) const;
     void pollFailed(Worker& worker, bool extended, OrderFate fate);
     void pollAnswered(const WorkerId& id, const SentPoll& poll, const OrderAnswer& answer);
+    TimePoint nextPollBesideEnds(Worker& worker);
     void loseAbsentRuns(Worker& worker, TimePoint sentAt, const OrderAnswer& answer);
     bool markFenced(Worker& worker, const OrderAnswer& answer);
     bool processAnswer(Worker& worker, TimePoint sentAt, const OrderAnswer& answer);
@@ -178,6 +179,10 @@
     Task* findTask(const TaskId& id);
     void markAnswered(ActiveRun& run);
     void confirmStart(ActiveRun& run);
+    void repeatStart(Worker& worker, ActiveRun& run);
+    void extendRepeatedStart(const TaskId& id, TimePoint sentAt);
+    void settleSingleStart(Worker& worker, ActiveRun& run);
+    void awaitRepeatedStart(Worker& worker, const Job& job, const EndedTask& end);
     /// Stores which incarnation executes the run; 0 if that is not known, or if the worker leaves.
     void setIncarnation(const ActiveRun& run, const Worker& worker, std::int64_t incarnation);
     void markLeaving(const Worker& worker);
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -14,6 +14,7 @@
     constexpr Duration maxAcknowledgeDelay { 1000 };
     constexpr Duration sameIncarnationWindow { 300 }; // Too short for a restart and the end of a task.
     constexpr Duration listRetryDelay { 50 };
+    constexpr Duration withheldPollInterval { 100 }; // The least between polls beside withheld ends.
     constexpr Duration orderTimeout { 800 }; // About twenty round trips between regions.
     constexpr Duration stopRetryDelay { 200 };
     constexpr Duration entryDelay { 100 }; // Between checks whether the entry of a new incarnation is there.
@@ -30,7 +31,9 @@
 {
     const auto time = now();
     for (auto& [task, run] : worker.runs) {
-        if (run.callInFlight || run.nextCall > time || worker.missedPolls > 0)
+        // A delay of orders that keeps a start from an answer also delays polls.
+        const auto repeats = run.phase == RunPhase::Ordered && run.startAttempts > 0;
+        if (run.callInFlight || run.nextCall > time || (worker.missedPolls > 0 && !repeats))
             continue;
         if (run.phase == RunPhase::Ordered)
             startCall(worker, run);
@@ -232,7 +235,7 @@
     decidePaces(*worker, poll.at);
     acknowledgeSavedEnds(*worker);
     if (!worker->ends.empty())
-        worker->nextPoll = now() + maxAcknowledgeDelay;
+        worker->nextPoll = nextPollBesideEnds(*worker);
     else if (worker->acknowledged > worker->acknowledgementAnswered && !mayAcknowledge(*worker))
         worker->nextPoll = now() + listRetryDelay;
     if (awaitsList(*worker))
@@ -244,6 +247,24 @@
     sendDueCalls(*worker);
 }
 
+// A worker that lists ends answers at once and does not wait for the next end. While ends are withheld, for
+// up to `maxOrderDelay`, polls are sent when runs are expected to end.
+TimePoint Owner::Impl::nextPollBesideEnds(Worker& worker)
+{
+    auto next = now() + maxAcknowledgeDelay;
+    const auto& task = worker.ends.begin()->second.task;
+    const auto* withheldFor = findJob(task.job);
+    if (!withheldFor || !withheldFor->mayStartLate(task, now()))
+        return next;
+    for (const auto& [id, run] : worker.runs) {
+        auto* job = findJob(id.job);
+        const auto* step = job ? job->findStep(id) : nullptr;
+        if (step && !step->spec->longRunning)
+            next = std::min(next, expectedEnd(*job, *step, worker, run));
+    }
+    return std::max(next, now() + withheldPollInterval);
+}
+
 void Owner::Impl::loseAbsentRuns(Worker& worker, TimePoint sentAt, const OrderAnswer& answer)
 {
     std::set<TaskId> seen;
@@ -279,6 +300,10 @@
         return stopWhole(run.task, "its worker is of another kind");
     if (run.startAttempts > 0 && !worker.report.capacity.canFit(worker.used))
         return stopWhole(run.task, "its worker has shrunk"); // An earlier attempt may not have arrived.
+    if (run.startAttempts > 0 && now() - run.orderedAt > orderTimeout * maxStartAttempts)
+        return stop(worker, run.task, "its start got no answer");
+    if (job->saved < run.repeatVersion)
+        return;
     StartOrder order;
     order.task = run.task;
     order.run = run.run;
@@ -309,6 +334,8 @@
         return;
     if (!processAnswer(*worker, sentAt, answer))
         return;
+    if (answer.fate == OrderFate::Unknown)
+        extendRepeatedStart(task, sentAt);
     const auto found = worker->runs.find(task);
     if (found == worker->runs.end() || found->second.run != number)
         return;
@@ -346,10 +373,8 @@
     case OrderFate::Unknown:
         run.startUnanswered = true;
         worker->unansweredStarts[task] = { number, run.startSentAt };
-        if (run.startAttempts < maxStartAttempts) {
-            run.nextCall = now();
-            return startCall(*worker, run);
-        }
+        if (run.startAttempts < maxStartAttempts)
+            return repeatStart(*worker, run);
         return stop(*worker, task, "its start got no answer");
     case OrderFate::Refused:
         worker->health.taskFailed(now());
--- a/packages/fleet/src/owner-save.cpp
+++ b/packages/fleet/src/owner-save.cpp
@@ -64,6 +64,7 @@
             continue;
         job->inSaveQueue = false;
         job->saving = true;
+        std::erase_if(job->repeatedStarts, [this](const auto& row) { return now() > row.second; });
         write.expected.push_back({ keys::progress(id), job->progressRevision });
         write.puts.push_back({ keys::progress(id), encode(job->progress()), {} });
         parts.jobs.emplace_back(id, job->changes);
@@ -249,8 +250,11 @@
         m_rosterDue = rosterDiffers();
         schedulePass();
     }
-    for (auto& [id, worker] : m_workers)
+    for (auto& [id, worker] : m_workers) {
         acknowledgeSavedEnds(worker);
+        if (!worker.unansweredStarts.empty())
+            sendDueCalls(worker); // Repeated starts wait for the save.
+    }
     if (!m_saveQueue.empty())
         m_hooks.wakeIn(saveBatchDelay);
 }
@@ -263,6 +267,8 @@
         const auto* job = findJob(end.task.job);
         if (job && job->saved < end.changes && m_settings.switches.saveBeforeAcknowledging)
             break;
+        if (job && job->mayStartLate(end.task, now()))
+            break;
         worker.acknowledged = std::max(worker.acknowledged, number);
         worker.ends.erase(worker.ends.begin());
         advanced = true;
--- a/packages/fleet/src/owner-starts.cpp
+++ b/packages/fleet/src/owner-starts.cpp
@@ -50,6 +50,55 @@
     markChanged(*findJob(run.task.job));
 }
 
+// The end of a run that two orders may have started proves the execution of one of them. A later incarnation
+// may execute the other, so the end is not acknowledged before that has become impossible. A successor must
+// know: the second order waits for the store.
+void Owner::Impl::repeatStart(Worker& worker, ActiveRun& run)
+{
+    auto* job = findJob(run.task.job);
+    if (!job)
+        return;
+    if (run.startAttempts == 1) {
+        job->repeatedStarts[run.task] = run.startSentAt + maxOrderDelay;
+        markChanged(*job);
+        run.repeatVersion = job->changes;
+    }
+    run.nextCall = now();
+    startCall(worker, run);
+}
+
+// An attempt got no answer.
+void Owner::Impl::extendRepeatedStart(const TaskId& id, TimePoint sentAt)
+{
+    auto* job = findJob(id.job);
+    if (!job)
+        return;
+    const auto found = job->repeatedStarts.find(id);
+    if (found != job->repeatedStarts.end())
+        found->second = std::max(found->second, sentAt + maxOrderDelay);
+}
+
+// The worker has listed the run. If there was a single order, it has been executed and cannot come again.
+void Owner::Impl::settleSingleStart(Worker& worker, ActiveRun& run)
+{
+    if (run.startAttempts != 1 || !std::exchange(run.startUnanswered, false))
+        return;
+    worker.unansweredStarts.erase(run.task);
+    if (auto* job = findJob(run.task.job))
+        job->repeatedStarts.erase(run.task);
+}
+
+// A run that a previous owner started has ended. Another order of its start may still be executed.
+void Owner::Impl::awaitRepeatedStart(Worker& worker, const Job& job, const EndedTask& end)
+{
+    const auto found = job.repeatedStarts.find(end.task);
+    if (found == job.repeatedStarts.end() || found->second < now()
+        || worker.unansweredStarts.contains(end.task))
+        return;
+    worker.unansweredStarts[end.task] = { end.run, found->second - maxOrderDelay };
+    awaitLateStart(end.task, worker.id(), found->second);
+}
+
 void Owner::Impl::setIncarnation(const ActiveRun& run, const Worker& worker, std::int64_t incarnation)
 {
     auto* task = findTask(run.task);
--- a/packages/fleet/src/owner.cpp
+++ b/packages/fleet/src/owner.cpp
@@ -44,7 +44,7 @@
     job.recovered = true;
     job.progressRevision = revision;
     if (progress)
-        job.restore(*progress);
+        job.restore(*progress, lastEarlierOrder() + maxOrderDelay);
     if (isFinal(job.state))
         return;
     if (job.spec().repeatCount == 0 && job.nextOccurrence == 0)
--- a/packages/fleet/src/records.cpp
+++ b/packages/fleet/src/records.cpp
@@ -240,6 +240,11 @@
     }
     if (!tasks.empty())
         out["tasks"] = std::move(tasks);
+    json::array repeated;
+    for (const auto& start : record.repeatedStarts)
+        repeated.push_back(json::array { start.occurrence, start.step, start.index });
+    if (!repeated.empty())
+        out["repeatedStarts"] = std::move(repeated); // Earlier builds ignore it.
     return json::serialize(out);
 }
 
@@ -269,6 +274,11 @@
             for (const auto& row : tasks->as_array())
                 record.tasks.push_back(readTask(row.as_array()));
         }
+        if (const auto* repeated = in.if_contains("repeatedStarts")) {
+            for (const auto& row : repeated->as_array())
+                record.repeatedStarts.push_back(
+                    { row.at(0).to_number<int>(), row.at(1).to_number<int>(), row.at(2).to_number<int>() });
+        }
         return record;
     });
 }
--- a/packages/fleet/src/worker.h
+++ b/packages/fleet/src/worker.h
@@ -73,6 +73,7 @@
     TimePoint probationEnds; ///< A run that lasts longer clears its task of crashes; unset if there are none.
     bool callInFlight = false; ///< A start or stop call is in flight.
     int startAttempts = 0;
+    std::uint64_t repeatVersion = 0; ///< Version of the job's progress to be stored before a second attempt.
     /// A start got no answer: it may be executed later, by a later incarnation too.
     bool startUnanswered = false;
     bool answerUnsaved = false; ///< The start was stored before it was answered.
--- a/packages/fleet/test/records-test.cpp
+++ b/packages/fleet/test/records-test.cpp
@@ -66,11 +66,13 @@
         progress.occurrencesDone = 2;
         progress.tasks.push_back({ 2, 0, 5, false, { 7 }, { { 3 }, { 6 } }, "00000bb8" });
         progress.tasks.push_back({ 2, 1, 0, true, { 1 }, {}, "" });
+        progress.repeatedStarts.push_back({ 2, 1, 4 });
         const auto read = decodeProgress(encode(progress));
         CPPUNIT_ASSERT(read.has_value());
         CPPUNIT_ASSERT_EQUAL(encode(progress), encode(*read));
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), read->tasks[0].failedRuns.size());
         CPPUNIT_ASSERT_EQUAL(std::string("00000bb8"), read->tasks[0].checkpoint);
+        CPPUNIT_ASSERT_EQUAL(4, read->repeatedStarts.at(0).index);
     }
 
     void crashHistoriesRoundTrip()
