--- a/packages/fleet/src/owner-ends.cpp
+++ b/packages/fleet/src/owner-ends.cpp
@@ -238,15 +238,12 @@
     // The success of a run that was given up as lost is ignored if another run has replaced it. Its failure
     // still counts.
     const auto replaced = task && !current && !task->worker.empty() && end.kind != EndKind::Failed;
-    const auto late = worker.unansweredStarts.find(end.task);
-    const auto lateFor = late == worker.unansweredStarts.end()
-        ? Duration(0)
-        : std::max(Duration(0), late->second.sentAt + maxOrderDelay - now());
     m_hooks.log("end",
         { { "task", toString(end.task) }, { "run", end.run.value }, { "worker", worker.id().str() },
             { "kind", nameOf(end.kind) }, { "ranMs", ranFor.count() }, { "cores", cores },
             { "counted", task && !replaced }, { "saved", !end.checkpoint.empty() },
-            { "incarnation", worker.incarnation }, { "startMayComeForMs", lateFor.count() },
+            { "incarnation", worker.incarnation },
+            { "startMayComeForMs", startMayComeFor(worker, end.task).count() },
             { "withheld", job && job->mayStartLate(end.task, now()) } });
     if (task && !replaced && !isFinal(job->state) && !task->done) {
         if (end.kind == EndKind::Done) {
--- a/packages/fleet/src/owner-impl.h
+++ b/packages/fleet/src/owner-impl.h
@@ -117,6 +117,7 @@
     void stopCall(Worker& worker, ActiveRun& run);
     void startAnswered(
         const WorkerId& id, const TaskId& task, Run run, TimePoint sentAt, const OrderAnswer& answer);
+    void logStartAnswer(const Worker& worker, const ActiveRun& run, const OrderAnswer& answer) const;
     void stopAnswered(
         const WorkerId& id, const TaskId& task, Run run, TimePoint sentAt, const OrderAnswer& answer);
     static bool awaitsList(const Worker& worker); ///< Whether a list decides what to do next.
@@ -179,6 +180,9 @@
     Task* findTask(const TaskId& id);
     void markAnswered(ActiveRun& run);
     void confirmStart(ActiveRun& run);
+    /// How long an order of the start that got no answer may still be executed there; 0 for none.
+    Duration startMayComeFor(const Worker& worker, const TaskId& id) const;
+    /// Sends it again, once the store holds that it is repeated.
     void repeatStart(Worker& worker, ActiveRun& run);
     void extendRepeatedStart(const TaskId& id, TimePoint sentAt);
     void settleSingleStart(Worker& worker, ActiveRun& run);
--- a/packages/fleet/src/owner-orders.cpp
+++ b/packages/fleet/src/owner-orders.cpp
@@ -303,7 +303,7 @@
     if (run.startAttempts > 0 && now() - run.orderedAt > orderTimeout * maxStartAttempts)
         return stop(worker, run.task, "its start got no answer");
     if (job->saved < run.repeatVersion)
-        return;
+        return; // `saveSucceeded` calls again.
     StartOrder order;
     order.task = run.task;
     order.run = run.run;
@@ -326,6 +326,19 @@
         });
 }
 
+void Owner::Impl::logStartAnswer(const Worker& worker, const ActiveRun& run, const OrderAnswer& answer) const
+{
+    if (answer.fate == OrderFate::Done && answer.clock < worker.clock)
+        m_hooks.log("start-answered-after-restart",
+            { { "task", toString(run.task) }, { "run", run.run.value }, { "worker", worker.id().str() },
+                { "incarnation", worker.incarnation }, { "clock", answer.clock.value },
+                { "knownClock", worker.clock.value }, { "knownMsAgo", (now() - worker.clockAt).count() } });
+    if (answer.fate != OrderFate::Done)
+        m_hooks.log("start-refused",
+            { { "task", toString(run.task) }, { "run", run.run.value }, { "worker", worker.id().str() },
+                { "fate", nameOf(answer.fate) }, { "attempt", run.startAttempts } });
+}
+
 void Owner::Impl::startAnswered(
     const WorkerId& id, const TaskId& task, Run number, TimePoint sentAt, const OrderAnswer& answer)
 {
@@ -356,15 +369,7 @@
     run.callInFlight = false;
     if (run.phase == RunPhase::Running)
         return; // A poll has already reported the run.
-    if (answer.fate == OrderFate::Done && answer.clock < worker->clock)
-        m_hooks.log("start-answered-after-restart",
-            { { "task", toString(task) }, { "run", number.value }, { "worker", id.str() },
-                { "incarnation", worker->incarnation }, { "clock", answer.clock.value },
-                { "knownClock", worker->clock.value }, { "knownMsAgo", (now() - worker->clockAt).count() } });
-    if (answer.fate != OrderFate::Done)
-        m_hooks.log("start-refused",
-            { { "task", toString(task) }, { "run", number.value }, { "worker", id.str() },
-                { "fate", nameOf(answer.fate) }, { "attempt", run.startAttempts } });
+    logStartAnswer(*worker, run, answer);
     switch (answer.fate) {
     case OrderFate::Done:
     case OrderFate::Old: // Already ended or stopped: the next poll shows which.
--- a/packages/fleet/src/owner-starts.cpp
+++ b/packages/fleet/src/owner-starts.cpp
@@ -99,6 +99,14 @@
     awaitLateStart(end.task, worker.id(), found->second);
 }
 
+Duration Owner::Impl::startMayComeFor(const Worker& worker, const TaskId& id) const
+{
+    const auto late = worker.unansweredStarts.find(id);
+    if (late == worker.unansweredStarts.end())
+        return Duration(0);
+    return std::max(Duration(0), late->second.sentAt + maxOrderDelay - now());
+}
+
 void Owner::Impl::setIncarnation(const ActiveRun& run, const Worker& worker, std::int64_t incarnation)
 {
     auto* task = findTask(run.task);
